--- /dev/null
+++ b/internal/consul/read.go
@@ -0,0 +1,67 @@
+package consul
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/store"
+)
+
+// Get returns the pair of key as the leader confirms it.
+func (c *Client) Get(ctx context.Context, key string) (store.Pair, error) {
+	return c.one(ctx, key, url.Values{"consistent": {""}})
+}
+
+// Watch returns the pair of key once its index exceeds index or wait is over.
+func (c *Client) Watch(ctx context.Context, key string, index uint64, wait time.Duration) (store.Pair, error) {
+	return c.one(ctx, key, url.Values{
+		"index": {strconv.FormatUint(index, 10)},
+		"wait":  {wait.String()},
+	})
+}
+
+// List returns the pairs under prefix as the leader confirms them.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Pair, error) {
+	q := url.Values{"recurse": {""}, "consistent": {""}}
+	a, err := c.do(ctx, call{method: http.MethodGet, path: kv(prefix), query: q})
+	if err != nil || a.status == http.StatusNotFound {
+		return nil, err
+	}
+	var es []Entry
+	if err := decode(a, &es, false); err != nil {
+		return nil, err
+	}
+	ps := make([]store.Pair, len(es))
+	for i, e := range es {
+		ps[i] = pair(e)
+	}
+	return ps, nil
+}
+
+// one reads one key.
+func (c *Client) one(ctx context.Context, key string, q url.Values) (store.Pair, error) {
+	a, err := c.do(ctx, call{method: http.MethodGet, path: kv(key), query: q})
+	if err != nil {
+		return store.Pair{}, err
+	}
+	missing := store.Pair{Key: key, Index: a.index}
+	if a.status == http.StatusNotFound {
+		return missing, store.ErrNotFound
+	}
+	var es []Entry
+	if err := decode(a, &es, false); err != nil {
+		return store.Pair{}, err
+	}
+	if len(es) == 0 {
+		return missing, store.ErrNotFound
+	}
+	return pair(es[0]), nil
+}
+
+// pair returns e as a pair of the store.
+func pair(e Entry) store.Pair {
+	return store.Pair{Key: e.Key, Value: e.Value, Index: e.ModifyIndex, Lease: store.LeaseID(e.Session)}
+}
--- /dev/null
+++ b/internal/consul/write.go
@@ -0,0 +1,95 @@
+package consul
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/store"
+)
+
+// CAS sets key by a transaction, which unlike a plain write returns the new index.
+func (c *Client) CAS(ctx context.Context, key string, value []byte, index uint64, guards ...store.Guard) (store.Pair, bool, error) {
+	if err := c.tooLarge(value); err != nil {
+		return store.Pair{}, false, err
+	}
+	b, err := json.Marshal(steps(key, value, index, guards))
+	if err != nil {
+		return store.Pair{}, false, errors.WithMessage(store.ErrUnavailable, err.Error())
+	}
+	a, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/txn", body: b, write: true})
+	if err != nil {
+		return store.Pair{}, false, err
+	}
+	if a.status == http.StatusConflict {
+		return store.Pair{}, false, nil
+	}
+	var t TxnAnswer
+	if err := decode(a, &t, true); err != nil {
+		return store.Pair{}, false, err
+	}
+	for _, r := range t.Results {
+		if r.KV != nil && r.KV.Key == key {
+			return store.Pair{Key: key, Value: value, Index: r.KV.ModifyIndex, Lease: store.LeaseID(r.KV.Session)}, true, nil
+		}
+	}
+	return store.Pair{}, false, errors.WithMessage(store.ErrUnknown, "transaction without result")
+}
+
+// steps returns the transaction that sets key under guards.
+func steps(key string, value []byte, index uint64, guards []store.Guard) []Step {
+	ss := make([]Step, 0, len(guards)+1)
+	for _, g := range guards {
+		o := &Operation{Verb: VerbCheckIndex, Key: g.Key, Index: g.Index}
+		if g.Index == 0 {
+			o.Verb = VerbCheckNotExists
+		}
+		ss = append(ss, Step{KV: o})
+	}
+	return append(ss, Step{KV: &Operation{Verb: VerbCAS, Key: key, Value: value, Index: index}})
+}
+
+// Delete removes key if its index is index.
+func (c *Client) Delete(ctx context.Context, key string, index uint64) (bool, error) {
+	q := url.Values{"cas": {strconv.FormatUint(index, 10)}}
+	return c.truth(ctx, call{method: http.MethodDelete, path: kv(key), query: q, write: true})
+}
+
+// Acquire sets key and holds it by l.
+func (c *Client) Acquire(ctx context.Context, key string, value []byte, l store.LeaseID) (bool, error) {
+	return c.lock(ctx, "acquire", key, value, l)
+}
+
+// Release sets key and ends l's hold on it.
+func (c *Client) Release(ctx context.Context, key string, value []byte, l store.LeaseID) (bool, error) {
+	return c.lock(ctx, "release", key, value, l)
+}
+
+// lock puts value under key with the session l as verb's argument.
+func (c *Client) lock(ctx context.Context, verb, key string, value []byte, l store.LeaseID) (bool, error) {
+	if err := c.tooLarge(value); err != nil {
+		return false, err
+	}
+	q := url.Values{verb: {string(l)}}
+	return c.truth(ctx, call{method: http.MethodPut, path: kv(key), query: q, body: value, write: true})
+}
+
+// truth carries out l and returns the boolean of its answer.
+func (c *Client) truth(ctx context.Context, l call) (bool, error) {
+	a, err := c.do(ctx, l)
+	if err != nil {
+		return false, err
+	}
+	switch string(bytes.TrimSpace(a.body)) {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	}
+	return false, errors.WithMessagef(store.ErrUnknown, "status %d without a verdict", a.status)
+}
