--- a/cmd/sesamestream/main.go
+++ b/cmd/sesamestream/main.go
@@ -5,17 +5,48 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/sesamestream/sesamestream/pkg/document"
+)
+
+// The exit codes.
+const (
+	exitFailed  = 1
+	exitInvalid = 2
 )
 
 func main() {
+	os.Exit(run())
+}
+
+// run returns the exit code.
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// After the first signal the handler is removed, so that a second one ends the process at once.
+	context.AfterFunc(ctx, stop)
 	c := &cli.Command{
 		Name:  "sesamestream",
 		Usage: "schedule latency-critical and batch work on the same hosts",
+		Commands: []*cli.Command{
+			entryCommand(), agentCommand(), keysCommand(),
+			storeCommand(), targetCommand(), workerCommand(),
+		},
 	}
-	if err := c.Run(context.Background(), os.Args); err != nil {
+	err := c.Run(ctx, os.Args)
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, document.ErrInvalid):
+		fmt.Fprintln(os.Stderr, err)
+		return exitInvalid
+	default:
 		fmt.Fprintln(os.Stderr, "sesamestream:", err)
-		os.Exit(1)
+		return exitFailed
 	}
 }
--- /dev/null
+++ b/internal/agent/host.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/target"
+)
+
+// The bounds of the host's port.
+const (
+	hostHeaderTimeout = 5 * time.Second
+	// maxAnnouncement is in bytes.
+	maxAnnouncement = 4 << 20
+)
+
+// serveHost takes the announcements of the host's targets and worker.
+func (a *Agent) serveHost(ctx context.Context) error {
+	l, err := net.Listen("tcp", a.Host.String())
+	if err != nil {
+		return errors.Wrap(err, "agent: listen for the host")
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("POST "+target.PathTargets, a.announceTarget)
+	h := &http.Server{Handler: m, ReadHeaderTimeout: hostHeaderTimeout}
+	go func() {
+		<-ctx.Done()
+		_ = h.Close()
+	}()
+	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "agent: serve the host")
+	}
+	return nil
+}
+
+func (a *Agent) announceTarget(w http.ResponseWriter, r *http.Request) {
+	var t target.Announcement
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := a.targets.Announce(time.Now(), t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
--- /dev/null
+++ b/internal/caller/request.go
@@ -0,0 +1,198 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// The headers that callers meet.
+const (
+	// HeaderOutcome tells a caller what became of the request.
+	HeaderOutcome = "Sesamestream-Outcome"
+	// HeaderReason says why a request was not run or is unknown.
+	HeaderReason = "Sesamestream-Reason"
+	// HeaderRequest names the request in logs.
+	HeaderRequest = "Sesamestream-Request"
+	// HeaderKey is the caller's name for an unrepeatable request.
+	HeaderKey = "Idempotency-Key"
+	// reservedPrefix starts every header that only the system sets.
+	reservedPrefix = "Sesamestream-"
+)
+
+// The bounds of a request's parts, in bytes.
+const (
+	maxKey  = 255
+	maxPath = 8 << 10
+)
+
+// The errors of malformed requests.
+var (
+	ErrBadKind   = errors.New("the path must start with /{kind}/")
+	ErrBadKey    = errors.New("the Idempotency-Key must be 1 to 255 visible ASCII characters, given once")
+	ErrBadPath   = errors.New("the path is malformed or too long")
+	ErrBodyLarge = errors.New("the body is too large")
+	ErrBodySlow  = errors.New("the body did not arrive in time")
+	ErrBodyCut   = errors.New("the body was cut")
+	ErrBusy      = errors.New("the entry holds as many bodies as it may")
+	ErrUpgrade   = errors.New("upgrades and CONNECT are not served")
+)
+
+// A Request is one well-formed request of a caller.
+type Request struct {
+	ID      string
+	Kind    fleet.Kind
+	Method  string
+	Path    string
+	Header  http.Header
+	Body    []byte
+	Key     string
+	Arrived time.Time
+}
+
+// hopHeaders end at one connection (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// Parse reads all of a request but its body. Its errors are about the caller's input.
+func Parse(r *http.Request) (*Request, error) {
+	if r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" {
+		return nil, ErrUpgrade
+	}
+	kind, path, err := splitPath(r)
+	if err != nil {
+		return nil, err
+	}
+	key, err := parseKey(r.Header)
+	if err != nil {
+		return nil, err
+	}
+	return &Request{
+		ID:      uuid.NewString(),
+		Kind:    kind,
+		Method:  r.Method,
+		Path:    path,
+		Header:  endToEnd(r.Header),
+		Key:     key,
+		Arrived: time.Now(),
+	}, nil
+}
+
+// splitPath takes the kind from the first segment; the rest goes to the target.
+func splitPath(r *http.Request) (fleet.Kind, string, error) {
+	p := r.URL.EscapedPath()
+	if len(p)+len(r.URL.RawQuery) > maxPath || !strings.HasPrefix(p, "/") || strings.Contains(p, "/../") {
+		return "", "", ErrBadPath
+	}
+	kind, rest, ok := strings.Cut(p[1:], "/")
+	if !ok || kind == "" {
+		return "", "", ErrBadKind
+	}
+	for _, x := range kind {
+		letter := x >= 'a' && x <= 'z' || x >= '0' && x <= '9'
+		if !letter && x != '-' && x != '_' {
+			return "", "", ErrBadKind
+		}
+	}
+	path := "/" + rest
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return fleet.Kind(kind), path, nil
+}
+
+func parseKey(h http.Header) (string, error) {
+	values := h.Values(HeaderKey)
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKey {
+		return "", ErrBadKey
+	}
+	for _, x := range []byte(values[0]) {
+		if x <= ' ' || x > '~' {
+			return "", ErrBadKey
+		}
+	}
+	return values[0], nil
+}
+
+// endToEnd returns the headers that go on to the target: none that ends at
+// this connection, none that only the system sets.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, v := range h.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	for name := range out {
+		if strings.HasPrefix(http.CanonicalHeaderKey(name), reservedPrefix) {
+			out.Del(name)
+		}
+	}
+	return out
+}
+
+// parse reads the whole request within the server's bounds.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request) (*Request, error) {
+	q, err := Parse(r)
+	if err != nil {
+		return nil, err
+	}
+	if r.ContentLength > int64(s.MaxBody) {
+		return nil, ErrBodyLarge
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.BodyTimeout))
+	q.Body, err = s.readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return q, nil
+}
+
+// readBody reserves its room before it reads: the caller releases cap(body).
+func (s *Server) readBody(r *http.Request) ([]byte, error) {
+	room := r.ContentLength
+	if room < 0 {
+		room = int64(s.MaxBody)
+	}
+	if !s.buffered.TryAcquire(room) {
+		return nil, ErrBusy
+	}
+	body, err := readAtMost(r.Body, room)
+	if err != nil {
+		s.buffered.Release(room)
+		return nil, err
+	}
+	s.buffered.Release(room - int64(cap(body)))
+	return body, nil
+}
+
+// readAtMost reads r to its end; the result's capacity is its length.
+func readAtMost(r io.Reader, room int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, room+1))
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, ErrBodySlow
+	case err != nil:
+		return nil, errors.Wrap(ErrBodyCut, err.Error())
+	case int64(len(b)) > room:
+		return nil, ErrBodyLarge
+	}
+	return append(make([]byte, 0, len(b)), b...), nil
+}
--- /dev/null
+++ b/internal/caller/responder.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// A Responder gives one answer to a caller.
+type Responder interface {
+	// Refuse tells that the request was not run.
+	Refuse(status int, reason string, retryAfter time.Duration)
+	// Unknown tells that the request may have run.
+	Unknown(reason string)
+	// Answer passes a target's answer on. Where body ends in an error, the
+	// caller's connection is broken, so that a cut answer never looks whole.
+	Answer(status int, header http.Header, body io.Reader)
+}
+
+type responder struct {
+	w http.ResponseWriter
+}
+
+// statuses are what malformed requests are told.
+var statuses = []struct {
+	err    error
+	status int
+}{
+	{ErrBadKind, http.StatusNotFound},
+	{ErrBadKey, http.StatusBadRequest},
+	{ErrBadPath, http.StatusBadRequest},
+	{ErrBodyLarge, http.StatusRequestEntityTooLarge},
+	{ErrBodySlow, http.StatusRequestTimeout},
+	{ErrBodyCut, http.StatusBadRequest},
+	{ErrBusy, http.StatusServiceUnavailable},
+	{ErrUpgrade, http.StatusNotImplemented},
+}
+
+// refuse answers a malformed request.
+func (p *responder) refuse(err error) {
+	for _, s := range statuses {
+		if errors.Is(err, s.err) {
+			p.Refuse(s.status, s.err.Error(), 0)
+			return
+		}
+	}
+	p.Refuse(http.StatusBadRequest, "the request is malformed", 0)
+}
+
+func (p *responder) Refuse(status int, reason string, retryAfter time.Duration) {
+	h := p.w.Header()
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+	p.plain(status, fleet.NotRun, reason)
+}
+
+func (p *responder) Unknown(reason string) {
+	p.plain(http.StatusGatewayTimeout, fleet.Unknown, reason)
+}
+
+func (p *responder) plain(status int, o fleet.Outcome, reason string) {
+	h := p.w.Header()
+	h.Set(HeaderOutcome, string(o))
+	h.Set(HeaderReason, reason)
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	p.w.WriteHeader(status)
+	_, _ = io.WriteString(p.w, string(o)+": "+reason+"\n")
+}
+
+func (p *responder) Answer(status int, header http.Header, body io.Reader) {
+	h := p.w.Header()
+	for name, values := range endToEnd(header) {
+		if !strings.HasPrefix(name, reservedPrefix) {
+			h[name] = values
+		}
+	}
+	h.Set(HeaderOutcome, string(fleet.Answered))
+	p.w.WriteHeader(status)
+	if _, err := io.Copy(flusher{p.w}, body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// A flusher sends each part on at once.
+type flusher struct {
+	w http.ResponseWriter
+}
+
+func (f flusher) Write(b []byte) (int, error) {
+	n, err := f.w.Write(b)
+	if err == nil {
+		err = http.NewResponseController(f.w).Flush()
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,86 @@
+// Package caller speaks HTTP to callers.
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// maxBuffered bounds the bodies that all requests of one entry hold together, in bytes.
+const maxBuffered = 64 << 20
+
+// idleTimeout bounds how long a caller's connection may wait between requests.
+const idleTimeout = 2 * time.Minute
+
+// A Server takes callers' requests.
+// Its exported fields are set before Run.
+type Server struct {
+	// Listen is the address callers reach.
+	Listen netip.AddrPort
+	// MaxBody and MaxHeader bound one request.
+	MaxBody   fleet.Bytes
+	MaxHeader fleet.Bytes
+	// HeaderTimeout bounds the time to send the headers, BodyTimeout that to send the body.
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
+	// Drain bounds a graceful shutdown.
+	Drain time.Duration
+	// Handler serves the requests that are well formed.
+	Handler Handler
+	// Log takes the server's events.
+	Log *log.Logger
+
+	buffered *semaphore.Weighted
+}
+
+// A Handler serves one request and calls exactly one of the responder's ends.
+type Handler interface {
+	Serve(ctx context.Context, r *Request, w Responder)
+}
+
+// Run serves callers until ctx ends, then lets the requests in flight finish.
+func (s *Server) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "caller: listen")
+	}
+	s.buffered = semaphore.NewWeighted(maxBuffered)
+	h := &http.Server{
+		Handler:           http.HandlerFunc(s.serve),
+		ReadHeaderTimeout: s.HeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    int(s.MaxHeader),
+	}
+	done := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		c, cancel := context.WithTimeout(context.Background(), s.Drain)
+		defer cancel()
+		done <- h.Shutdown(c)
+	}()
+	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "caller: serve")
+	}
+	return errors.Wrap(<-done, "caller: shutdown")
+}
+
+// serve parses one request and hands it on.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	p := &responder{w: w}
+	q, err := s.parse(w, r)
+	if err != nil {
+		p.refuse(err)
+		return
+	}
+	defer s.buffered.Release(int64(cap(q.Body)))
+	s.Handler.Serve(r.Context(), q, p)
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,137 @@
+// Package operator speaks HTTPS to operators: queries and commands on a port
+// that callers cannot use.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sesamestream/sesamestream/internal/peer"
+)
+
+// The bounds of operators' requests.
+const (
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = 5 * time.Second
+	// maxBody is in bytes.
+	maxBody = 4 << 20
+)
+
+// The names of the port's metrics.
+const (
+	metricDenied = "operator.denied"
+	metricCalls  = "operator.calls"
+)
+
+// A Server serves operators.
+// Its exported fields are set before Run.
+type Server struct {
+	// Listen is the address operators reach.
+	Listen netip.AddrPort
+	// Token is the bearer token that operators present.
+	Token string
+	// Keys hold the server's certificate and the authority of operators' certificates.
+	Keys *peer.KeyRing
+	// Metrics is what GET /v1/metrics shows.
+	Metrics metrics.Registry
+	// Log takes the server's events.
+	Log *log.Logger
+
+	mux http.ServeMux
+}
+
+// An ErrorAnswer is the body of every answer that is not a success.
+type ErrorAnswer struct {
+	Error string `json:"error"`
+	// Outcome is notRun or unknown for commands, as for callers.
+	Outcome string `json:"outcome,omitempty"`
+}
+
+// Handle registers a handler for a method and a path pattern of net/http.
+func (s *Server) Handle(pattern string, h http.HandlerFunc) {
+	s.mux.HandleFunc(pattern, h)
+}
+
+// Run serves operators until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "operator: listen")
+	}
+	s.Handle("GET /v1/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(s.Metrics, w)
+	})
+	h := &http.Server{
+		Handler:           http.HandlerFunc(s.serve),
+		TLSConfig:         s.Keys.OperatorConfig(),
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          s.Log.Std("", 0),
+	}
+	go func() {
+		<-ctx.Done()
+		c, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = h.Shutdown(c)
+	}()
+	err = h.ServeTLS(l, "", "")
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "operator: serve")
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if !s.allowed(r) {
+		metrics.GetOrRegisterCounter(metricDenied, s.Metrics).Inc(1)
+		s.Log.Warn().Str("event", "operatorDenied").Str("from", r.RemoteAddr).Msg("")
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		Fail(w, http.StatusUnauthorized, errors.New("a bearer token or an operator's certificate is needed"))
+		return
+	}
+	metrics.GetOrRegisterCounter(metricCalls, s.Metrics).Inc(1)
+	r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+	s.mux.ServeHTTP(w, r)
+}
+
+// allowed accepts an operator's certificate or the token.
+func (s *Server) allowed(r *http.Request) bool {
+	if certified(r.TLS) {
+		return true
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || s.Token == "" {
+		return false
+	}
+	a, b := sha256.Sum256([]byte(token)), sha256.Sum256([]byte(s.Token))
+	return subtle.ConstantTimeCompare(a[:], b[:]) == 1
+}
+
+func certified(c *tls.ConnectionState) bool {
+	return c != nil && len(c.VerifiedChains) > 0 && slices.Contains(c.PeerCertificates[0].DNSNames, peer.OperatorName)
+}
+
+// Reply writes v as JSON.
+func Reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Fail writes err as an ErrorAnswer.
+func Fail(w http.ResponseWriter, status int, err error) {
+	Reply(w, status, ErrorAnswer{Error: err.Error()})
+}
--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -104,3 +104,21 @@
 	}
 	return nil
 }
+
+// OperatorConfig returns the TLS settings of the operators' port: a client
+// certificate is checked where one is shown.
+func (r *KeyRing) OperatorConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			k := r.keys.Load()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{"h2", "http/1.1"},
+				Certificates: []tls.Certificate{k.Certificate},
+				ClientAuth:   tls.VerifyClientCertIfGiven,
+				ClientCAs:    k.Authority,
+			}, nil
+		},
+	}
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -28,7 +28,7 @@
 // The bounds of connections.
 const (
 	dialTimeout        = time.Second
-	idleTimeout        = 30 * time.Second
+	idleTimeout        = 2 * time.Second
 	maxStreams         = 4096
 	openTimeout        = 2 * time.Second
 	streamReceiveBytes = 256 << 10
@@ -94,7 +94,10 @@
 		n.close()
 		return nil
 	})
-	return g.Wait()
+	if err := g.Wait(); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
 }
 
 func quicConfig() *quic.Config {
@@ -134,10 +137,11 @@
 func (n *Node) accept(ctx context.Context, l *quic.Listener) error {
 	for {
 		c, err := l.Accept(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
+		switch {
+		case err == nil:
+		case ctx.Err() != nil:
+			return ctx.Err()
+		default:
 			return errors.Wrap(err, "peer: accept")
 		}
 		go n.serve(ctx, c)
--- /dev/null
+++ b/internal/target/announcement.go
@@ -0,0 +1,53 @@
+// Package target speaks to the targets of a host: they announce themselves
+// over HTTP, and requests go to them over HTTP.
+package target
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// AnnounceInterval is how often a target announces itself.
+const AnnounceInterval = time.Second
+
+// AnnounceTimeout is how long an announcement holds.
+const AnnounceTimeout = 3 * AnnounceInterval
+
+// PathTargets is where targets announce themselves on the host's port.
+const PathTargets = "/v1/targets"
+
+// maxKinds bounds the kinds one target serves.
+const maxKinds = 256
+
+// ErrBadAnnouncement is returned for an announcement that cannot hold.
+var ErrBadAnnouncement = errors.New("target: bad announcement")
+
+// An Announcement is what a target says of itself.
+type Announcement struct {
+	ID          string         `json:"id"`
+	Kinds       []fleet.Kind   `json:"kinds"`
+	Address     netip.AddrPort `json:"address"`
+	Connections int            `json:"connections"`
+	// Leaving asks for no new requests.
+	Leaving bool `json:"leaving"`
+}
+
+// Check returns ErrBadAnnouncement where a cannot hold.
+func (a Announcement) Check() error {
+	switch {
+	case a.ID == "" || len(a.ID) > 63:
+		return errors.Wrap(ErrBadAnnouncement, "id must be 1 to 63 characters")
+	case len(a.Kinds) == 0 || len(a.Kinds) > maxKinds || slices.Contains(a.Kinds, ""):
+		return errors.Wrap(ErrBadAnnouncement, "kinds must be 1 to 256 names")
+	case !a.Address.IsValid() || a.Address.Port() == 0:
+		return errors.Wrap(ErrBadAnnouncement, "address must be IP:port")
+	case a.Connections <= 0:
+		return errors.Wrap(ErrBadAnnouncement, "connections must be above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/target/standin/target.go
@@ -0,0 +1,153 @@
+// Package standin is a small target for tests and trials. It announces itself
+// to its host's agent, answers requests after a delay, and records each one.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestream/sesamestream/internal/target"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// HeaderRequest is the header by which requests are told apart in the record.
+const HeaderRequest = "X-Request"
+
+// shutdownTimeout bounds how long requests in flight may take at the end.
+const shutdownTimeout = 10 * time.Second
+
+// A Recorder counts the runs of each request; it is shared by targets.
+type Recorder struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// Record counts one run.
+func (r *Recorder) Record(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs == nil {
+		r.runs = make(map[string]int)
+	}
+	r.runs[id]++
+}
+
+// Runs returns how often id ran.
+func (r *Recorder) Runs(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// Repeated returns the requests that ran more than once.
+func (r *Recorder) Repeated() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for id, n := range r.runs {
+		if n > 1 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// A Target is one target. Its exported fields are set before Run.
+type Target struct {
+	ID          string
+	Listen      netip.AddrPort
+	Agent       netip.AddrPort
+	Kinds       []fleet.Kind
+	Connections int
+	// Delay is how long an answer takes.
+	Delay time.Duration
+	// Lose, where set, makes it break the connection instead of answering.
+	Lose func(*http.Request) bool
+	// Recorder takes each run.
+	Recorder *Recorder
+}
+
+// Run serves until ctx ends: it announces that it leaves, finishes and stops.
+func (t *Target) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", t.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "target: listen")
+	}
+	h := &http.Server{Handler: t, ReadHeaderTimeout: shutdownTimeout}
+	a := target.Announcement{
+		ID:          t.ID,
+		Kinds:       t.Kinds,
+		Address:     netip.MustParseAddrPort(l.Addr().String()),
+		Connections: t.Connections,
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error {
+		t.announce(ctx, a)
+		c, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		return h.Shutdown(c)
+	})
+	return g.Wait()
+}
+
+// announce repeats the announcement until ctx ends, then takes leave.
+func (t *Target) announce(ctx context.Context, a target.Announcement) {
+	tick := time.NewTicker(target.AnnounceInterval)
+	defer tick.Stop()
+	for {
+		t.post(a)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			a.Leaving = true
+			t.post(a)
+			return
+		}
+	}
+}
+
+func (t *Target) post(a target.Announcement) {
+	b, err := json.Marshal(a)
+	if err != nil {
+		return
+	}
+	c := &http.Client{Timeout: target.AnnounceInterval}
+	r, err := c.Post("http://"+t.Agent.String()+target.PathTargets, "application/json", bytes.NewReader(b))
+	if err == nil {
+		r.Body.Close()
+	}
+}
+
+// ServeHTTP records the request, waits and echoes its body.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(HeaderRequest); id != "" && t.Recorder != nil {
+		t.Recorder.Record(id)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(t.Delay)
+	if t.Lose != nil && t.Lose(r) {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+	_, _ = fmt.Fprintf(w, "%s %s %s %s", t.ID, r.Method, r.URL.RequestURI(), body)
+}
--- /dev/null
+++ b/internal/worker/protocol.go
@@ -0,0 +1,134 @@
+// Package worker speaks HTTP to the worker of a host: it announces itself to
+// the agent, and the agent starts, throttles, checkpoints and stops tasks on it.
+package worker
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// AnnounceInterval is how often a worker announces itself.
+const AnnounceInterval = time.Second
+
+// AnnounceTimeout is how long an agent trusts the last announcement.
+const AnnounceTimeout = 3 * AnnounceInterval
+
+// The paths of the protocol: PathWorkers at the agent, the others at the worker.
+const (
+	PathWorkers    = "/v1/workers"
+	PathTasks      = "/v1/tasks"
+	PathCheckpoint = "/v1/checkpoint"
+	PathThrottle   = "/v1/throttle"
+	PathStop       = "/v1/stop"
+)
+
+// The errors of the protocol.
+var (
+	// ErrBadAnnouncement is returned for an announcement that cannot hold.
+	ErrBadAnnouncement = errors.New("worker: bad announcement")
+	// ErrNotSent is returned where it is proved that the worker received nothing.
+	ErrNotSent = errors.New("worker: not sent")
+	// ErrBroken is returned where the worker may have received the command.
+	ErrBroken = errors.New("worker: no answer")
+	// ErrRefused is returned where the worker refused the command.
+	ErrRefused = errors.New("worker: refused")
+)
+
+// An Attempt names one run of a task.
+type Attempt struct {
+	Task   string `json:"task"`
+	Number uint64 `json:"number"`
+}
+
+// A State is what a worker says of an attempt.
+type State string
+
+// The states of an attempt on its worker.
+const (
+	Running State = "running"
+	Done    State = "done"
+	Failed  State = "failed"
+	// Stopped means it was stopped by command or its lease lapsed.
+	Stopped State = "stopped"
+)
+
+// A Report is the state of one attempt; an attempt that is over is reported
+// until the agent's answer names it among the acknowledged.
+type Report struct {
+	Attempt
+	State State `json:"state"`
+	// Reason says why it failed or stopped.
+	Reason string `json:"reason,omitempty"`
+	// Checkpoint refers to the last checkpoint.
+	Checkpoint string `json:"checkpoint,omitempty"`
+	// Usage is what the attempt used lately.
+	Usage fleet.Resources `json:"usage"`
+}
+
+// An Announcement is what a worker says of itself and its attempts.
+type Announcement struct {
+	ID          string            `json:"id"`
+	Incarnation fleet.Incarnation `json:"incarnation"`
+	Address     netip.AddrPort    `json:"address"`
+	Resources   fleet.Resources   `json:"resources"`
+	Attempts    []Report          `json:"attempts"`
+}
+
+// A Lease is how long an attempt may go on, counted from the moment the
+// worker sent the announcement that this answers.
+type Lease struct {
+	Attempt
+	Remaining time.Duration `json:"remaining"`
+}
+
+// An Answer is the agent's answer to an announcement.
+type Answer struct {
+	Leases []Lease `json:"leases"`
+	// Acknowledged are the attempts whose end the agent has taken.
+	Acknowledged []Attempt `json:"acknowledged"`
+}
+
+// A Start asks for one attempt.
+type Start struct {
+	Attempt
+	Kind fleet.Kind `json:"kind"`
+	// Command is handed to the worker as it is.
+	Command string `json:"command"`
+	// Checkpoint is where to resume from, empty for the beginning.
+	Checkpoint string          `json:"checkpoint,omitempty"`
+	Resources  fleet.Resources `json:"resources"`
+	// Lease counts from Sent; agent and worker read the same host's clock.
+	Lease time.Duration `json:"lease"`
+	Sent  time.Time     `json:"sent"`
+}
+
+// A Throttle sets the share of its processors that an attempt may use.
+type Throttle struct {
+	Attempt
+	Share float64 `json:"share"`
+}
+
+// A Checkpointed is the answer to a checkpoint command.
+type Checkpointed struct {
+	Checkpoint string `json:"checkpoint"`
+}
+
+// Check returns ErrBadAnnouncement where a cannot hold.
+func (a Announcement) Check() error {
+	none := fleet.Resources{}
+	switch {
+	case a.ID == "" || len(a.ID) > 63:
+		return errors.Wrap(ErrBadAnnouncement, "id must be 1 to 63 characters")
+	case a.Incarnation == 0:
+		return errors.Wrap(ErrBadAnnouncement, "incarnation must be above 0")
+	case !a.Address.IsValid() || a.Address.Port() == 0:
+		return errors.Wrap(ErrBadAnnouncement, "address must be IP:port")
+	case !none.Fits(a.Resources) || a.Resources.Slots == 0:
+		return errors.Wrap(ErrBadAnnouncement, "resources must not be negative and slots must be above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/worker/standin/worker.go
@@ -0,0 +1,319 @@
+// Package standin is a small worker for tests and trials. It runs pretended
+// tasks under leases, checkpoints them, and records every start and end.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestream/sesamestream/internal/worker"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// Step is how often running tasks make progress and leases are checked.
+const Step = 20 * time.Millisecond
+
+// A Recorder counts the running attempts of each task; it is shared by workers.
+type Recorder struct {
+	mu      sync.Mutex
+	running map[string]int
+	// Twice counts the moments at which a task ran in two places.
+	twice int
+	done  map[string]int
+	// resumed counts the starts from a checkpoint.
+	resumed int
+}
+
+// Begin notes that an attempt starts, from a checkpoint or not.
+func (r *Recorder) Begin(task string, resumed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running == nil {
+		r.running = make(map[string]int)
+		r.done = make(map[string]int)
+	}
+	r.running[task]++
+	if r.running[task] > 1 {
+		r.twice++
+	}
+	if resumed {
+		r.resumed++
+	}
+}
+
+// End notes that an attempt no longer runs, and whether the task is done.
+func (r *Recorder) End(task string, done bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[task]--
+	if done {
+		r.done[task]++
+	}
+}
+
+// A Record is what a Recorder has counted.
+type Record struct {
+	// Twice counts the starts of a task that already ran, or had been done.
+	Twice   int
+	Done    int
+	Resumed int
+}
+
+// Record returns the counts.
+func (r *Recorder) Record() Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := Record{Twice: r.twice, Done: len(r.done), Resumed: r.resumed}
+	for _, n := range r.done {
+		c.Twice += n - 1
+	}
+	return c
+}
+
+// DoneRuns returns how often a task ran to its end.
+func (r *Recorder) DoneRuns(task string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done[task]
+}
+
+// A Worker is one worker. Its exported fields are set before Run.
+type Worker struct {
+	ID        string
+	Listen    netip.AddrPort
+	Agent     netip.AddrPort
+	Resources fleet.Resources
+	// Recorder takes starts and ends.
+	Recorder *Recorder
+
+	mu       sync.Mutex
+	attempts map[worker.Attempt]*attempt
+}
+
+// An attempt runs for a duration given as its command, such as "3s"; the
+// command "fail" fails at once.
+type attempt struct {
+	report   worker.Report
+	start    worker.Start
+	progress time.Duration
+	length   time.Duration
+	until    time.Time
+	share    float64
+}
+
+// Run serves until ctx ends; its tasks stop with it.
+func (w *Worker) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", w.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "worker: listen")
+	}
+	w.attempts = make(map[worker.Attempt]*attempt)
+	a := worker.Announcement{
+		ID:          w.ID,
+		Incarnation: fleet.Incarnation(time.Now().UnixNano()),
+		Address:     netip.MustParseAddrPort(l.Addr().String()),
+		Resources:   w.Resources,
+	}
+	h := &http.Server{Handler: w.mux(), ReadHeaderTimeout: worker.AnnounceTimeout}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	g.Go(func() error { w.every(ctx, Step, func() { w.step(time.Now()) }); return nil })
+	g.Go(func() error { w.every(ctx, worker.AnnounceInterval, func() { w.announce(a) }); return nil })
+	g.Go(func() error {
+		<-ctx.Done()
+		w.stopAll()
+		return h.Close()
+	})
+	return g.Wait()
+}
+
+func (w *Worker) every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *Worker) announce(a worker.Announcement) {
+	sent := time.Now()
+	w.mu.Lock()
+	for _, t := range w.attempts {
+		a.Attempts = append(a.Attempts, t.report)
+	}
+	w.mu.Unlock()
+	b, err := json.Marshal(a)
+	if err != nil {
+		return
+	}
+	c := &http.Client{Timeout: worker.AnnounceInterval}
+	r, err := c.Post("http://"+w.Agent.String()+worker.PathWorkers, "application/json", bytes.NewReader(b))
+	if err != nil {
+		return
+	}
+	defer r.Body.Close()
+	var answer worker.Answer
+	if r.StatusCode == http.StatusOK && json.NewDecoder(r.Body).Decode(&answer) == nil {
+		w.take(sent, answer)
+	}
+}
+
+func (w *Worker) take(sent time.Time, a worker.Answer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, l := range a.Leases {
+		if t := w.attempts[l.Attempt]; t != nil {
+			t.until = sent.Add(l.Remaining)
+		}
+	}
+	for _, k := range a.Acknowledged {
+		if t := w.attempts[k]; t != nil && t.report.State != worker.Running {
+			delete(w.attempts, k)
+		}
+	}
+}
+
+// step lets every running attempt make progress and stops lapsed ones.
+func (w *Worker) step(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.attempts {
+		if t.report.State != worker.Running {
+			continue
+		}
+		t.progress += time.Duration(float64(Step) * t.share)
+		switch {
+		case now.After(t.until):
+			w.end(t, worker.Stopped, "lease lapsed")
+		case t.start.Command == "fail":
+			w.end(t, worker.Failed, "told to fail")
+		case t.progress >= t.length:
+			w.end(t, worker.Done, "")
+		}
+	}
+}
+
+func (w *Worker) end(t *attempt, s worker.State, reason string) {
+	t.report.State = s
+	t.report.Reason = reason
+	t.report.Usage = fleet.Resources{}
+	w.Recorder.End(t.report.Task, s == worker.Done)
+}
+
+func (w *Worker) stopAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.attempts {
+		if t.report.State == worker.Running {
+			w.end(t, worker.Stopped, "worker stopped")
+		}
+	}
+}
+
+func (w *Worker) mux() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST "+worker.PathTasks, command(w.start))
+	m.HandleFunc("POST "+worker.PathStop, command(w.stop))
+	m.HandleFunc("POST "+worker.PathThrottle, command(w.throttle))
+	m.HandleFunc("POST "+worker.PathCheckpoint, command(w.checkpoint))
+	return m
+}
+
+// command turns a typed function into a handler.
+func command[Q any](f func(Q) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var q Q
+		if err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&q); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		a, err := f(q)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(a)
+	}
+}
+
+func (w *Worker) start(s worker.Start) (any, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.attempts[s.Attempt] != nil {
+		return struct{}{}, nil
+	}
+	length, err := time.ParseDuration(s.Command)
+	if err != nil && s.Command != "fail" {
+		return nil, errors.Errorf("command %q is neither a duration nor fail", s.Command)
+	}
+	until := s.Sent.Add(s.Lease)
+	if !time.Now().Before(until) {
+		return nil, errors.New("the lease has lapsed on the way")
+	}
+	done, _ := strconv.ParseInt(s.Checkpoint, 10, 64)
+	w.attempts[s.Attempt] = &attempt{
+		report:   worker.Report{Attempt: s.Attempt, State: worker.Running, Usage: s.Resources},
+		start:    s,
+		progress: time.Duration(done),
+		length:   length,
+		until:    until,
+		share:    1,
+	}
+	w.Recorder.Begin(s.Task, s.Checkpoint != "")
+	return struct{}{}, nil
+}
+
+func (w *Worker) stop(a worker.Attempt) (any, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.attempts[a]
+	switch {
+	case t == nil:
+		// A start that is still on its way must find the stop.
+		w.attempts[a] = &attempt{report: worker.Report{Attempt: a, State: worker.Stopped, Reason: "told to stop"}}
+	case t.report.State == worker.Running:
+		w.end(t, worker.Stopped, "told to stop")
+	}
+	return struct{}{}, nil
+}
+
+func (w *Worker) throttle(q worker.Throttle) (any, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t := w.attempts[q.Attempt]; t != nil {
+		t.share = q.Share
+	}
+	return struct{}{}, nil
+}
+
+func (w *Worker) checkpoint(a worker.Attempt) (any, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.attempts[a]
+	if t == nil {
+		return nil, errors.New("no such attempt")
+	}
+	t.report.Checkpoint = strconv.FormatInt(int64(t.progress), 10)
+	return worker.Checkpointed{Checkpoint: t.report.Checkpoint}, nil
+}
