--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -20,6 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/internal/tables"
 )
 
 // The bounds of operators' requests.
@@ -58,6 +59,8 @@
 	Error string `json:"error"`
 	// Outcome is notRun or unknown for commands, as for callers.
 	Outcome string `json:"outcome,omitempty"`
+	// Conflict shows both sides of a lost race over the table.
+	Conflict *tables.Conflict `json:"conflict,omitempty"`
 }
 
 // Handle registers a handler for a method and a path pattern of net/http.
--- /dev/null
+++ b/internal/operator/tables.go
@@ -0,0 +1,101 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/store"
+	"github.com/sesamestream/sesamestream/internal/tables"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+// The paths of the table.
+const (
+	PathTable        = "/v1/table"
+	PathTableHistory = "/v1/table/history"
+)
+
+// A TableEdit asks for a new version of the table.
+type TableEdit struct {
+	Base  table.Revision `json:"base"`
+	Table table.Table    `json:"table"`
+	By    string         `json:"by"`
+}
+
+// A TableSource knows the table in force and takes accepted ones.
+type TableSource interface {
+	// InForce returns the table in force, nil where there is none yet.
+	InForce() *table.Table
+	// Accepted hands over a version that the store has accepted.
+	Accepted(t table.Table)
+}
+
+// HandleTables registers the queries and commands of the table.
+func (s *Server) HandleTables(x *tables.Tables, in TableSource) {
+	s.Handle("GET "+PathTable, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("source") == "store" {
+			replyVersion(r.Context(), w, x)
+			return
+		}
+		t := in.InForce()
+		if t == nil {
+			Fail(w, http.StatusNotFound, tables.ErrNone)
+			return
+		}
+		Reply(w, http.StatusOK, t)
+	})
+	s.Handle("GET "+PathTableHistory, func(w http.ResponseWriter, r *http.Request) {
+		h, err := x.History(r.Context())
+		if err != nil {
+			failStore(w, err)
+			return
+		}
+		Reply(w, http.StatusOK, h)
+	})
+	s.Handle("POST "+PathTable, func(w http.ResponseWriter, r *http.Request) {
+		var e TableEdit
+		if err := json.NewDecoder(r.Body).Decode(&e); err != nil {
+			Fail(w, http.StatusBadRequest, err)
+			return
+		}
+		v, err := x.Accept(r.Context(), e.Base, e.Table, e.By)
+		if err != nil {
+			failStore(w, err)
+			return
+		}
+		in.Accepted(v.Table)
+		Reply(w, http.StatusOK, v)
+	})
+}
+
+func replyVersion(ctx context.Context, w http.ResponseWriter, x *tables.Tables) {
+	v, err := x.Current(ctx)
+	switch {
+	case errors.Is(err, tables.ErrNone):
+		Reply(w, http.StatusOK, table.Table{})
+	case err != nil:
+		failStore(w, err)
+	default:
+		Reply(w, http.StatusOK, v.Table)
+	}
+}
+
+// failStore tells truly whether a command that needs the store may have run.
+func failStore(w http.ResponseWriter, err error) {
+	a := ErrorAnswer{Error: err.Error(), Outcome: string(fleet.NotRun)}
+	status := http.StatusServiceUnavailable
+	switch {
+	case errors.As(err, &a.Conflict):
+		status = http.StatusConflict
+	case errors.Is(err, table.ErrInvalid):
+		status = http.StatusUnprocessableEntity
+	case errors.Is(err, store.ErrUnknown):
+		status = http.StatusGatewayTimeout
+		a.Outcome = string(fleet.Unknown)
+	}
+	Reply(w, status, a)
+}
--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -51,19 +51,30 @@
 
 // LoadKeys reads PEM files. Errors are ErrBadKeys.
 func LoadKeys(authority, certificate, key string) (*Keys, error) {
-	pem, err := os.ReadFile(authority)
+	k, err := LoadAuthority(authority)
 	if err != nil {
-		return nil, errors.Wrap(ErrBadKeys, err.Error())
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errors.Wrapf(ErrBadKeys, "%s holds no certificate", authority)
+		return nil, err
 	}
 	c, err := tls.LoadX509KeyPair(certificate, key)
 	if err != nil {
 		return nil, errors.Wrap(ErrBadKeys, err.Error())
 	}
-	return &Keys{Certificate: c, Authority: pool}, nil
+	k.Certificate = c
+	return k, nil
+}
+
+// LoadAuthority reads the authority alone, for a client that shows no
+// certificate. Errors are ErrBadKeys.
+func LoadAuthority(file string) (*Keys, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(ErrBadKeys, err.Error())
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Wrapf(ErrBadKeys, "%s holds no certificate", file)
+	}
+	return &Keys{Authority: pool}, nil
 }
 
 // serverConfig returns the TLS settings for connections that come in.
--- /dev/null
+++ b/internal/tables/tables_test.go
@@ -0,0 +1,82 @@
+package tables_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/internal/consul"
+	"github.com/sesamestream/sesamestream/internal/consul/standin"
+	"github.com/sesamestream/sesamestream/internal/store"
+	"github.com/sesamestream/sesamestream/internal/tables"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+func row(k fleet.Kind, weight float64) table.Row {
+	return table.Row{Kind: k, Class: table.ClassBatch, Weight: weight, Ceiling: 1}
+}
+
+func TestEditorsThatRaceLoseNothing(t *testing.T) {
+	g := NewWithT(t)
+	s := &standin.Server{}
+	h := httptest.NewServer(s)
+	defer h.Close()
+	x := &tables.Tables{Store: &consul.Client{Address: h.URL}}
+	_, err := x.Accept(t.Context(), 0, table.Table{Rows: []table.Row{row("dossier", 1)}}, "first")
+	g.Expect(err).NotTo(HaveOccurred())
+
+	const editors = 8
+	var wg sync.WaitGroup
+	errs := make([]error, editors)
+	for i := range editors {
+		wg.Go(func() {
+			_, errs[i] = x.Accept(context.Background(), 1, table.Table{Rows: []table.Row{row("dossier", float64(i+2))}}, "editor")
+		})
+	}
+	wg.Wait()
+	won := 0
+	for _, err := range errs {
+		if err == nil {
+			won++
+			continue
+		}
+		g.Expect(err).To(MatchError(tables.ErrConflict))
+		var c *tables.Conflict
+		g.Expect(err).To(BeAssignableToTypeOf(c))
+		c = err.(*tables.Conflict)
+		g.Expect(c.Mine.Rows[0].Weight).NotTo(Equal(c.Theirs.Table.Rows[0].Weight))
+	}
+	g.Expect(won).To(Equal(1))
+	v, err := x.Current(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(v.Table.Revision).To(Equal(table.Revision(2)))
+}
+
+func TestEditWhoseAnswerWasLostIsSettled(t *testing.T) {
+	g := NewWithT(t)
+	s := &standin.Server{}
+	h := httptest.NewServer(s)
+	defer h.Close()
+	x := &tables.Tables{Store: &loseWrites{Store: &consul.Client{Address: h.URL}, server: s}}
+	v, err := x.Accept(t.Context(), 0, table.Table{Rows: []table.Row{row("dossier", 1)}}, "first")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(v.Table.Revision).To(Equal(table.Revision(1)))
+	_, err = x.Accept(t.Context(), 0, table.Table{Rows: []table.Row{row("dossier", 2)}}, "late")
+	g.Expect(err).To(MatchError(tables.ErrConflict))
+}
+
+// loseWrites loses the answer of each write after its effect.
+type loseWrites struct {
+	store.Store
+	server *standin.Server
+}
+
+func (l *loseWrites) CAS(ctx context.Context, key string, value []byte, index uint64, guards ...store.Guard) (store.Pair, bool, error) {
+	_ = l.server.Set(standin.Fault{Mode: standin.LoseAnswers})
+	defer func() { _ = l.server.Set(standin.Fault{Mode: standin.Up}) }()
+	return l.Store.CAS(ctx, key, value, index, guards...)
+}
--- a/pkg/table/csv.go
+++ b/pkg/table/csv.go
@@ -17,8 +17,9 @@
 
 // The values of the first CSV column.
 const (
-	csvKind = "kind"
-	csvTeam = "team"
+	csvKind     = "kind"
+	csvTeam     = "team"
+	csvRevision = "revision"
 )
 
 // A column is one CSV column, how it is written and read for each sort of row.
@@ -100,14 +101,17 @@
 	},
 }
 
-// CSV returns t as a spreadsheet: a header, then a line for each row.
-// A team's quota stands in the ceiling column.
+// CSV returns t as a spreadsheet: a header, a line with the revision in the
+// name column, then a line for each row. A team's quota stands in the ceiling column.
 func (t *Table) CSV() ([]byte, error) {
 	var b bytes.Buffer
 	w := csv.NewWriter(&b)
 	if err := w.Write(header()); err != nil {
 		return nil, errors.Wrap(err, "table: write CSV")
 	}
+	if err := w.Write(revisionLine(t.Revision)); err != nil {
+		return nil, errors.Wrap(err, "table: write CSV")
+	}
 	for _, r := range t.Rows {
 		if err := w.Write(kindLine(r)); err != nil {
 			return nil, errors.Wrap(err, "table: write CSV")
@@ -130,6 +134,13 @@
 	return h
 }
 
+func revisionLine(r Revision) []string {
+	line := make([]string, len(columns)+1)
+	line[0] = csvRevision
+	line[1] = strconv.FormatUint(uint64(r), 10)
+	return line
+}
+
 func kindLine(r Row) []string {
 	line := []string{csvKind}
 	for _, c := range columns {
@@ -236,9 +247,25 @@
 	case csvTeam:
 		p.lines[fmt.Sprintf("$.teams[%d]", len(p.t.Teams))] = line
 		p.t.Teams = append(p.t.Teams, p.teamRow(fields[1:]))
+	case csvRevision:
+		p.revision(line, fields[1:])
 	default:
-		p.fail(line, 1, "row must be %q or %q, not %q", csvKind, csvTeam, fields[0])
+		p.fail(line, 1, "row must be %q, %q or %q, not %q", csvKind, csvTeam, csvRevision, fields[0])
+	}
+}
+
+// revision reads the revision the sheet was made from, out of the name column.
+func (p *csvReader) revision(line int, fields []string) {
+	for i, c := range p.order {
+		if c.name != "name" {
+			continue
+		}
+		n, err := strconv.ParseUint(strings.TrimSpace(fields[i]), 10, 64)
+		p.field(i, err)
+		p.t.Revision = Revision(n)
+		return
 	}
+	p.fail(line, 1, "the revision stands in the name column, which is missing")
 }
 
 func (p *csvReader) kindRow(fields []string) Row {
--- a/pkg/table/table_test.go
+++ b/pkg/table/table_test.go
@@ -38,6 +38,7 @@
 		}
 		out.Rows = append(out.Rows, r)
 	}
+	out.Revision = table.Revision(rapid.Uint64().Draw(t, "revision"))
 	out.Teams = []table.TeamRow{{Team: "school", Weight: 1, Quota: 0.5}}
 	return out
 }
