--- a/cmd/sesamestream/tables.go
+++ b/cmd/sesamestream/tables.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -243,9 +242,3 @@
 	}
 	return false
 }
-
-func printJSON(c *cli.Command, v any) error {
-	e := json.NewEncoder(c.Root().Writer)
-	e.SetIndent("", "  ")
-	return e.Encode(v)
-}
--- a/internal/tables/tables_test.go
+++ b/internal/tables/tables_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/sesamestream/sesamestream/internal/consul"
 	"github.com/sesamestream/sesamestream/internal/consul/standin"
@@ -46,8 +47,7 @@
 		}
 		g.Expect(err).To(MatchError(tables.ErrConflict))
 		var c *tables.Conflict
-		g.Expect(err).To(BeAssignableToTypeOf(c))
-		c = err.(*tables.Conflict)
+		g.Expect(errors.As(err, &c)).To(BeTrue())
 		g.Expect(c.Mine.Rows[0].Weight).NotTo(Equal(c.Theirs.Table.Rows[0].Weight))
 	}
 	g.Expect(won).To(Equal(1))
