Admit requests by floor, weight, ceiling and deadline

The agent needs one pure decision for all requests on its host. Kinds are scanned in a slice: at 50 kinds a scan costs less than a heap of kinds would save.

--- /dev/null
+++ b/pkg/decide/admit/baseline/baseline.go
@@ -0,0 +1,47 @@
+// Package baseline holds simple policies of admission that the product's
+// policy is measured against.
+package baseline
+
+import "github.com/sesamestream/sesamestream/pkg/decide/admit"
+
+// FirstCome serves requests in the order of arrival, whatever their kind, up
+// to the ceilings, and late ones too.
+type FirstCome struct{}
+
+// Timely reports that late requests are served.
+func (FirstCome) Timely() bool { return false }
+
+// Pick returns the queue whose next request arrived first.
+func (FirstCome) Pick(queues []*admit.Queue, _ int) *admit.Queue {
+	var b *admit.Queue
+	for _, q := range queues {
+		if !q.Ready() {
+			continue
+		}
+		if b == nil || q.Arrival() < b.Arrival() {
+			b = q
+		}
+	}
+	return b
+}
+
+// Static gives each kind the permits of its floor and lends none. What no
+// floor claims is left unused.
+type Static struct{}
+
+// Timely reports that late requests are served.
+func (Static) Timely() bool { return false }
+
+// Pick returns the queue under its floor whose next request arrived first.
+func (Static) Pick(queues []*admit.Queue, _ int) *admit.Queue {
+	var b *admit.Queue
+	for _, q := range queues {
+		if !q.Ready() || q.InFlight >= q.Floor {
+			continue
+		}
+		if b == nil || q.Arrival() < b.Arrival() {
+			b = q
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/decide/admit/limit.go
@@ -0,0 +1,91 @@
+package admit
+
+import "math"
+
+const (
+	// leastLimit is the limit below which a host is not throttled for latency.
+	leastLimit = 4
+	// leastWindow is the least samples of a window.
+	leastWindow = 16
+	// tolerance is the slowdown against an unloaded host that is allowed.
+	tolerance = 2.0
+	// steepest is the least factor of one decrease by Gradient.
+	steepest = 0.5
+	// backoff is the factor of one decrease by AIMD.
+	backoff = 0.9
+)
+
+// A Window sums up the answers since the limit last moved.
+type Window struct {
+	// Slowdown is the mean of latency over unloaded latency of the same kind.
+	Slowdown float64
+	// Saturated reports whether all permits were in use at some time.
+	Saturated bool
+}
+
+// A Law moves the limit after each window of at least as many answers as permits.
+type Law interface {
+	// Next returns the limit that follows limit; the caller bounds it.
+	Next(limit float64, w Window) float64
+}
+
+// Gradient scales the limit by how far the slowdown is above the tolerance and
+// adds room for a short queue, after the gradient of TCP Vegas (Brakmo and
+// Peterson, 1995) applied to a limit of concurrency.
+type Gradient struct{}
+
+// Next returns the limit that follows limit.
+func (Gradient) Next(limit float64, w Window) float64 {
+	g := min(1, max(steepest, tolerance/w.Slowdown))
+	next := limit * g
+	if w.Saturated {
+		next += math.Sqrt(limit) / 2
+	}
+	return next
+}
+
+// AIMD adds one permit while the slowdown is tolerated and takes a tenth when
+// it is not (Chiu and Jain, 1989).
+type AIMD struct{}
+
+// Next returns the limit that follows limit.
+func (AIMD) Next(limit float64, w Window) float64 {
+	if w.Slowdown > tolerance {
+		return limit * backoff
+	}
+	if w.Saturated {
+		return limit + 1
+	}
+	return limit
+}
+
+// Fixed leaves the limit at the connections of the host.
+type Fixed struct{}
+
+// Next returns a limit above any host's connections.
+func (Fixed) Next(float64, Window) float64 { return math.MaxInt32 }
+
+// A window collects a Window.
+type window struct {
+	sum       float64
+	count     int
+	saturated bool
+}
+
+// add takes one answer.
+func (w *window) add(slowdown float64) {
+	w.sum += slowdown
+	w.count++
+}
+
+// full reports whether the window has enough answers for limit.
+func (w *window) full(limit int) bool {
+	return w.count >= max(leastWindow, limit)
+}
+
+// take returns the Window and starts the next.
+func (w *window) take() Window {
+	v := Window{Slowdown: w.sum / float64(w.count), Saturated: w.saturated}
+	*w = window{}
+	return v
+}
--- /dev/null
+++ b/pkg/decide/admit/load.go
@@ -0,0 +1,61 @@
+package admit
+
+import "time"
+
+// Wake returns when the next queued request can no longer be answered in time.
+// It changes with each command.
+func (c *controller) Wake() (time.Time, bool) {
+	if !c.policy.Timely() {
+		return time.Time{}, false
+	}
+	var first time.Duration
+	found := false
+	for _, q := range c.queues {
+		if q.Queued() == 0 {
+			continue
+		}
+		if t := q.latestStart(q.waiting[0]); !found || t < first {
+			first, found = t, true
+		}
+	}
+	return c.epoch.Add(first), found
+}
+
+// Limit returns how many permits the host has now.
+func (c *controller) Limit() int { return c.limit }
+
+// Load appends the state of each kind to out.
+func (c *controller) Load(_ time.Time, out []Load) []Load {
+	spare := c.spare()
+	for _, q := range c.queues {
+		if q.listed {
+			out = append(out, c.loadOf(q, spare))
+		}
+	}
+	return out
+}
+
+// loadOf returns the state of one kind.
+func (c *controller) loadOf(q *Queue, spare int) Load {
+	l := Load{
+		Kind:     q.Row.Kind,
+		InFlight: q.InFlight,
+		Queued:   q.Queued(),
+		Delay:    q.delay(q.Queued()),
+		Limit:    q.Ceiling,
+	}
+	if c.draining || c.capacity == 0 {
+		l.Limit = 0
+		return l
+	}
+	l.Headroom = max(0, min(q.Ceiling-q.InFlight, spare)-q.Queued())
+	if l.Headroom == 0 {
+		l.Delay = q.delay(q.Queued() + 1)
+	}
+	return l
+}
+
+// spare returns the permits that are free and not awaited.
+func (c *controller) spare() int {
+	return max(0, c.limit-c.inFlight)
+}
