--- a/pkg/decide/admit/admit.go
+++ b/pkg/decide/admit/admit.go
@@ -136,6 +136,9 @@
 	// Pick returns the queue that gets the next permit, nil for none.
 	// Only queues that may start a request are to be returned.
 	Pick(queues []*Queue, limit int) *Queue
+	// Recall returns the queue that may exceed the limit, within the host's
+	// connections, because permits of its floor are lent; nil for none.
+	Recall(queues []*Queue) *Queue
 	// Timely reports whether requests go by deadline and late ones are refused;
 	// else they go by arrival and are served late.
 	Timely() bool
--- a/pkg/decide/admit/baseline/baseline.go
+++ b/pkg/decide/admit/baseline/baseline.go
@@ -25,6 +25,9 @@
 	return b
 }
 
+// Recall returns nil: nothing exceeds the limit.
+func (FirstCome) Recall([]*admit.Queue) *admit.Queue { return nil }
+
 // Static gives each kind the permits of its floor and lends none. What no
 // floor claims is left unused.
 type Static struct{}
@@ -45,3 +48,6 @@
 	}
 	return b
 }
+
+// Recall returns nil: nothing is lent.
+func (Static) Recall([]*admit.Queue) *admit.Queue { return nil }
--- a/pkg/decide/admit/controller.go
+++ b/pkg/decide/admit/controller.go
@@ -165,8 +165,8 @@
 
 // dispatch starts requests while permits are free.
 func (c *controller) dispatch(now time.Duration, out []Action) []Action {
-	for c.inFlight < c.limit {
-		q := c.policy.Pick(c.queues, c.limit)
+	for {
+		q := c.next()
 		if q == nil {
 			return out
 		}
@@ -177,8 +177,18 @@
 		}
 		out = c.start(q, r, out)
 	}
+}
+
+// next returns the queue whose next request may start now.
+func (c *controller) next() *Queue {
+	if c.inFlight < c.limit {
+		return c.policy.Pick(c.queues, c.limit)
+	}
 	c.window.saturated = true
-	return out
+	if c.inFlight < c.capacity && c.limit > 0 {
+		return c.policy.Recall(c.queues)
+	}
+	return nil
 }
 
 // start gives r a permit. What is above the floor is charged to its kind.
--- a/pkg/decide/admit/fair.go
+++ b/pkg/decide/admit/fair.go
@@ -30,6 +30,23 @@
 	return f.pickWeight(queues)
 }
 
+// Recall returns the urgent kind that is furthest under its floor. The limit is
+// a learned figure and not a hard one, so an urgent kind need not wait until a
+// lender of its permits ends; lenders start nothing until the host is back
+// below its limit.
+func (f *Fair) Recall(queues []*Queue) *Queue {
+	var b *Queue
+	for _, q := range queues {
+		if !q.Row.Urgent || q.InFlight >= q.Floor || !q.Ready() {
+			continue
+		}
+		if b == nil || underFloorBefore(q, b) {
+			b = q
+		}
+	}
+	return b
+}
+
 // pickFloor returns the most urgent, then the least served kind under its floor.
 func (f *Fair) pickFloor(queues []*Queue, limit int) *Queue {
 	var b *Queue
--- a/pkg/decide/admit/machine_test.go
+++ b/pkg/decide/admit/machine_test.go
@@ -10,7 +10,11 @@
 	"pgregory.net/rapid"
 )
 
-func init() { _ = flag.Set("rapid.seed", "7") }
+func init() {
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.steps", "60")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
 
 var kinds = []fleet.Kind{"gust", "alert", "certificate", "dossier"}
 
@@ -137,18 +141,27 @@
 		l.check(c.SetTable(l.now, drawRows(t), nil))
 		l.check(c.SetCapacity(l.now, l.capacity, nil))
 		offer := func(t *rapid.T) {
-			l.next++
-			d := time.Duration(rapid.IntRange(-5, 400).Draw(t, "deadline")) * time.Millisecond
-			l.request[l.next] = Request{l.next, rapid.SampledFrom(kinds).Draw(t, "kind"), l.now.Add(d)}
-			l.state[l.next] = "queued"
-			l.check(c.Offer(l.now, l.request[l.next], nil))
+			for range rapid.IntRange(1, 12).Draw(t, "burst") {
+				l.next++
+				d := time.Duration(rapid.IntRange(-5, 400).Draw(t, "deadline")) * time.Millisecond
+				l.request[l.next] = Request{l.next, rapid.SampledFrom(kinds).Draw(t, "kind"), l.now.Add(d)}
+				l.state[l.next] = "queued"
+				l.check(c.Offer(l.now, l.request[l.next], nil))
+			}
+			if k := l.pick("queued"); k != 0 && len(c.Offer(l.now, l.request[k], nil)) > 0 {
+				t.Fatalf("a ticket counts twice")
+			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"":       l.after,
 			"offer":  offer,
 			"offer2": offer,
 			"done": func(t *rapid.T) {
-				if k := l.pick("running"); k != 0 {
+				for range rapid.IntRange(1, 4).Draw(t, "answers") {
+					k := l.pick("running")
+					if k == 0 {
+						return
+					}
 					l.state[k] = "done"
 					d := time.Duration(rapid.IntRange(0, 90).Draw(t, "latency")) * time.Millisecond
 					l.check(c.Done(l.now, k, d, rapid.Bool().Draw(t, "ok"), nil))
@@ -162,6 +175,9 @@
 			},
 			"time": func(t *rapid.T) {
 				l.now = l.now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "pause")) * time.Millisecond)
+				if rapid.Bool().Draw(t, "timer is late") {
+					return
+				}
 				l.check(c.Tick(l.now, nil))
 				if w, ok := c.Wake(); ok && !w.After(l.now) {
 					t.Fatalf("tick left work behind")
