--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,132 @@
+// Package admission holds an agent's admitter in an actor: requests wait at
+// the gate until the admitter starts or refuses them.
+package admission
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"github.com/sesamestream/sesamestream/internal/runner"
+	"github.com/sesamestream/sesamestream/pkg/decide/admit"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+// A Gate admits requests. Its exported fields are set before Start.
+type Gate struct {
+	// System is where the gate's actor lives.
+	System *actor.ActorSystem
+	// Admitter decides.
+	Admitter admit.Admitter
+
+	runner  *runner.Runner[event, admit.Action]
+	tickets atomic.Uint64
+	// waiting is touched by the actor alone.
+	waiting map[admit.Ticket]chan admit.Action
+}
+
+// A Permit is the right to have one request running; its holder ends it once.
+type Permit struct {
+	gate    *Gate
+	ticket  admit.Ticket
+	started time.Time
+}
+
+// machine feeds events to an admitter and notes who waits.
+type machine struct{ gate *Gate }
+
+func (m machine) Step(now time.Time, e event, out []admit.Action) []admit.Action {
+	switch x := e.(type) {
+	case offer:
+		m.gate.waiting[x.request.Ticket] = x.verdict
+	case cancel:
+		delete(m.gate.waiting, x.ticket)
+	}
+	return e.apply(now, m.gate.Admitter, out)
+}
+
+// Start spawns the actor.
+func (g *Gate) Start() {
+	g.waiting = make(map[admit.Ticket]chan admit.Action)
+	g.runner = &runner.Runner[event, admit.Action]{
+		System:  g.System,
+		Machine: machine{gate: g},
+		Carry:   g.carry,
+		Wake:    g.Admitter.Wake,
+		Tick:    tick{},
+	}
+	g.runner.Start()
+}
+
+// Stop ends the actor.
+func (g *Gate) Stop() {
+	g.runner.Stop()
+}
+
+// carry tells a waiting request its verdict.
+func (g *Gate) carry(a admit.Action) {
+	c := g.waiting[a.Ticket]
+	delete(g.waiting, a.Ticket)
+	if c != nil {
+		c <- a
+	}
+}
+
+// Enter waits until the request is started or refused. The permit is nil
+// unless it was started; the action tells why.
+func (g *Gate) Enter(ctx context.Context, k fleet.Kind, deadline time.Time) (*Permit, admit.Action) {
+	t := admit.Ticket(g.tickets.Add(1))
+	c := make(chan admit.Action, 1)
+	g.runner.Tell(offer{request: admit.Request{Ticket: t, Kind: k, Deadline: deadline}, verdict: c})
+	select {
+	case a := <-c:
+		if a.Verdict != admit.Start {
+			return nil, a
+		}
+		return &Permit{gate: g, ticket: t, started: time.Now()}, a
+	case <-ctx.Done():
+		// A verdict that crosses this is taken back by the same message.
+		g.runner.Tell(cancel{ticket: t})
+		return nil, admit.Action{Verdict: admit.Refuse, Ticket: t, Reason: admit.ReasonDeadline}
+	}
+}
+
+// Done ends a permit after an answer, whole or not.
+func (p *Permit) Done(ok bool) {
+	p.gate.runner.Tell(done{ticket: p.ticket, latency: time.Since(p.started), ok: ok})
+}
+
+// Cancel ends a permit whose request was cut off at the target.
+func (p *Permit) Cancel() {
+	p.gate.runner.Tell(cancel{ticket: p.ticket})
+}
+
+// SetTable puts a table in force.
+func (g *Gate) SetTable(t *table.Table) {
+	g.runner.Tell(setTable{rows: t.Rows})
+}
+
+// SetCapacity bounds the requests by the connections of the host's targets.
+func (g *Gate) SetCapacity(connections int) {
+	g.runner.Tell(setCapacity{connections: connections})
+}
+
+// SetShares places the fleet's floors and ceilings on this host.
+func (g *Gate) SetShares(scales []admit.Scale) {
+	g.runner.Tell(setShares{scales: scales})
+}
+
+// Drain refuses all that is not yet running.
+func (g *Gate) Drain() {
+	g.runner.Tell(drain{})
+}
+
+// Load returns the state of each kind.
+func (g *Gate) Load(ctx context.Context) ([]admit.Load, error) {
+	var out []admit.Load
+	err := g.runner.Query(ctx, func() { out = g.Admitter.Load(time.Now(), nil) })
+	return out, err
+}
