--- /dev/null
+++ b/pkg/decide/task/event.go
@@ -0,0 +1,161 @@
+package task
+
+import (
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/place"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// An Event is what a Machine is told.
+type Event interface{ event() }
+
+// A Request names a submitter's call, so that its reply can be matched.
+type Request uint64
+
+// Submit asks for a job under the submitter's id.
+type Submit struct {
+	Request Request
+	ID      JobID
+	Spec    Spec
+}
+
+// Cancel asks that a job stops and never restarts.
+type Cancel struct {
+	Request Request
+	ID      JobID
+}
+
+// Committed tells that every commit up to Token is in the journal.
+type Committed struct {
+	Token Token
+	// Sent is when the confirmed request was sent to the store.
+	Sent time.Time
+}
+
+// Contact tells that the store confirmed this owner's lease.
+type Contact struct {
+	// Sent is when the confirmed request was sent to the store.
+	Sent time.Time
+}
+
+// CommitLost tells that another owner writes the journal.
+type CommitLost struct{}
+
+// Old is what is known of the owner before this one.
+type Old uint8
+
+// What is known of an old owner.
+const (
+	// OldSilent may still grant leases.
+	OldSilent Old = iota
+	// OldCeded or dead grants no more.
+	OldCeded
+)
+
+// Takeover makes the machine the shard's owner, after Restore and replay.
+type Takeover struct {
+	Epoch Epoch
+	Old   Old
+	// Sent is when the write that won the shard was sent to the store.
+	Sent time.Time
+}
+
+// OldEnded tells that the owner before this one is dead or has ceded.
+type OldEnded struct{}
+
+// HostSeen is a change of the view of one host.
+type HostSeen struct{ Host place.Host }
+
+// Silent tells that a host's agent no longer answers.
+type Silent struct{ Host fleet.ID }
+
+// Drain tells that a host is about to stop as planned.
+type Drain struct{ Host fleet.ID }
+
+// EvictWanted asks to move a running task away.
+type EvictWanted struct{ Task ID }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// A Sender is what each answer of an agent carries.
+type Sender struct {
+	Agent fleet.Life
+	// Worker is the incarnation of the worker beside the agent.
+	Worker fleet.Incarnation
+	// Epoch is the newest epoch of this shard that the agent has seen.
+	Epoch Epoch
+	// Asked is the agent's own time of sending, which orders the messages of
+	// one life; a lease counts from it.
+	Asked time.Time
+}
+
+// AnswerKind says what an agent tells of one attempt.
+type AnswerKind uint8
+
+// The answers of an agent on one attempt. From Refused on they are final: the
+// agent repeats the same one until it receives Ack, and takes the attempt up
+// no more.
+const (
+	// Reserved asks for the first lease.
+	Reserved AnswerKind = iota + 1
+	// Started runs.
+	Started
+	// Progress has a new checkpoint.
+	Progress
+	// Refused never ran.
+	Refused
+	// EndedOK ran to its end.
+	EndedOK
+	// EndedFailed failed.
+	EndedFailed
+	// Evicted stopped after a checkpoint.
+	Evicted
+	// Stopped stopped.
+	Stopped
+)
+
+// Answer is what an agent tells of one attempt.
+type Answer struct {
+	Sender
+	Kind    AnswerKind
+	Task    ID
+	Attempt Attempt
+	Saved   Checkpoint
+	Reason  string
+}
+
+// Held is one attempt that an agent has reserved, runs, or has answered
+// finally without an Ack.
+type Held struct {
+	Task    ID
+	Attempt Attempt
+	// Final is the final answer, or zero.
+	Final  AnswerKind
+	Saved  Checkpoint
+	Reason string
+}
+
+// LeaseAsked lists every attempt of this shard that an agent holds and asks
+// for their leases. An agent sends one at each start of its own or its
+// worker's process, on Ask, and a few times within a lease.
+type LeaseAsked struct {
+	Sender
+	Held []Held
+}
+
+func (Submit) event()      {}
+func (Cancel) event()      {}
+func (Committed) event()   {}
+func (Contact) event()     {}
+func (CommitLost) event()  {}
+func (Takeover) event()    {}
+func (OldEnded) event()    {}
+func (HostSeen) event()    {}
+func (Silent) event()      {}
+func (Drain) event()       {}
+func (EvictWanted) event() {}
+func (Tick) event()        {}
+func (Answer) event()      {}
+func (LeaseAsked) event()  {}
--- /dev/null
+++ b/pkg/decide/task/machine_test.go
@@ -0,0 +1,190 @@
+package task
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+func init() { _ = flag.Set("rapid.seed", "7") }
+
+func TestExclusiveUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.submit("a", 2)
+		w.submit("b", 1)
+		n := rapid.IntRange(20, 250).Draw(t, "steps")
+		for range n {
+			w.disturb(rapid.IntRange(0, 39).Draw(t, "what"), rapid.IntRange(0, 1<<16).Draw(t, "which"))
+		}
+		w.heal()
+	})
+}
+
+// disturb does one thing, mostly deliveries out of order.
+func (w *world) disturb(what, which int) {
+	a := w.agents[which%len(w.agents)]
+	o := w.owners[which%len(w.owners)]
+	switch {
+	case what < 20 && len(w.net) > 0:
+		w.deliver(which%len(w.net), what == 0)
+	case what == 20 && len(w.net) > 0:
+		i := which % len(w.net)
+		w.net = slices.Delete(w.net, i, i+1)
+	case what < 25:
+		w.store(o, which%3 == 0)
+	case what < 27:
+		w.list(a)
+	case what < 29:
+		w.step(o, Tick{})
+	case what < 31:
+		w.pass(time.Duration(which%12000) * time.Millisecond)
+	case what == 31:
+		w.down = !w.down
+	case what == 32 && len(w.owners) < 5:
+		w.takeOver()
+	case what == 33:
+		w.restart(a, which)
+	case what == 34:
+		a.refuses = !a.refuses
+	case what == 35:
+		w.submit(JobID(fmt.Sprint("j", which%3)), 1)
+	case what == 36 && which%4 == 0:
+		w.request++
+		w.send(message{to: o, event: Cancel{Request: w.request, ID: []JobID{"a", "b", "j0"}[which%3]}})
+	case what == 37:
+		w.send(message{to: o, event: EvictWanted{Task: ID{Job: "a", Index: uint32(which % 2)}}})
+	case what >= 38:
+		w.finish(a, which)
+	}
+}
+
+// restart loses an agent's memory, its worker's tasks, or both.
+func (w *world) restart(a *agent, which int) {
+	if which%3 != 0 {
+		a.life.Incarnation++
+		a.epoch = 0
+		for k, h := range a.held {
+			if !h.running {
+				delete(a.held, k)
+			}
+		}
+	}
+	if which%3 != 1 {
+		a.worker++
+		clear(a.held)
+	}
+	if which%3 == 2 {
+		clear(a.finals)
+	}
+	for _, o := range w.owners {
+		w.send(message{to: o, event: w.seen(a)})
+	}
+}
+
+func (w *world) finish(a *agent, which int) {
+	ids := sorted(slices.Collect(maps.Keys(a.held)))
+	if len(ids) == 0 {
+		return
+	}
+	id := ids[which%len(ids)]
+	h := a.held[id]
+	switch {
+	case !h.running:
+		delete(a.held, id)
+	case which%5 == 0:
+		w.final(a, Held{Task: id, Attempt: h.attempt, Final: EndedFailed, Reason: "exit 1"})
+	case which%5 < 3:
+		w.say(a, Answer{Kind: Progress, Task: id, Attempt: h.attempt, Saved: Checkpoint(fmt.Sprint("p", which))})
+	default:
+		w.final(a, Held{Task: id, Attempt: h.attempt, Final: EndedOK})
+	}
+}
+
+// heal ends the faults; then every accepted job must come to its end.
+func (w *world) heal() {
+	w.down = false
+	for _, a := range w.agents {
+		a.refuses = false
+	}
+	w.takeOver()
+	last := w.owners[len(w.owners)-1]
+	for i := 0; i < 300; i++ {
+		w.pass(500 * time.Millisecond)
+		for len(w.net) > 0 {
+			w.deliver(0, false)
+		}
+		w.step(last, Tick{})
+		w.store(last, false)
+		for _, a := range w.agents {
+			w.list(a)
+			w.finish(a, 4)
+		}
+	}
+	for id, j := range last.m.State.Jobs {
+		if !j.Phase.Over() {
+			w.t.Fatalf("job %s is %v with %+v", id, j.Phase, j.Tasks)
+		}
+	}
+}
+
+func TestFailuresOfHostsAndJobs(t *testing.T) {
+	s := NewState()
+	fail := func(job JobID, i uint32, on fleet.ID) {
+		id := ID{Job: job, Index: i}
+		n := s.Jobs[job].Tasks[i].Attempt + 1
+		for _, r := range []Record{{Op: OpAssign, Host: on}, {Op: OpFail, Reason: "exit 1"}} {
+			r.Task = id
+			r.Attempt = n
+			if err := s.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for _, j := range []JobID{"good", "bad"} {
+		if err := s.Apply(Record{Op: OpSubmit, Task: ID{Job: j}, Spec: &Spec{Kind: "k", Class: "batch", Tasks: 5}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range uint32(3) {
+		fail("good", i, "sick")
+	}
+	if _, ok := s.Sick("sick"); !ok || len(s.Jobs["good"].Tasks[0].Failed) != 0 {
+		t.Fatal("a host that fails three tasks is set aside and its failures are forgiven")
+	}
+	for _, h := range []fleet.ID{"h1", "h2", "h3"} {
+		fail("bad", 0, h)
+	}
+	if j := s.Jobs["bad"]; j.Phase != Failed || j.Reason != "exit 1" || s.Jobs["good"].Phase != Queued {
+		t.Fatalf("a job that fails on three healthy hosts ends with the reason: %+v", j)
+	}
+	if _, ok := s.Sick("h3"); ok {
+		t.Fatal("a hopeless job makes no host sick")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	b, _ := Record{Version: Version, Op: OpAssign, Task: ID{Job: "a"}, Attempt: 1, Host: "h"}.Encode()
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := Decode(b)
+		if err != nil {
+			return
+		}
+		_ = NewState().Apply(r)
+		c, err := r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(c); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/decide/task/task.go
@@ -0,0 +1,168 @@
+// Package task decides what one shard owner does with its jobs and tasks:
+// when they are accepted, where they run, and when they may run again.
+//
+// A Machine changes its state by records only. What others rely on is told
+// after the record is committed to the shard's journal. Of one batch task no
+// two attempts run at once: an attempt runs under a lease that only the owner
+// grants, and the next attempt is assigned when the last one has ended, was
+// never granted a lease, or its lease has lapsed.
+package task
+
+import (
+	"crypto/sha256"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+// The limits of what a submitter may hand over.
+const (
+	// MaxIDBytes bounds the id of a job.
+	MaxIDBytes = 128
+	// MaxPayloadBytes bounds what a job hands to its tasks.
+	MaxPayloadBytes = 64 << 10
+	// MaxTasks bounds the tasks of one job.
+	MaxTasks = 10_000
+	// MaxTextBytes bounds reasons and checkpoint references.
+	MaxTextBytes = 1 << 10
+)
+
+// The errors of a submission.
+var (
+	// ErrConflict is returned for an id that stands for another job.
+	ErrConflict = errors.New("task: id is used by another job")
+	// ErrBadSpec is returned for a job that breaks a limit.
+	ErrBadSpec = errors.New("task: bad job")
+	// ErrUnknownJob is returned for an id that the shard does not hold.
+	ErrUnknownJob = errors.New("task: unknown job")
+	// ErrNotReady is returned while the store has been out of reach for too long to accept work.
+	ErrNotReady = errors.New("task: store is out of reach")
+)
+
+// A JobID is the submitter's name for a job.
+type JobID string
+
+// An ID names one task of a job.
+type ID struct {
+	Job   JobID  `cbor:"1,keyasint"`
+	Index uint32 `cbor:"2,keyasint"`
+}
+
+// An Attempt numbers the assignments of one task, from 1.
+type Attempt uint64
+
+// An Epoch numbers the owners of one shard.
+type Epoch uint64
+
+// A Token orders the commits of one Machine.
+type Token uint64
+
+// A Checkpoint refers to saved progress at the worker's storage.
+type Checkpoint string
+
+// A Spec is what a submitter asks for.
+type Spec struct {
+	Kind  fleet.Kind  `cbor:"1,keyasint"`
+	Team  fleet.Team  `cbor:"2,keyasint,omitempty"`
+	Class table.Class `cbor:"3,keyasint"`
+	// Tasks is the count of batch tasks or of service replicas.
+	Tasks uint32 `cbor:"4,keyasint"`
+	// Need is what each task declares.
+	Need   fleet.Resources `cbor:"5,keyasint"`
+	Urgent bool            `cbor:"6,keyasint,omitempty"`
+	// Region is where the input lies, empty for anywhere.
+	Region string `cbor:"7,keyasint,omitempty"`
+	// CrossRegion allows tasks outside Region.
+	CrossRegion bool `cbor:"8,keyasint,omitempty"`
+	// Spread asks for different racks.
+	Spread  bool   `cbor:"9,keyasint,omitempty"`
+	Payload []byte `cbor:"10,keyasint,omitempty"`
+}
+
+// Check returns ErrBadSpec where s breaks a limit.
+func (s *Spec) Check() error {
+	switch {
+	case s.Kind == "" || len(s.Kind) > MaxIDBytes || len(s.Team) > MaxIDBytes || len(s.Region) > MaxIDBytes:
+		return errors.WithMessage(ErrBadSpec, "name")
+	case s.Class != table.ClassBatch && s.Class != table.ClassService:
+		return errors.WithMessage(ErrBadSpec, "class")
+	case s.Tasks == 0 || s.Tasks > MaxTasks:
+		return errors.WithMessage(ErrBadSpec, "tasks")
+	case len(s.Payload) > MaxPayloadBytes:
+		return errors.WithMessage(ErrBadSpec, "payload")
+	case !(fleet.Resources{}).Fits(s.Need):
+		return errors.WithMessage(ErrBadSpec, "need")
+	}
+	return nil
+}
+
+// A Digest tells two specs apart.
+type Digest [sha256.Size]byte
+
+// Phase is where a task or a job stands.
+type Phase uint8
+
+// The phases that the journal holds.
+const (
+	// Queued waits for a host.
+	Queued Phase = iota + 1
+	// Assigned has an attempt that may be running.
+	Assigned
+	// Done has ended well.
+	Done
+	// Failed has ended with a reason.
+	Failed
+	// Cancelled is not running and never will.
+	Cancelled
+)
+
+// Over reports whether p is final.
+func (p Phase) Over() bool { return p >= Done }
+
+// String returns the name of p.
+func (p Phase) String() string {
+	switch p {
+	case Queued:
+		return "queued"
+	case Assigned:
+		return "assigned"
+	case Done:
+		return "done"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	}
+	return "unknown"
+}
+
+// A Task is what the journal tells of one task.
+type Task struct {
+	Phase   Phase             `cbor:"1,keyasint"`
+	Attempt Attempt           `cbor:"2,keyasint"`
+	Host    fleet.ID          `cbor:"3,keyasint,omitempty"`
+	Worker  fleet.Incarnation `cbor:"4,keyasint,omitempty"`
+	Saved   Checkpoint        `cbor:"5,keyasint,omitempty"`
+	Reason  string            `cbor:"6,keyasint,omitempty"`
+	// Failed counts the failures on each healthy host.
+	Failed map[fleet.ID]int `cbor:"7,keyasint,omitempty"`
+	// Since is when the first of these failures was, since the Unix epoch.
+	Since time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// A Job is what the journal tells of one job.
+type Job struct {
+	Spec   Spec   `cbor:"1,keyasint"`
+	Digest Digest `cbor:"2,keyasint"`
+	Tasks  []Task `cbor:"3,keyasint"`
+	// Barred is Cancelled or Failed once no further attempt may start.
+	Barred Phase `cbor:"4,keyasint,omitempty"`
+	// Open counts the tasks that are not over.
+	Open   uint32        `cbor:"5,keyasint"`
+	Phase  Phase         `cbor:"6,keyasint"`
+	Reason string        `cbor:"7,keyasint,omitempty"`
+	Ended  time.Duration `cbor:"8,keyasint,omitempty"`
+}
