Let an agent answer a lapsed lease by Stopped

The property test found attempt 1 begun twice: its lease had lapsed, and a duplicate Start was taken up again. A lapse is now a final answer of the agent.

--- a/pkg/decide/task/event.go
+++ b/pkg/decide/task/event.go
@@ -96,7 +96,8 @@
 
 // The answers of an agent on one attempt. From Refused on they are final: the
 // agent repeats the same one until it receives Ack, and takes the attempt up
-// no more.
+// no more. An attempt whose lease has lapsed is answered by Stopped; one that
+// its agent reserved and gave up is answered by Refused.
 const (
 	// Reserved asks for the first lease.
 	Reserved AnswerKind = iota + 1
--- a/pkg/decide/task/machine_test.go
+++ b/pkg/decide/task/machine_test.go
@@ -98,7 +98,7 @@
 	h := a.held[id]
 	switch {
 	case !h.running:
-		delete(a.held, id)
+		w.final(a, Held{Task: id, Attempt: h.attempt, Final: Refused})
 	case which%5 == 0:
 		w.final(a, Held{Task: id, Attempt: h.attempt, Final: EndedFailed, Reason: "exit 1"})
 	case which%5 < 3:
--- a/pkg/decide/task/world_test.go
+++ b/pkg/decide/task/world_test.go
@@ -342,9 +342,10 @@
 func (w *world) pass(d time.Duration) {
 	w.now = w.now.Add(d)
 	for _, a := range w.agents {
-		for k, h := range a.held {
+		for _, k := range sorted(slices.Collect(maps.Keys(a.held))) {
+			h := a.held[k]
 			if h.running && !w.clock(a).Before(h.until) {
-				delete(a.held, k)
+				w.final(a, Held{Task: k, Attempt: h.attempt, Final: Stopped})
 			}
 		}
 	}
