Decide on the host which attempts run; typed messages between owners and agents

Cause: the agent alone may fill its host. Found while writing: (1) an agent that has just restarted must not list its attempts before the worker has told them, else the owner would take them as over; (2) a start of the agent's earlier life may reach the worker late, so a worker binds itself to the newest agent and its list counts only once bound. Times of leases travel as monotonic durations since the agent's start, so a wall-clock step moves no lease.

--- /dev/null
+++ b/internal/message/task.go
@@ -0,0 +1,194 @@
+package message
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/pkg/decide/host"
+	"github.com/sesamestream/sesamestream/pkg/decide/place"
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// The operations between shard owners and agents.
+const (
+	// OperationOrder carries an order of a shard's owner to an agent.
+	OperationOrder peer.Operation = "task.order"
+	// OperationTell carries what an agent tells a shard's owner.
+	OperationTell peer.Operation = "task.tell"
+)
+
+// An Attempt names one attempt of a task on a host; Final, Saved and Reason
+// are those of task.Held.
+type Attempt struct {
+	Task   task.ID         `cbor:"1,keyasint"`
+	Number task.Attempt    `cbor:"2,keyasint"`
+	Final  task.AnswerKind `cbor:"3,keyasint,omitempty"`
+	Saved  task.Checkpoint `cbor:"4,keyasint,omitempty"`
+	Reason string          `cbor:"5,keyasint,omitempty"`
+}
+
+// An OrderVerb says what an Order asks.
+type OrderVerb uint8
+
+// The verbs of orders.
+const (
+	OrderStart OrderVerb = iota + 1
+	OrderStop
+	OrderEvict
+	OrderAck
+	OrderAsk
+	OrderGrant
+)
+
+// An Order is one order of a shard's owner.
+type Order struct {
+	Shard host.Shard `cbor:"1,keyasint"`
+	Epoch task.Epoch `cbor:"2,keyasint"`
+	// Owner is where answers go.
+	Owner netip.AddrPort `cbor:"3,keyasint"`
+	Verb  OrderVerb      `cbor:"4,keyasint"`
+	// Attempts are what the order is about: one, or those granted a lease.
+	Attempts []Attempt `cbor:"5,keyasint,omitempty"`
+	// Agent and Worker are whom a start is for.
+	Agent  fleet.Life        `cbor:"6,keyasint,omitempty"`
+	Worker fleet.Incarnation `cbor:"7,keyasint,omitempty"`
+	Spec   *task.Spec        `cbor:"8,keyasint,omitempty"`
+	// Asked is the agent's own time of asking for a lease, which is echoed.
+	Asked    time.Duration `cbor:"9,keyasint,omitempty"`
+	Duration time.Duration `cbor:"10,keyasint,omitempty"`
+}
+
+// A Tell is what an agent tells a shard's owner: the answer on one attempt,
+// the list of all it holds, or its room.
+type Tell struct {
+	Shard  host.Shard        `cbor:"1,keyasint"`
+	Agent  fleet.Life        `cbor:"2,keyasint"`
+	Worker fleet.Incarnation `cbor:"3,keyasint"`
+	Epoch  task.Epoch        `cbor:"4,keyasint"`
+	// Asked is the time since the agent's start on its monotonic clock.
+	Asked time.Duration `cbor:"5,keyasint"`
+	// Kind is the kind of the answer on the only attempt; zero for a list.
+	Kind     task.AnswerKind `cbor:"6,keyasint,omitempty"`
+	Attempts []Attempt       `cbor:"7,keyasint,omitempty"`
+	// Room is the host's room where it is told.
+	Room *place.Host `cbor:"8,keyasint,omitempty"`
+	// Address is where orders go.
+	Address netip.AddrPort `cbor:"9,keyasint"`
+}
+
+// None is the answer to messages that need none.
+type None struct{}
+
+// NewOrder returns the message of an action, and false for an action that is
+// no order to an agent.
+func NewOrder(a task.Action) (to fleet.ID, o Order, ok bool) {
+	one := func(id task.ID, n task.Attempt) []Attempt { return []Attempt{{Task: id, Number: n}} }
+	switch a := a.(type) {
+	case task.Start:
+		o = Order{Epoch: a.Epoch, Verb: OrderStart, Attempts: one(a.Task, a.Attempt), Agent: a.Agent, Worker: a.Worker, Spec: a.Spec}
+		o.Attempts[0].Saved = a.Saved
+		return a.Agent.ID, o, true
+	case task.Stop:
+		return a.Agent, Order{Epoch: a.Epoch, Verb: OrderStop, Attempts: one(a.Task, a.Attempt)}, true
+	case task.Evict:
+		return a.Agent, Order{Epoch: a.Epoch, Verb: OrderEvict, Attempts: one(a.Task, a.Attempt)}, true
+	case task.Ack:
+		return a.Agent, Order{Epoch: a.Epoch, Verb: OrderAck, Attempts: one(a.Task, a.Attempt)}, true
+	case task.Ask:
+		return a.Agent, Order{Epoch: a.Epoch, Verb: OrderAsk}, true
+	case task.GrantLease:
+		o = Order{Epoch: a.Epoch, Verb: OrderGrant, Asked: fromTime(a.Asked), Duration: a.Duration}
+		for _, h := range a.Held {
+			o.Attempts = append(o.Attempts, Attempt{Task: h.Task, Number: h.Attempt})
+		}
+		return a.Agent, o, true
+	}
+	return "", Order{}, false
+}
+
+// Event returns the order as the agent's machine takes it; base is the
+// agent's start. It reports false for an order that cannot hold.
+func (o Order) Event(base time.Time) (host.Event, bool) {
+	e := host.Order{Shard: o.Shard, Epoch: o.Epoch}
+	if o.Verb == OrderAsk {
+		e.Action = task.Ask{Epoch: o.Epoch}
+		return e, true
+	}
+	if o.Verb == OrderGrant {
+		g := task.GrantLease{Epoch: o.Epoch, Asked: base.Add(o.Asked), Duration: o.Duration}
+		for _, a := range o.Attempts {
+			g.Held = append(g.Held, task.Held{Task: a.Task, Attempt: a.Number})
+		}
+		e.Action = g
+		return e, true
+	}
+	if len(o.Attempts) != 1 {
+		return nil, false
+	}
+	a := o.Attempts[0]
+	switch o.Verb {
+	case OrderStart:
+		if o.Spec == nil || o.Spec.Check() != nil {
+			return nil, false
+		}
+		e.Action = task.Start{Agent: o.Agent, Worker: o.Worker, Epoch: o.Epoch, Task: a.Task, Attempt: a.Number, Spec: o.Spec, Saved: a.Saved}
+	case OrderStop:
+		e.Action = task.Stop{Epoch: o.Epoch, Task: a.Task, Attempt: a.Number}
+	case OrderEvict:
+		e.Action = task.Evict{Epoch: o.Epoch, Task: a.Task, Attempt: a.Number}
+	case OrderAck:
+		e.Action = task.Ack{Epoch: o.Epoch, Task: a.Task, Attempt: a.Number}
+	default:
+		return nil, false
+	}
+	return e, true
+}
+
+// NewTell returns the message of a Say or a Renew; base is the agent's start.
+func NewTell(a host.Action, base time.Time) (Tell, bool) {
+	switch a := a.(type) {
+	case host.Say:
+		t := tellOf(a.Shard, a.Answer.Sender, base)
+		t.Kind = a.Answer.Kind
+		t.Attempts = []Attempt{{Task: a.Answer.Task, Number: a.Answer.Attempt, Saved: a.Answer.Saved, Reason: a.Answer.Reason}}
+		return t, true
+	case host.Renew:
+		t := tellOf(a.Shard, a.Asked.Sender, base)
+		for _, h := range a.Asked.Held {
+			t.Attempts = append(t.Attempts, Attempt{Task: h.Task, Number: h.Attempt, Final: h.Final, Saved: h.Saved, Reason: h.Reason})
+		}
+		return t, true
+	}
+	return Tell{}, false
+}
+
+func tellOf(s host.Shard, f task.Sender, base time.Time) Tell {
+	return Tell{Shard: s, Agent: f.Agent, Worker: f.Worker, Epoch: f.Epoch, Asked: f.Asked.Sub(base)}
+}
+
+// Event returns what is told as the owner's machine takes it.
+func (t Tell) Event() (task.Event, bool) {
+	s := task.Sender{Agent: t.Agent, Worker: t.Worker, Epoch: t.Epoch, Asked: toTime(t.Asked)}
+	if t.Room != nil {
+		return task.HostSeen{Host: *t.Room}, true
+	}
+	if t.Kind == 0 {
+		l := task.LeaseAsked{Sender: s}
+		for _, a := range t.Attempts {
+			l.Held = append(l.Held, task.Held{Task: a.Task, Attempt: a.Number, Final: a.Final, Saved: a.Saved, Reason: a.Reason})
+		}
+		return l, true
+	}
+	if len(t.Attempts) != 1 {
+		return nil, false
+	}
+	a := t.Attempts[0]
+	return task.Answer{Sender: s, Kind: t.Kind, Task: a.Task, Attempt: a.Number, Saved: a.Saved, Reason: a.Reason}, true
+}
+
+// An owner only compares an agent's times with each other and echoes them.
+func toTime(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
+
+func fromTime(t time.Time) time.Duration { return time.Duration(t.UnixNano()) }
--- a/internal/worker/protocol.go
+++ b/internal/worker/protocol.go
@@ -67,15 +67,21 @@
 	Checkpoint string `json:"checkpoint,omitempty"`
 	// Usage is what the attempt used lately.
 	Usage fleet.Resources `json:"usage"`
+	// Kind and Resources are those of the start.
+	Kind      fleet.Kind      `json:"kind"`
+	Resources fleet.Resources `json:"resources"`
 }
 
 // An Announcement is what a worker says of itself and its attempts.
 type Announcement struct {
 	ID          string            `json:"id"`
 	Incarnation fleet.Incarnation `json:"incarnation"`
-	Address     netip.AddrPort    `json:"address"`
-	Resources   fleet.Resources   `json:"resources"`
-	Attempts    []Report          `json:"attempts"`
+	// Bound is the newest agent that has answered; the worker refuses the
+	// starts of older ones.
+	Bound     fleet.Incarnation `json:"bound"`
+	Address   netip.AddrPort    `json:"address"`
+	Resources fleet.Resources   `json:"resources"`
+	Attempts  []Report          `json:"attempts"`
 }
 
 // A Lease is how long an attempt may go on, counted from the moment the
@@ -87,7 +93,9 @@
 
 // An Answer is the agent's answer to an announcement.
 type Answer struct {
-	Leases []Lease `json:"leases"`
+	// Agent is the agent's incarnation, to which the worker is bound from now on.
+	Agent  fleet.Incarnation `json:"agent"`
+	Leases []Lease           `json:"leases"`
 	// Acknowledged are the attempts whose end the agent has taken.
 	Acknowledged []Attempt `json:"acknowledged"`
 }
@@ -104,6 +112,8 @@
 	// Lease counts from Sent; agent and worker read the same host's clock.
 	Lease time.Duration `json:"lease"`
 	Sent  time.Time     `json:"sent"`
+	// Agent is the incarnation of the agent that asks.
+	Agent fleet.Incarnation `json:"agent"`
 }
 
 // A Throttle sets the share of its processors that an attempt may use.
--- a/internal/worker/standin/worker.go
+++ b/internal/worker/standin/worker.go
@@ -99,6 +99,7 @@
 
 	mu       sync.Mutex
 	attempts map[worker.Attempt]*attempt
+	bound    fleet.Incarnation
 }
 
 // An attempt runs for a duration given as its command, such as "3s"; the
@@ -159,6 +160,7 @@
 func (w *Worker) announce(a worker.Announcement) {
 	sent := time.Now()
 	w.mu.Lock()
+	a.Bound = w.bound
 	for _, t := range w.attempts {
 		a.Attempts = append(a.Attempts, t.report)
 	}
@@ -176,12 +178,17 @@
 	var answer worker.Answer
 	if r.StatusCode == http.StatusOK && json.NewDecoder(r.Body).Decode(&answer) == nil {
 		w.take(sent, answer)
+		if a.Bound != answer.Agent {
+			a.Attempts = nil
+			w.announce(a)
+		}
 	}
 }
 
 func (w *Worker) take(sent time.Time, a worker.Answer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.bound = max(w.bound, a.Agent)
 	for _, l := range a.Leases {
 		if t := w.attempts[l.Attempt]; t != nil {
 			t.until = sent.Add(l.Remaining)
@@ -267,13 +274,16 @@
 	if err != nil && s.Command != "fail" {
 		return nil, errors.Errorf("command %q is neither a duration nor fail", s.Command)
 	}
+	if s.Agent < w.bound {
+		return nil, errors.New("the agent has been replaced")
+	}
 	until := s.Sent.Add(s.Lease)
 	if !time.Now().Before(until) {
 		return nil, errors.New("the lease has lapsed on the way")
 	}
 	done, _ := strconv.ParseInt(s.Checkpoint, 10, 64)
 	w.attempts[s.Attempt] = &attempt{
-		report:   worker.Report{Attempt: s.Attempt, State: worker.Running, Usage: s.Resources},
+		report:   worker.Report{Attempt: s.Attempt, State: worker.Running, Usage: s.Resources, Kind: s.Kind, Resources: s.Resources, Checkpoint: s.Checkpoint},
 		start:    s,
 		progress: time.Duration(done),
 		length:   length,
--- /dev/null
+++ b/pkg/decide/host/host.go
@@ -0,0 +1,162 @@
+// Package host decides which attempts of tasks an agent lets run on its host.
+//
+// The agent reserves before it starts and is the only one who does, so that no
+// race between shard owners can overfill the worker. An attempt runs under its
+// owner's lease, counted from the moment the agent asked for it.
+package host
+
+import (
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// A Shard numbers one part of all jobs.
+type Shard int
+
+// A Key names one attempt on this host.
+type Key struct {
+	Shard   Shard
+	Task    task.ID
+	Attempt task.Attempt
+}
+
+// An Event is what a Machine is told.
+type Event interface{ event() }
+
+// An Order is what the owner of a shard asks: a task.Start, Stop, Evict, Ack,
+// Ask or GrantLease.
+type Order struct {
+	Shard  Shard
+	Epoch  task.Epoch
+	Action task.Action
+}
+
+// A Report is what the worker tells of one attempt.
+type Report struct {
+	Key
+	State  State
+	Reason string
+	Saved  task.Checkpoint
+	// Need is what was reserved for it.
+	Need  fleet.Resources
+	Kind  fleet.Kind
+	Usage fleet.Resources
+}
+
+// A State is what the worker says of an attempt.
+type State uint8
+
+// The states of an attempt at the worker.
+const (
+	Running State = iota + 1
+	Done
+	Failed
+	Stopped
+)
+
+// A WorkerSeen is an announcement of the worker; it lists all attempts that
+// the worker runs or has not been told to forget.
+type WorkerSeen struct {
+	Worker fleet.Incarnation
+	// Bound is the life of the agent from which alone the worker takes starts.
+	Bound   fleet.Incarnation
+	Total   fleet.Resources
+	Reports []Report
+}
+
+// WorkerSilent tells that the worker no longer announces itself.
+type WorkerSilent struct{}
+
+// A Result is what became of a command to the worker.
+type Result uint8
+
+// The results of a command.
+const (
+	// Carried means the worker carried it out.
+	Carried Result = iota + 1
+	// Refused means the worker refused it.
+	Refused
+	// NotSent means the worker never received it.
+	NotSent
+	// Broken means the worker may have received it.
+	Broken
+)
+
+// A Commanded is the result of a Command.
+type Commanded struct {
+	Command Command
+	Result  Result
+	Saved   task.Checkpoint
+	Reason  string
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Drain refuses new attempts from now on.
+type Drain struct{}
+
+func (Order) event()        {}
+func (WorkerSeen) event()   {}
+func (WorkerSilent) event() {}
+func (Commanded) event()    {}
+func (Tick) event()         {}
+func (Drain) event()        {}
+
+// An Action is what a Machine wants done.
+type Action interface{ action() }
+
+// A Say is an answer to a shard's owner.
+type Say struct {
+	Shard  Shard
+	Answer task.Answer
+}
+
+// A Renew asks a shard's owner for the leases of all its attempts here.
+type Renew struct {
+	Shard Shard
+	Asked task.LeaseAsked
+}
+
+// A Verb is a command to the worker.
+type Verb uint8
+
+// The verbs.
+const (
+	// StartIt starts an attempt under a lease.
+	StartIt Verb = iota + 1
+	// StopIt stops an attempt.
+	StopIt
+	// SaveIt checkpoints an attempt.
+	SaveIt
+)
+
+// A Command is for the worker.
+type Command struct {
+	Key
+	Verb Verb
+	// Until is the end of the lease of a start.
+	Until time.Time
+	Spec  *task.Spec
+	Saved task.Checkpoint
+}
+
+// A Right is how long an attempt may go on.
+type Right struct {
+	Key
+	Until time.Time
+}
+
+// An AnswerWorker answers the announcement that was just seen.
+type AnswerWorker struct {
+	Rights []Right
+	// Ended are the attempts that the worker may forget.
+	Ended []Key
+}
+
+func (Say) action()          {}
+func (AnswerWorker) action() {}
+func (Renew) action()        {}
+func (Command) action()      {}
--- /dev/null
+++ b/pkg/decide/host/machine.go
@@ -0,0 +1,189 @@
+package host
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// renewals is how many times a lease is asked for within its length.
+const renewals = 4
+
+// TickEvery is how often a Machine wants a Tick.
+const TickEvery = 500 * time.Millisecond
+
+// A Machine decides for one host. It implements decide.Machine[Event, Action].
+// Its exported fields are set before the first Step.
+type Machine struct {
+	// Life is the agent's own.
+	Life fleet.Life
+	// Lease is how long the owners' leases last.
+	Lease time.Duration
+
+	now      time.Time
+	worker   fleet.Incarnation
+	alive    bool
+	draining bool
+	total    fleet.Resources
+	reserved fleet.Resources
+	attempts map[Key]*attempt
+	epochs   map[Shard]task.Epoch
+	renewed  time.Time
+}
+
+// A phase is where an attempt stands here.
+type phase uint8
+
+const (
+	// reserved holds room and waits for its first lease.
+	reserved phase = iota + 1
+	// starting has been sent to the worker.
+	starting
+	// running was seen running.
+	running
+	// saving is checkpointed before it stops.
+	saving
+	// stopping is being stopped.
+	stopping
+	// final has its answer, which waits for an Ack.
+	final
+)
+
+type attempt struct {
+	phase phase
+	spec  *task.Spec
+	need  fleet.Resources
+	until time.Time
+	// handed is the end of the longest lease that the worker was handed.
+	handed time.Time
+	worker fleet.Incarnation
+	answer task.AnswerKind
+	// onStop is the answer once the worker has stopped it.
+	onStop task.AnswerKind
+	saved  task.Checkpoint
+	reason string
+	// sent is when the last command went to the worker.
+	sent time.Time
+}
+
+// Step applies e at now, appends the actions that follow to out and returns it.
+func (m *Machine) Step(now time.Time, e Event, out []Action) []Action {
+	m.now = now
+	if m.attempts == nil {
+		m.attempts = make(map[Key]*attempt)
+		m.epochs = make(map[Shard]task.Epoch)
+	}
+	switch e := e.(type) {
+	case Order:
+		return m.order(e, out)
+	case WorkerSeen:
+		return m.workerSeen(e, out)
+	case WorkerSilent:
+		m.alive = false
+	case Commanded:
+		return m.commanded(e, out)
+	case Drain:
+		m.draining = true
+	case Tick:
+		return m.tick(out)
+	}
+	return out
+}
+
+// order obeys the newest owner of a shard and no older one.
+func (m *Machine) order(o Order, out []Action) []Action {
+	if o.Epoch < m.epochs[o.Shard] {
+		return out
+	}
+	m.epochs[o.Shard] = o.Epoch
+	if m.worker == 0 {
+		// What runs here is not known before the worker has told.
+		return out
+	}
+	switch a := o.Action.(type) {
+	case task.Start:
+		return m.start(o.Shard, a, out)
+	case task.GrantLease:
+		return m.granted(o.Shard, a, out)
+	case task.Stop:
+		return m.stop(Key{o.Shard, a.Task, a.Attempt}, task.Stopped, out)
+	case task.Evict:
+		return m.evict(Key{o.Shard, a.Task, a.Attempt}, out)
+	case task.Ack:
+		m.forget(Key{o.Shard, a.Task, a.Attempt})
+	case task.Ask:
+		return m.renew(o.Shard, out)
+	}
+	return out
+}
+
+func (m *Machine) sender(s Shard) task.Sender {
+	return task.Sender{Agent: m.Life, Worker: m.worker, Epoch: m.epochs[s], Asked: m.now}
+}
+
+// say answers the owner about one attempt.
+func (m *Machine) say(k Key, kind task.AnswerKind, a *attempt, out []Action) []Action {
+	x := task.Answer{Sender: m.sender(k.Shard), Kind: kind, Task: k.Task, Attempt: k.Attempt}
+	if a != nil {
+		x.Saved = a.saved
+		x.Reason = a.reason
+	}
+	return append(out, Say{Shard: k.Shard, Answer: x})
+}
+
+// end gives the room of an attempt back and tells its final answer.
+func (m *Machine) end(k Key, a *attempt, kind task.AnswerKind, reason string, out []Action) []Action {
+	if a.phase == final {
+		return out
+	}
+	m.reserved = m.reserved.Minus(a.need)
+	a.phase = final
+	a.answer = kind
+	if reason != "" {
+		a.reason = reason
+	}
+	return m.say(k, kind, a, out)
+}
+
+func (m *Machine) forget(k Key) {
+	if a := m.attempts[k]; a != nil && a.phase == final {
+		delete(m.attempts, k)
+	}
+}
+
+// renew lists all that this host holds of a shard.
+func (m *Machine) renew(s Shard, out []Action) []Action {
+	e := task.LeaseAsked{Sender: m.sender(s)}
+	for _, k := range m.keys() {
+		a := m.attempts[k]
+		if k.Shard != s {
+			continue
+		}
+		h := task.Held{Task: k.Task, Attempt: k.Attempt, Saved: a.saved, Reason: a.reason}
+		if a.phase == final {
+			h.Final = a.answer
+		}
+		e.Held = append(e.Held, h)
+	}
+	return append(out, Renew{Shard: s, Asked: e})
+}
+
+// keys returns the attempts in a fixed order, so that equal inputs give equal actions.
+func (m *Machine) keys() []Key {
+	out := make([]Key, 0, len(m.attempts))
+	for k := range m.attempts {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b Key) int {
+		return cmp.Or(
+			cmp.Compare(a.Shard, b.Shard),
+			cmp.Compare(a.Task.Job, b.Task.Job),
+			cmp.Compare(a.Task.Index, b.Task.Index),
+			cmp.Compare(a.Attempt, b.Attempt),
+		)
+	})
+	return out
+}
--- /dev/null
+++ b/pkg/decide/host/order.go
@@ -0,0 +1,114 @@
+package host
+
+import (
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// start reserves room for an attempt, or refuses it.
+func (m *Machine) start(s Shard, o task.Start, out []Action) []Action {
+	if o.Agent != m.Life || o.Worker != m.worker {
+		return out
+	}
+	k := Key{s, o.Task, o.Attempt}
+	if a := m.attempts[k]; a != nil {
+		return m.again(k, a, out)
+	}
+	need := Needs(o.Spec.Need)
+	a := &attempt{phase: reserved, spec: o.Spec, need: need, worker: m.worker, saved: o.Saved}
+	if why := m.refusal(need); why != "" {
+		a.reason = why
+		a.need = fleet.Resources{}
+		m.attempts[k] = a
+		return m.end(k, a, task.Refused, why, out)
+	}
+	m.attempts[k] = a
+	m.reserved = m.reserved.Plus(need)
+	return m.say(k, task.Reserved, a, out)
+}
+
+// Needs returns what a task holds on its worker: at least one slot.
+func Needs(r fleet.Resources) fleet.Resources {
+	r.Slots = max(r.Slots, 1)
+	return r
+}
+
+// refusal returns why need has no room here, or "".
+func (m *Machine) refusal(need fleet.Resources) string {
+	switch {
+	case m.draining:
+		return "draining"
+	case !m.alive:
+		return "no worker"
+	case !m.reserved.Plus(need).Fits(m.total):
+		return "no room"
+	}
+	return ""
+}
+
+// again answers a repeated start.
+func (m *Machine) again(k Key, a *attempt, out []Action) []Action {
+	switch a.phase {
+	case final:
+		return m.say(k, a.answer, a, out)
+	case reserved:
+		return m.say(k, task.Reserved, a, out)
+	default:
+		return m.say(k, task.Started, a, out)
+	}
+}
+
+// granted starts what waited for its lease and prolongs what runs.
+func (m *Machine) granted(s Shard, g task.GrantLease, out []Action) []Action {
+	until := g.Asked.Add(g.Duration)
+	for _, h := range g.Held {
+		k := Key{s, h.Task, h.Attempt}
+		a := m.attempts[k]
+		if a == nil || a.phase == final || !until.After(a.until) {
+			continue
+		}
+		a.until = until
+		if a.phase == reserved && m.now.Before(until) {
+			a.phase = starting
+			out = m.command(k, a, StartIt, out)
+		}
+	}
+	return out
+}
+
+func (m *Machine) command(k Key, a *attempt, v Verb, out []Action) []Action {
+	a.sent = m.now
+	if v == StartIt {
+		a.handed = a.until
+	}
+	return append(out, Command{Key: k, Verb: v, Until: a.until, Spec: a.spec, Saved: a.saved})
+}
+
+// stop ends an attempt with the answer kind once the worker has stopped it.
+func (m *Machine) stop(k Key, kind task.AnswerKind, out []Action) []Action {
+	a := m.attempts[k]
+	switch {
+	case a == nil:
+		// Whatever start is still on its way gets no lease.
+		return m.say(k, kind, nil, out)
+	case a.phase == final:
+		return m.say(k, a.answer, a, out)
+	case a.phase == reserved:
+		return m.end(k, a, task.Refused, "stopped before its start", out)
+	case a.phase == stopping:
+		return out
+	}
+	a.phase = stopping
+	a.onStop = kind
+	return m.command(k, a, StopIt, out)
+}
+
+// evict checkpoints an attempt and then stops it.
+func (m *Machine) evict(k Key, out []Action) []Action {
+	a := m.attempts[k]
+	if a == nil || a.phase != running {
+		return m.stop(k, task.Stopped, out)
+	}
+	a.phase = saving
+	return m.command(k, a, SaveIt, out)
+}
--- /dev/null
+++ b/pkg/decide/host/worker.go
@@ -0,0 +1,152 @@
+package host
+
+import (
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
+)
+
+// workerSeen takes an announcement: it ends what ended and what an earlier
+// life of the worker ran, and adopts what an earlier life of the agent started.
+func (m *Machine) workerSeen(e WorkerSeen, out []Action) []Action {
+	if e.Worker < m.worker {
+		return out
+	}
+	if e.Bound != m.Life.Incarnation {
+		// A start of an earlier life of this agent may still reach the worker.
+		return append(out, AnswerWorker{})
+	}
+	fresh := e.Worker != m.worker
+	m.worker = e.Worker
+	m.total = e.Total
+	m.alive = true
+	if fresh {
+		out = m.freed(out)
+	}
+	for _, r := range e.Reports {
+		out = m.reported(r, out)
+	}
+	if fresh {
+		out = m.renewAll(out)
+	}
+	return m.answerWorker(out)
+}
+
+// answerWorker hands the leases of what may go on to the worker.
+func (m *Machine) answerWorker(out []Action) []Action {
+	var w AnswerWorker
+	for _, k := range m.keys() {
+		a := m.attempts[k]
+		switch a.phase {
+		case final:
+			w.Ended = append(w.Ended, k)
+		case starting, running, saving:
+			a.handed = a.until
+			w.Rights = append(w.Rights, Right{Key: k, Until: a.until})
+		}
+	}
+	return append(out, w)
+}
+
+// freed ends the attempts of earlier lives of the worker: they run no more.
+func (m *Machine) freed(out []Action) []Action {
+	for _, k := range m.keys() {
+		a := m.attempts[k]
+		if a.phase == reserved {
+			out = m.end(k, a, task.Refused, "worker restarted", out)
+			continue
+		}
+		out = m.end(k, a, task.Stopped, "worker restarted", out)
+	}
+	return out
+}
+
+// reported takes what the worker tells of one attempt.
+func (m *Machine) reported(r Report, out []Action) []Action {
+	a := m.attempts[r.Key]
+	if a == nil {
+		a = m.adopt(r)
+	}
+	if a.phase == final {
+		return out
+	}
+	if r.Saved != "" && r.Saved != a.saved {
+		a.saved = r.Saved
+		out = m.say(r.Key, task.Progress, a, out)
+	}
+	switch r.State {
+	case Running:
+		if a.phase == starting {
+			a.phase = running
+			out = m.say(r.Key, task.Started, a, out)
+		}
+	case Done:
+		out = m.end(r.Key, a, task.EndedOK, r.Reason, out)
+	case Failed:
+		out = m.end(r.Key, a, task.EndedFailed, r.Reason, out)
+	case Stopped:
+		kind := a.onStop
+		if kind == 0 {
+			kind = task.Stopped
+		}
+		out = m.end(r.Key, a, kind, r.Reason, out)
+	}
+	return out
+}
+
+// adopt takes up an attempt that an earlier life of this agent started. It
+// holds its room; its lease is the worker's until the owner grants another.
+func (m *Machine) adopt(r Report) *attempt {
+	a := &attempt{phase: running, worker: m.worker, need: Needs(r.Need), saved: r.Saved, until: m.now.Add(m.Lease), handed: m.now.Add(m.Lease)}
+	a.spec = &task.Spec{Kind: r.Kind, Need: r.Need}
+	m.attempts[r.Key] = a
+	m.reserved = m.reserved.Plus(a.need)
+	return a
+}
+
+// commanded takes the result of a command.
+func (m *Machine) commanded(c Commanded, out []Action) []Action {
+	a := m.attempts[c.Command.Key]
+	if a == nil || a.phase == final {
+		return out
+	}
+	switch c.Command.Verb {
+	case StartIt:
+		return m.startCommanded(c, a, out)
+	case SaveIt:
+		return m.saveCommanded(c, a, out)
+	case StopIt:
+		if c.Result == Carried && a.phase == stopping {
+			return m.end(c.Command.Key, a, a.onStop, "", out)
+		}
+	}
+	return out
+}
+
+// startCommanded ends an attempt that the worker proved not to run; one that
+// may run is seen by the next announcement or stopped when its lease ends.
+func (m *Machine) startCommanded(c Commanded, a *attempt, out []Action) []Action {
+	if a.phase != starting {
+		return out
+	}
+	switch c.Result {
+	case Carried:
+		a.phase = running
+		return m.say(c.Command.Key, task.Started, a, out)
+	case Refused, NotSent:
+		return m.end(c.Command.Key, a, task.Refused, c.Reason, out)
+	default:
+		return m.stop(c.Command.Key, task.Stopped, out)
+	}
+}
+
+// saveCommanded goes on to stop the attempt, evicted where it was saved.
+func (m *Machine) saveCommanded(c Commanded, a *attempt, out []Action) []Action {
+	if a.phase != saving {
+		return out
+	}
+	kind := task.Stopped
+	if c.Result == Carried {
+		a.saved = c.Saved
+		kind = task.Evicted
+	}
+	return m.stop(c.Command.Key, kind, out)
+}
