--- a/pkg/decide/admit/admit.go
+++ b/pkg/decide/admit/admit.go
@@ -146,7 +146,7 @@
 
 // New returns the Admitter of the product: floors, weights and deadlines.
 func New() Admitter {
-	return NewWith(&Fair{}, Gradient{})
+	return NewWith(&Fair{}, AIMD{})
 }
 
 // NewWith returns an Admitter that picks by p and learns its limit by l.
--- a/pkg/decide/admit/baseline/baseline.go
+++ b/pkg/decide/admit/baseline/baseline.go
@@ -30,10 +30,13 @@
 
 // Static gives each kind the permits of its floor and lends none. What no
 // floor claims is left unused.
-type Static struct{}
+type Static struct {
+	// Deadlines adds the order and the refusals by deadline of the product.
+	Deadlines bool
+}
 
-// Timely reports that late requests are served.
-func (Static) Timely() bool { return false }
+// Timely reports whether late requests are refused.
+func (s Static) Timely() bool { return s.Deadlines }
 
 // Pick returns the queue under its floor whose next request arrived first.
 func (Static) Pick(queues []*admit.Queue, _ int) *admit.Queue {
--- a/pkg/decide/admit/flood/flood.go
+++ b/pkg/decide/admit/flood/flood.go
@@ -32,9 +32,11 @@
 	Connections int
 	// Warm is how long the host runs before anything is counted.
 	Warm time.Duration
-	// Length is how long is counted.
+	// Length is how long arrivals are counted.
 	Length time.Duration
-	Seed   uint64
+	// After is how long the host runs on for what was counted to end.
+	After time.Duration
+	Seed  uint64
 
 	random  *rand.Rand
 	now     float64
@@ -65,7 +67,7 @@
 // Do runs the experiment and returns a result for each kind.
 func (r *Run) Do() []Result {
 	r.begin()
-	end := (r.Warm + r.Length).Seconds()
+	end := (r.Warm + r.Length + r.After).Seconds()
 	for r.now < end {
 		r.step()
 	}
@@ -176,7 +178,7 @@
 		kind:    kind,
 		work:    r.random.ExpFloat64() * k.Service.Seconds(),
 		arrived: r.now,
-		counted: r.now >= r.Warm.Seconds(),
+		counted: r.now >= r.Warm.Seconds() && r.now < (r.Warm+r.Length).Seconds(),
 	}
 	r.jobs[j.ticket] = j
 	if j.counted {
--- a/pkg/decide/admit/flood/flood_test.go
+++ b/pkg/decide/admit/flood/flood_test.go
@@ -1,12 +1,19 @@
 package flood
 
 import (
-	"fmt"
+	"os"
 	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/sesamestream/sesamestream/pkg/decide/admit"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
 )
 
 // BenchmarkFlood prints what became of each kind under each policy.
 func BenchmarkFlood(b *testing.B) {
+	var lines []Line
 	for _, s := range Scenarios {
 		for _, c := range Contenders {
 			b.Run(s.Name+"/"+c.Name, func(b *testing.B) {
@@ -14,17 +21,66 @@
 				for range b.N {
 					results = Measure(s, c, 7)
 				}
-				for _, r := range results {
-					k := string(r.Kind)
-					b.ReportMetric(r.Kept(), k+"-kept")
-					b.ReportMetric(float64(r.Quantile(0.99).Microseconds())/1000, k+"-p99-ms")
-				}
-				fmt.Printf("%-17s %-19s", s.Name, c.Name)
-				for _, r := range results {
-					fmt.Printf(" | %s kept %.2f timely %.2f p99 %.0fms ref %d late %d", r.Kind, r.Kept(), r.Timely(), r.Quantile(.99).Seconds()*1000, r.Refused, r.Late)
+				for _, r := range results[:2] {
+					b.ReportMetric(r.Timely(), string(r.Kind)+"-in-time")
+					b.ReportMetric(float64(r.Quantile(0.99).Microseconds())/1000, string(r.Kind)+"-p99-ms")
 				}
-				fmt.Println()
+				b.ReportMetric(results[4].Kept(), "dossier-kept")
+				lines = append(lines, Line{s.Name, c.Name, results})
 			})
 		}
 	}
+	if err := WriteTable(os.Stdout, lines); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func TestFloorsHoldInFloods(t *testing.T) {
+	for _, s := range Scenarios {
+		for seed := range uint64(3) {
+			g := gomega.NewWithT(t)
+			for _, r := range Measure(s, Contenders[0], seed) {
+				g.Expect(r.Kept()).To(gomega.BeNumerically(">", 0.9), "%s of %s", r.Kind, s.Name)
+				g.Expect(r.Late).To(gomega.BeNumerically("<=", r.InTime/200), "late %s of %s", r.Kind, s.Name)
+				g.Expect(r.Offered).To(gomega.Equal(r.InTime + r.Late + r.Refused + r.Unfinished))
+				if _, flooded := s.Flood[r.Kind]; !flooded {
+					g.Expect(r.Refused+r.Late).To(gomega.BeNumerically("<=", r.Offered/20), "%s of %s", r.Kind, s.Name)
+				}
+			}
+		}
+	}
+}
+
+func TestPermitsAreDividedByWeight(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		weight      float64
+		floor       table.Share
+		urgent      bool
+		service     time.Duration
+		least, most float64
+	}{
+		{"weight", 3, 0, false, 5 * time.Millisecond, 2.6, 3.4},
+		{"longer requests gain nothing", 1, 0, false, 80 * time.Millisecond, 0.8, 1.2},
+		{"a flood of an urgent kind gains nothing", 1, 0, true, 5 * time.Millisecond, 0.85, 1.2},
+		{"floor", 1, 0.7, false, 5 * time.Millisecond, 2.2, 12},
+	} {
+		k := []Kind{
+			{Rate: 20 / c.service.Seconds(), Service: c.service, Row: row("one", c.weight, c.floor, 1, 5*time.Second)},
+			{Rate: 1000, Service: 20 * time.Millisecond, Row: row("two", 1, 0, 1, 5*time.Second)},
+		}
+		k[0].Row.Urgent = c.urgent
+		r := &Run{Admitter: admit.New(), Kinds: k, Processors: 16, Connections: 64, Warm: 5 * time.Second, Length: 20 * time.Second, After: 5 * time.Second, Seed: 3}
+		v := r.Do()
+		gomega.NewWithT(t).Expect(v[0].Work()/v[1].Work()).To(gomega.And(gomega.BeNumerically(">", c.least), gomega.BeNumerically("<", c.most)), c.name)
+	}
+}
+
+func TestTheLimitFindsTheProcessors(t *testing.T) {
+	for _, p := range []int{6, 16, 40} {
+		s := Scenario{Flood: map[fleet.Kind]float64{Gust: 25, Dossier: 12}}
+		r := &Run{Admitter: admit.New(), Kinds: s.Kinds(), Processors: p, Connections: 64, Warm: 20 * time.Second, Length: time.Second, Seed: 5}
+		r.Do()
+		gomega.NewWithT(t).Expect(r.Admitter.Limit()).To(gomega.And(gomega.BeNumerically(">", p*3/4), gomega.BeNumerically("<", p*5/2)), "%d processors", p)
+	}
 }
--- a/pkg/decide/admit/flood/scenario.go
+++ b/pkg/decide/admit/flood/scenario.go
@@ -38,15 +38,26 @@
 	New  func() admit.Admitter
 }
 
-// Contenders are the policies that are compared.
+// Contenders are the policies that are compared; the first is the product's.
 var Contenders = []Contender{
-	{"fair+gradient", admit.New},
-	{"fair+aimd", func() admit.Admitter { return admit.NewWith(&admit.Fair{}, admit.AIMD{}) }},
-	{"fair+fixed", func() admit.Admitter { return admit.NewWith(&admit.Fair{}, admit.Fixed{}) }},
-	{"firstCome+gradient", func() admit.Admitter { return admit.NewWith(baseline.FirstCome{}, admit.Gradient{}) }},
-	{"firstCome+fixed", func() admit.Admitter { return admit.NewWith(baseline.FirstCome{}, admit.Fixed{}) }},
-	{"static+gradient", func() admit.Admitter { return admit.NewWith(baseline.Static{}, admit.Gradient{}) }},
-	{"static+fixed", func() admit.Admitter { return admit.NewWith(baseline.Static{}, admit.Fixed{}) }},
+	{"fair+aimd", admit.New},
+	{"fair+gradient", with(fair, admit.Gradient{})},
+	{"fair+fixed", with(fair, admit.Fixed{})},
+	{"firstCome+aimd", with(firstCome, admit.AIMD{})},
+	{"firstCome+fixed", with(firstCome, admit.Fixed{})},
+	{"static+aimd", with(static, admit.AIMD{})},
+	{"static+fixed", with(static, admit.Fixed{})},
+	{"staticDeadline+aimd", with(staticDeadline, admit.AIMD{})},
+}
+
+func fair() admit.Policy           { return &admit.Fair{} }
+func firstCome() admit.Policy      { return baseline.FirstCome{} }
+func static() admit.Policy         { return baseline.Static{} }
+func staticDeadline() admit.Policy { return baseline.Static{Deadlines: true} }
+
+// with returns a constructor of admitters that pick by a new policy.
+func with(p func() admit.Policy, l admit.Law) func() admit.Admitter {
+	return func() admit.Admitter { return admit.NewWith(p(), l) }
 }
 
 // Kinds returns the kinds of a calm day, which use about two thirds of a host
@@ -74,7 +85,7 @@
 	return table.Row{Kind: k, Class: table.ClassRequest, Weight: weight, Floor: floor, Ceiling: ceiling, Deadline: deadline}
 }
 
-// Measure runs s on one host under c.
+// Measure runs s under c on one host with 16 processors and 64 connections.
 func Measure(s Scenario, c Contender, seed uint64) []Result {
 	r := &Run{
 		Admitter:    c.New(),
@@ -83,6 +94,7 @@
 		Connections: 64,
 		Warm:        10 * time.Second,
 		Length:      30 * time.Second,
+		After:       30 * time.Second,
 		Seed:        seed,
 	}
 	return r.Do()
--- a/pkg/decide/admit/judge.go
+++ b/pkg/decide/admit/judge.go
@@ -25,11 +25,12 @@
 		return q.judgeProbe(now)
 	}
 	wait := q.delay(q.ahead(deadline))
+	most := min(maxQueueDelay, budget/queuePart)
 	switch {
 	case wait+bound >= budget:
 		return judgement{reason: ReasonDeadline, retryAfter: q.retryAfter(wait + bound - budget)}
-	case wait > maxQueueDelay:
-		return judgement{reason: ReasonQueue, retryAfter: q.retryAfter(wait - maxQueueDelay)}
+	case wait > most:
+		return judgement{reason: ReasonQueue, retryAfter: q.retryAfter(wait - most)}
 	default:
 		return q.judgeCount(maxQueued)
 	}
@@ -83,6 +84,6 @@
 	}
 	c.window.add(float64(latency) / float64(q.service.base))
 	if c.window.full(c.limit) {
-		c.setLimit(c.law.Next(c.exact, c.window.take()))
+		c.setLimit(c.window.next(c.law, c.exact))
 	}
 }
--- a/pkg/decide/admit/limit.go
+++ b/pkg/decide/admit/limit.go
@@ -5,10 +5,14 @@
 const (
 	// leastLimit is the limit below which a host is not throttled for latency.
 	leastLimit = 4
+	// firstPart is the divisor from the connections to the first limit.
+	firstPart = 8
 	// leastWindow is the least samples of a window.
-	leastWindow = 16
+	leastWindow = 64
 	// tolerance is the slowdown against an unloaded host that is allowed.
-	tolerance = 2.0
+	tolerance = 1.5
+	// rampUp is the factor of one increase before the first slowdown.
+	rampUp = 1.25
 	// steepest is the least factor of one decrease by Gradient.
 	steepest = 0.5
 	// backoff is the factor of one decrease by AIMD.
@@ -70,6 +74,22 @@
 	sum       float64
 	count     int
 	saturated bool
+	// slowed reports whether a window was above the tolerance.
+	slowed bool
+}
+
+// next returns the limit that follows limit by l. Until the first slowdown the
+// limit grows by a factor, as in the slow start of TCP (Jacobson, 1988).
+func (w *window) next(l Law, limit float64) float64 {
+	v := w.take()
+	if v.Slowdown > tolerance {
+		w.slowed = true
+	}
+	next := l.Next(limit, v)
+	if v.Saturated && !w.slowed {
+		next = max(next, limit*rampUp)
+	}
+	return next
 }
 
 // add takes one answer.
@@ -86,6 +106,6 @@
 // take returns the Window and starts the next.
 func (w *window) take() Window {
 	v := Window{Slowdown: w.sum / float64(w.count), Saturated: w.saturated}
-	*w = window{}
+	w.sum, w.count, w.saturated = 0, 0, false
 	return v
 }
--- a/pkg/decide/admit/queue.go
+++ b/pkg/decide/admit/queue.go
@@ -13,6 +13,10 @@
 // maxQueueDelay bounds the expected wait of a request.
 const maxQueueDelay = time.Second
 
+// queuePart is the divisor from what is left until the deadline to the wait
+// that a request may expect.
+const queuePart = 4
+
 // A request is one ticket that is queued or running.
 type request struct {
 	ticket   Ticket
--- a/pkg/decide/admit/service.go
+++ b/pkg/decide/admit/service.go
@@ -10,6 +10,8 @@
 	// firstBlock and fullBlock are the samples of a block that the unloaded latency is learned from.
 	firstBlock = 16
 	fullBlock  = 64
+	// blockLength is the least time that a full block covers.
+	blockLength = 500 * time.Millisecond
 	// baseFall is how far the unloaded latency follows a faster block.
 	baseFall = 0.25
 	// baseRise is how fast the unloaded latency rises, a second.
@@ -26,6 +28,8 @@
 	deviation time.Duration
 	// base is the latency of an unloaded host, zero until known.
 	base time.Duration
+	// grown reports whether a full block has been seen.
+	grown bool
 
 	blockSum   time.Duration
 	blockCount int
@@ -57,24 +61,43 @@
 	s.deviation = l / 2
 }
 
-// learnBase follows fast blocks quickly and slow blocks slowly, so that it stays
-// near the latency without contention.
+// learnBase takes the mean of the first samples, then follows fast blocks
+// quickly and slow blocks slowly, so that it stays near the latency without
+// contention.
 func (s *serviceTime) learnBase(now, l time.Duration) {
 	s.blockSum += l
 	s.blockCount++
-	if s.blockCount < firstBlock || s.base != 0 && s.blockCount < fullBlock {
+	m := s.blockSum / time.Duration(s.blockCount)
+	if !s.grown {
+		s.startBase(now, m)
 		return
 	}
-	m := s.blockSum / time.Duration(s.blockCount)
-	switch {
-	case s.base == 0:
-		s.base = m
-	case m < s.base:
+	if s.blockCount < fullBlock || now-s.blockAt < blockLength {
+		return
+	}
+	if m < s.base {
 		s.base -= time.Duration(baseFall * float64(s.base-m))
-	default:
+	} else {
 		rise := 1 + baseRise*(now-s.blockAt).Seconds()
 		s.base = min(m, time.Duration(float64(s.base)*rise))
 	}
+	s.endBlock(now)
+}
+
+// startBase learns the base from the mean m of the first block.
+func (s *serviceTime) startBase(now, m time.Duration) {
+	if s.blockCount < firstBlock {
+		return
+	}
+	s.base = m
+	if s.blockCount >= fullBlock {
+		s.grown = true
+		s.endBlock(now)
+	}
+}
+
+// endBlock starts the next block.
+func (s *serviceTime) endBlock(now time.Duration) {
 	s.base = max(s.base, 1)
 	s.blockSum, s.blockCount, s.blockAt = 0, 0, now
 }
--- a/pkg/decide/admit/settings.go
+++ b/pkg/decide/admit/settings.go
@@ -70,7 +70,7 @@
 	first := c.capacity == 0
 	c.capacity = max(0, connections)
 	if first {
-		c.exact = c.law.Next(float64(c.least()), Window{Slowdown: 1})
+		c.exact = c.law.Next(c.first(), Window{Slowdown: 1})
 	}
 	c.setLimit(c.exact)
 	if c.capacity > 0 {
@@ -126,6 +126,11 @@
 	return min(c.capacity, max(leastLimit, n))
 }
 
+// first returns the limit of a host that has not been measured.
+func (c *controller) first() float64 {
+	return max(float64(c.least()), float64(c.capacity)/firstPart)
+}
+
 // setLimit moves the limit to v within its bounds.
 func (c *controller) setLimit(v float64) {
 	c.exact = min(float64(c.capacity), max(float64(c.least()), v))
