--- a/pkg/decide/task/machine_test.go
+++ b/pkg/decide/task/machine_test.go
@@ -22,7 +22,7 @@
 		w.submit("b", 1)
 		n := rapid.IntRange(20, 250).Draw(t, "steps")
 		for range n {
-			w.disturb(rapid.IntRange(0, 39).Draw(t, "what"), rapid.IntRange(0, 1<<16).Draw(t, "which"))
+			w.disturb(rapid.IntRange(0, 43).Draw(t, "what"), rapid.IntRange(0, 1<<16).Draw(t, "which"))
 		}
 		w.heal()
 	})
@@ -61,6 +61,12 @@
 		w.send(message{to: o, event: Cancel{Request: w.request, ID: []JobID{"a", "b", "j0"}[which%3]}})
 	case what == 37:
 		w.send(message{to: o, event: EvictWanted{Task: ID{Job: "a", Index: uint32(which % 2)}}})
+	case what == 40:
+		w.keep(a, w.owners[which/8%len(w.owners)])
+	case what == 41:
+		o.cut = a.life.ID
+	case what == 42:
+		o.cut = ""
 	case what >= 38:
 		w.finish(a, which)
 	}
@@ -111,6 +117,9 @@
 // heal ends the faults; then every accepted job must come to its end.
 func (w *world) heal() {
 	w.down = false
+	for _, o := range w.owners {
+		o.cut = ""
+	}
 	for _, a := range w.agents {
 		a.refuses = false
 	}
--- a/pkg/decide/task/world_test.go
+++ b/pkg/decide/task/world_test.go
@@ -39,8 +39,10 @@
 	sent    time.Time
 	written Token
 	gone    bool
+	cut     fleet.ID
 }
 
+// A message passes between an owner and an agent, one way or the other.
 type message struct {
 	to    *owner
 	event Event
@@ -129,7 +131,10 @@
 	if !keep {
 		w.net = slices.Delete(w.net, i, i+1)
 	}
-	if m.to != nil {
+	if m.agent != "" && m.to.cut == m.agent {
+		return
+	}
+	if m.event != nil {
 		w.step(m.to, m.event)
 		return
 	}
@@ -150,17 +155,17 @@
 			o.pending = append(o.pending, x)
 			o.sent = w.now
 		case Start:
-			w.send(message{agent: x.Agent.ID, order: x})
+			w.send(message{to: o, agent: x.Agent.ID, order: x})
 		case Stop:
-			w.send(message{agent: x.Agent, order: x})
+			w.send(message{to: o, agent: x.Agent, order: x})
 		case Evict:
-			w.send(message{agent: x.Agent, order: x})
+			w.send(message{to: o, agent: x.Agent, order: x})
 		case Ack:
-			w.send(message{agent: x.Agent, order: x})
+			w.send(message{to: o, agent: x.Agent, order: x})
 		case Ask:
-			w.send(message{agent: x.Agent, order: x})
+			w.send(message{to: o, agent: x.Agent, order: x})
 		case GrantLease:
-			w.send(message{agent: x.Agent, order: x})
+			w.send(message{to: o, agent: x.Agent, order: x})
 		case Reply:
 			w.told(x.ID, x.Phase)
 		case JobEnded:
@@ -321,7 +326,7 @@
 func (w *world) say(a *agent, x Answer) {
 	x.Sender = w.sender(a)
 	for _, o := range w.owners {
-		w.send(message{to: o, event: x})
+		w.send(message{to: o, agent: a.life.ID, event: x})
 	}
 }
 
@@ -334,7 +339,25 @@
 		e.Held = append(e.Held, a.finals[k])
 	}
 	for _, o := range w.owners {
-		w.send(message{to: o, event: e})
+		w.send(message{to: o, agent: a.life.ID, event: e})
+	}
+}
+
+// keep renews an agent's leases with one owner while time passes for all.
+func (w *world) keep(a *agent, o *owner) {
+	for range 4 {
+		n := len(w.net)
+		w.list(a)
+		for i := n; i < len(w.net); i++ {
+			if m := w.net[i]; m.to == o && m.agent == a.life.ID {
+				w.deliver(i, true)
+			}
+		}
+		w.net = w.net[:n]
+		w.pass(4 * time.Second)
+		for _, x := range w.owners {
+			w.step(x, Tick{})
+		}
 	}
 }
 
