--- a/internal/consul/read.go
+++ b/internal/consul/read.go
@@ -41,6 +41,17 @@
 	return ps, nil
 }
 
+// Keys returns the keys under prefix as the leader confirms them.
+func (c *Client) Keys(ctx context.Context, prefix string) ([]string, error) {
+	q := url.Values{"keys": {""}, "consistent": {""}}
+	a, err := c.do(ctx, call{method: http.MethodGet, path: kv(prefix), query: q})
+	if err != nil || a.status == http.StatusNotFound {
+		return nil, err
+	}
+	var ks []string
+	return ks, decode(a, &ks, false)
+}
+
 // one reads one key.
 func (c *Client) one(ctx context.Context, key string, q url.Values) (store.Pair, error) {
 	a, err := c.do(ctx, call{method: http.MethodGet, path: kv(key), query: q})
--- a/internal/consul/standin/kv.go
+++ b/internal/consul/standin/kv.go
@@ -33,7 +33,11 @@
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
-		es, index, changed := s.find(key, q.Has("recurse"))
+		es, index, changed := s.find(key, q.Has("recurse") || q.Has("keys"))
+		if q.Has("keys") && len(es) > 0 {
+			write(w, http.StatusOK, names(es))
+			return
+		}
 		if after == 0 || index > after || wait == 0 {
 			reply(w, es, index)
 			return
@@ -59,6 +63,15 @@
 	write(w, http.StatusOK, es)
 }
 
+// names returns the keys of entries.
+func names(es []consul.Entry) []string {
+	ks := make([]string, len(es))
+	for i, e := range es {
+		ks[i] = e.Key
+	}
+	return ks
+}
+
 // find returns the entries of a key or prefix, their index, and a channel closed at the next change.
 func (s *Server) find(key string, recurse bool) ([]consul.Entry, uint64, <-chan struct{}) {
 	s.mu.Lock()
@@ -132,6 +145,10 @@
 	}
 	var a consul.TxnAnswer
 	for _, t := range steps {
+		if t.KV.Verb == consul.VerbDelete {
+			delete(s.keys, t.KV.Key)
+			s.touch()
+		}
 		if t.KV.Verb == consul.VerbCAS {
 			e := s.keys[t.KV.Key]
 			e.Key, e.Value = t.KV.Key, t.KV.Value
@@ -148,6 +165,8 @@
 	switch o.Verb {
 	case consul.VerbCAS, consul.VerbCheckIndex, consul.VerbCheckNotExists:
 		return s.keys[o.Key].ModifyIndex == o.Index
+	case consul.VerbDelete:
+		return true
 	}
 	return false
 }
--- a/internal/consul/wire.go
+++ b/internal/consul/wire.go
@@ -14,6 +14,7 @@
 // The verbs of operations in a transaction.
 const (
 	VerbCAS            = "cas"
+	VerbDelete         = "delete"
 	VerbCheckIndex     = "check-index"
 	VerbCheckNotExists = "check-not-exists"
 )
--- a/internal/consul/write.go
+++ b/internal/consul/write.go
@@ -18,11 +18,7 @@
 	if err := c.tooLarge(value); err != nil {
 		return store.Pair{}, false, err
 	}
-	b, err := json.Marshal(steps(key, value, index, guards))
-	if err != nil {
-		return store.Pair{}, false, errors.WithMessage(store.ErrUnavailable, err.Error())
-	}
-	a, err := c.do(ctx, call{method: http.MethodPut, path: "/v1/txn", body: b, write: true})
+	a, err := c.txn(ctx, steps(key, value, index, guards))
 	if err != nil {
 		return store.Pair{}, false, err
 	}
@@ -54,6 +50,28 @@
 	return append(ss, Step{KV: &Operation{Verb: VerbCAS, Key: key, Value: value, Index: index}})
 }
 
+// txn carries out a transaction.
+func (c *Client) txn(ctx context.Context, ss []Step) (answer, error) {
+	b, err := json.Marshal(ss)
+	if err != nil {
+		return answer{}, errors.WithMessage(store.ErrUnavailable, err.Error())
+	}
+	return c.do(ctx, call{method: http.MethodPut, path: "/v1/txn", body: b, write: true})
+}
+
+// Purge removes keys in one transaction.
+func (c *Client) Purge(ctx context.Context, keys ...string) error {
+	ss := make([]Step, len(keys))
+	for i, k := range keys {
+		ss[i] = Step{KV: &Operation{Verb: VerbDelete, Key: k}}
+	}
+	a, err := c.txn(ctx, ss)
+	if err == nil && a.status != http.StatusOK {
+		return errors.WithMessagef(store.ErrUnavailable, "purge: status %d", a.status)
+	}
+	return err
+}
+
 // Delete removes key if its index is index.
 func (c *Client) Delete(ctx context.Context, key string, index uint64) (bool, error) {
 	q := url.Values{"cas": {strconv.FormatUint(index, 10)}}
--- /dev/null
+++ b/internal/store/backoff.go
@@ -0,0 +1,36 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// The bounds of the pauses between retries, before jitter.
+const (
+	FirstPause = 20 * time.Millisecond
+	LastPause  = 2 * time.Second
+)
+
+// NewBackOff returns pauses that double from FirstPause to LastPause with full jitter.
+func NewBackOff() *backoff.ExponentialBackOff {
+	return &backoff.ExponentialBackOff{
+		InitialInterval:     FirstPause,
+		RandomizationFactor: 1,
+		Multiplier:          2,
+		MaxInterval:         LastPause,
+	}
+}
+
+// Pause waits for d and reports false if ctx ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/store/door/store.go
@@ -0,0 +1,120 @@
+package door
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/store"
+)
+
+// read carries out f and tries a failed call again after a pause.
+func (d *Door) read(ctx context.Context, f func(context.Context) error) error {
+	b := store.NewBackOff()
+	for i := 0; ; i++ {
+		err := d.call(ctx, Read, 0, f)
+		if i == retries || !errors.Is(err, store.ErrUnavailable) || d.Resting(time.Now()) {
+			return err
+		}
+		if !store.Pause(ctx, b.NextBackOff()) {
+			return err
+		}
+	}
+}
+
+// Get returns the pair of key.
+func (d *Door) Get(ctx context.Context, key string) (p store.Pair, err error) {
+	err = d.read(ctx, func(c context.Context) (err error) {
+		p, err = d.Store.Get(c, key)
+		return err
+	})
+	return p, err
+}
+
+// List returns the pairs under prefix.
+func (d *Door) List(ctx context.Context, prefix string) (ps []store.Pair, err error) {
+	err = d.read(ctx, func(c context.Context) (err error) {
+		ps, err = d.Store.List(c, prefix)
+		return err
+	})
+	return ps, err
+}
+
+// Keys returns the keys under prefix.
+func (d *Door) Keys(ctx context.Context, prefix string) (ks []string, err error) {
+	err = d.read(ctx, func(c context.Context) (err error) {
+		ks, err = d.Store.Keys(c, prefix)
+		return err
+	})
+	return ks, err
+}
+
+// Watch returns the pair of key once its index exceeds index or wait is over.
+func (d *Door) Watch(ctx context.Context, key string, index uint64, wait time.Duration) (p store.Pair, err error) {
+	err = d.call(ctx, Watch, wait, func(c context.Context) (err error) {
+		p, err = d.Store.Watch(c, key, index, wait)
+		return err
+	})
+	return p, err
+}
+
+// CAS sets key if its index is index and all guards hold.
+func (d *Door) CAS(ctx context.Context, key string, value []byte, index uint64, guards ...store.Guard) (p store.Pair, ok bool, err error) {
+	err = d.call(ctx, Write, 0, func(c context.Context) (err error) {
+		p, ok, err = d.Store.CAS(c, key, value, index, guards...)
+		return err
+	})
+	return p, ok, err
+}
+
+// Delete removes key if its index is index.
+func (d *Door) Delete(ctx context.Context, key string, index uint64) (ok bool, err error) {
+	err = d.call(ctx, Write, 0, func(c context.Context) (err error) {
+		ok, err = d.Store.Delete(c, key, index)
+		return err
+	})
+	return ok, err
+}
+
+// Purge removes keys.
+func (d *Door) Purge(ctx context.Context, keys ...string) error {
+	return d.call(ctx, Write, 0, func(c context.Context) error { return d.Store.Purge(c, keys...) })
+}
+
+// Acquire sets key and holds it by l.
+func (d *Door) Acquire(ctx context.Context, key string, value []byte, l store.LeaseID) (ok bool, err error) {
+	err = d.call(ctx, Lease, 0, func(c context.Context) (err error) {
+		ok, err = d.Store.Acquire(c, key, value, l)
+		return err
+	})
+	return ok, err
+}
+
+// Release sets key and ends l's hold on it.
+func (d *Door) Release(ctx context.Context, key string, value []byte, l store.LeaseID) (ok bool, err error) {
+	err = d.call(ctx, Lease, 0, func(c context.Context) (err error) {
+		ok, err = d.Store.Release(c, key, value, l)
+		return err
+	})
+	return ok, err
+}
+
+// Grant returns a new lease.
+func (d *Door) Grant(ctx context.Context, ttl time.Duration) (l store.LeaseID, err error) {
+	err = d.call(ctx, Lease, 0, func(c context.Context) (err error) {
+		l, err = d.Store.Grant(c, ttl)
+		return err
+	})
+	return l, err
+}
+
+// Renew prolongs a lease.
+func (d *Door) Renew(ctx context.Context, l store.LeaseID) error {
+	return d.call(ctx, Lease, 0, func(c context.Context) error { return d.Store.Renew(c, l) })
+}
+
+// Revoke ends a lease.
+func (d *Door) Revoke(ctx context.Context, l store.LeaseID) error {
+	return d.call(ctx, Lease, 0, func(c context.Context) error { return d.Store.Revoke(c, l) })
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -45,6 +45,9 @@
 	Index uint64
 }
 
+// MaxPurge is how many keys one Purge removes at most.
+const MaxPurge = 64
+
 // A Reader reads the store.
 // A failed read returns ErrUnavailable, or ErrNotFound where the key is missing.
 type Reader interface {
@@ -52,6 +55,8 @@
 	Get(ctx context.Context, key string) (Pair, error)
 	// List returns the pairs whose keys start with prefix, in the order of their keys.
 	List(ctx context.Context, prefix string) ([]Pair, error)
+	// Keys returns the keys that start with prefix, in their order.
+	Keys(ctx context.Context, prefix string) ([]string, error)
 	// Watch returns the pair of key once its index exceeds index or wait is over.
 	// With ErrNotFound the pair carries the index for the next call.
 	Watch(ctx context.Context, key string, index uint64, wait time.Duration) (Pair, error)
@@ -65,6 +70,8 @@
 	CAS(ctx context.Context, key string, value []byte, index uint64, guards ...Guard) (Pair, bool, error)
 	// Delete removes key if its index is index.
 	Delete(ctx context.Context, key string, index uint64) (bool, error)
+	// Purge removes at most MaxPurge keys in one call, whatever their index.
+	Purge(ctx context.Context, keys ...string) error
 	// Acquire sets key and holds it by the lease, unless another lease holds it.
 	Acquire(ctx context.Context, key string, value []byte, l LeaseID) (bool, error)
 	// Release sets key and ends the lease's hold on it.
--- a/pkg/decide/journal/journal.go
+++ b/pkg/decide/journal/journal.go
@@ -42,11 +42,12 @@
 	MaxSegment fleet.Bytes
 	// MaxPending bounds the records that wait, counted with their overhead.
 	MaxPending fleet.Bytes
+	// Counter counts the segments written. It starts above all that Life has used.
+	Counter uint64
 
 	stage    stage
 	waiting  bool
 	failures int
-	counter  uint64
 	epoch    Epoch
 	last     Position
 	index    uint64
@@ -176,10 +177,10 @@
 
 // load makes entries the segment in flight.
 func (m *Machine) load(entries []entry) {
-	m.counter++
+	m.Counter++
 	m.flight = entries
 	m.doubted = false
-	m.segment = Segment{Writer: m.Life, Counter: m.counter, Epoch: m.epoch}
+	m.segment = Segment{Writer: m.Life, Counter: m.Counter, Epoch: m.epoch}
 	for i, e := range entries {
 		m.segment.Records = append(m.segment.Records, e.records...)
 		entries[i].end = len(m.segment.Records)
