--- a/internal/store/lease.go
+++ b/internal/store/lease.go
@@ -26,6 +26,8 @@
 	TTL time.Duration
 	// Drift is the part of TTL given up for clocks of other speed, DefaultDrift where it is 0.
 	Drift float64
+	// Wanted reports whether the lease is needed; while it is not, no call is made. Nil means always.
+	Wanted func() bool
 	// OnChange is called after the lease was granted, renewed or lost, where it is not nil.
 	OnChange func()
 
@@ -39,9 +41,12 @@
 	b := NewBackOff()
 	for {
 		wait := l.TTL/(2*renewals) + rand.N(l.TTL/(2*renewals)) //nolint:gosec // Jitter needs no secret.
-		if l.refresh(ctx) != nil {
+		switch {
+		case l.Wanted != nil && !l.Wanted():
+			l.drop()
+		case l.Refresh(ctx) != nil:
 			wait = min(b.NextBackOff(), wait)
-		} else {
+		default:
 			b.Reset()
 		}
 		if !Pause(ctx, wait) {
@@ -51,8 +56,15 @@
 	return l.end(ctx)
 }
 
-// refresh renews the lease, or asks for a new one where there is none.
-func (l *Lease) refresh(ctx context.Context) error {
+// drop forgets a lease that is not wanted once it has lapsed.
+func (l *Lease) drop() {
+	if l.ID() != "" && !l.Held(time.Now()) {
+		l.set("", time.Time{})
+	}
+}
+
+// Refresh renews the lease, or asks for a new one where there is none.
+func (l *Lease) Refresh(ctx context.Context) error {
 	id := l.ID()
 	asked := time.Now()
 	var err error
