Add the routing decision

The load is what this entry has in flight there, exact at any moment, and a 2 s mean of what the late reports hold beyond that.

Seen to fail first, one guard broken at a time: leaving, older life, gone life, older report, excluded, refused, near before far, link take, link charge, answer reserved, share of the entries, failures, slowness, return of the avoided, the others' load, travel beyond the deadline.

--- /dev/null
+++ b/pkg/decide/route/policy.go
@@ -0,0 +1,62 @@
+package route
+
+import "time"
+
+// A View is what a policy sees of one sampled agent.
+type View struct {
+	// InFlight, Queued, Limit and QueueDelay are as last reported.
+	InFlight, Queued, Limit int
+	QueueDelay              time.Duration
+	// Own counts the requests in flight from here.
+	Own int
+	// Others estimates the requests that other entries have there, as a mean of the late reports.
+	Others float64
+	// Service is the kind's measured time to an answer without travel.
+	Service time.Duration
+	// Travel is the delay one way.
+	Travel time.Duration
+	// Failing is the recent share of failures, 0 to 1.
+	Failing float64
+}
+
+// A Policy scores agents.
+type Policy interface {
+	// Score returns the expected time to an answer in nanoseconds; less is better.
+	Score(v View) float64
+}
+
+// Balanced estimates the time to an answer from what this entry has in flight
+// at the agent and what the others are estimated to have. A slow agent keeps its
+// requests longer and so counts as fuller; its own latency is left out, since
+// that is late and noisy and would bring the swings of late reports back.
+type Balanced struct{}
+
+// failingWeight is how many times an agent that fails always counts as slower.
+const failingWeight = 8
+
+// Score implements Policy.
+func (Balanced) Score(v View) float64 {
+	used := load(v) / float64(max(v.Limit, 1))
+	t := float64(v.Service) * (1 + used)
+	t *= 1 + failingWeight*v.Failing
+	return t + 2*float64(v.Travel)
+}
+
+// load estimates the agent's requests, this one included.
+func load(v View) float64 {
+	return float64(v.Own) + v.Others + 1
+}
+
+// crowded reports whether one more request would wait at the agent.
+func crowded(v View) bool {
+	return load(v) > float64(v.Limit)
+}
+
+// A LeastReported policy goes by the reported load alone. It is a baseline: all
+// entries send to the same agent until the next report.
+type LeastReported struct{}
+
+// Score implements Policy.
+func (LeastReported) Score(v View) float64 {
+	return float64(v.InFlight+v.Queued) / float64(max(v.Limit, 1))
+}
--- /dev/null
+++ b/pkg/decide/route/route_test.go
@@ -0,0 +1,233 @@
+package route
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "7")
+	_ = flag.Set("rapid.checks", "1000")
+}
+
+var here = fleet.Place{Region: "a", DataCentre: "a1", Rack: "r"}
+
+var places = []fleet.Place{here, {Region: "a", DataCentre: "a1", Rack: "s"}, {Region: "a", DataCentre: "a2", Rack: "r"}, {Region: "b", DataCentre: "b1", Rack: "r"}}
+
+const linkRate = 1000
+
+// known is what the model holds of one agent.
+type known struct {
+	Report
+	gone   bool
+	paused time.Time
+	own    int
+	broke  bool
+}
+
+func (k *known) eligible(now time.Time, x []fleet.ID) bool {
+	return !k.gone && !k.Leaving && k.Limit > 0 && !slices.Contains(x, k.Life.ID) && !k.paused.After(now)
+}
+
+func TestRouterKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &Router{Self: here, Rand: rand.New(rand.NewPCG(1, 2)), Choices: MaxChoices}
+		r.SetTable([]table.Row{{Kind: "k", CrossRegion: true, LinkRate: 2 * linkRate}})
+		r.SetEntries(2)
+		now := time.Unix(1000, 0)
+		model := map[fleet.ID]*known{}
+		var open []Choice
+		type sent struct {
+			at   time.Time
+			size fleet.Bytes
+		}
+		var link []sent
+		life := func(t *rapid.T) (fleet.Life, int) {
+			n := rapid.IntRange(0, 11).Draw(t, "agent")
+			return fleet.Life{ID: fleet.ID(fmt.Sprint(n)), Incarnation: fleet.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation"))}, n
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"observe": func(t *rapid.T) {
+				l, n := life(t)
+				o := Report{Life: l, Place: places[n%len(places)], Kind: "k", Limit: rapid.IntRange(0, 4).Draw(t, "limit"),
+					At: time.Unix(int64(rapid.IntRange(0, 20).Draw(t, "at")), 0), Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0}
+				r.Observe(now, o)
+				m := model[l.ID]
+				switch {
+				case m == nil || l.Incarnation > m.Life.Incarnation:
+					model[l.ID] = &known{Report: o}
+				case l.Incarnation < m.Life.Incarnation || m.gone:
+				case o.At.After(m.At):
+					o.Leaving = o.Leaving || m.Leaving
+					m.Report = o
+				default:
+					m.Leaving = m.Leaving || o.Leaving
+				}
+			},
+			"remove": func(t *rapid.T) {
+				l, _ := life(t)
+				r.Remove(now, l)
+				if m := model[l.ID]; m == nil || l.Incarnation >= m.Life.Incarnation {
+					model[l.ID] = &known{Report: Report{Life: l}, gone: true}
+				}
+			},
+			"pick": func(t *rapid.T) {
+				g := NewWithT(t)
+				q := Query{Kind: "k", Size: fleet.Bytes(rapid.IntRange(1, 400).Draw(t, "size"))}
+				for range rapid.IntRange(0, 3).Draw(t, "tried") {
+					l, _ := life(t)
+					q.Exclude = append(q.Exclude, l.ID)
+				}
+				room := tiers
+				for _, m := range model {
+					if m.eligible(now, q.Exclude) && !m.broke && m.own < m.Limit {
+						room = min(room, tierOf(here.Distance(m.Place)))
+					}
+				}
+				c, err := r.Pick(now, q)
+				if err != nil {
+					g.Expect(room == tiers || room == far && errors.Is(err, ErrOverLinkBudget)).To(BeTrue(), "%v with room in tier %d", err, room)
+					return
+				}
+				m := model[c.Life.ID]
+				g.Expect(m.Life).To(Equal(c.Life))
+				g.Expect(m.eligible(now, q.Exclude)).To(BeTrue(), "%+v", m)
+				g.Expect(tierOf(here.Distance(c.Place))).To(BeNumerically("<=", room), "nearer room passed over")
+				m.own++
+				open = append(open, c)
+				if !c.Link {
+					return
+				}
+				link = append(link, sent{now, q.Size})
+				sum := fleet.Bytes(0)
+				for i := len(link) - 1; i >= 0; i-- {
+					sum += link[i].size
+					g.Expect(float64(sum)).To(BeNumerically("<=", linkRate*(now.Sub(link[i].at)+linkBurst).Seconds()+1e-6))
+				}
+			},
+			"done": func(t *rapid.T) {
+				if len(open) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "choice")
+				c := open[i]
+				open = slices.Delete(open, i, i+1)
+				o := Result{Status: Status(rapid.IntRange(0, 3).Draw(t, "status")), Latency: c.Travel * 3, RetryAfter: time.Second}
+				r.Done(now, c, o)
+				m := model[c.Life.ID]
+				if m.Life != c.Life || m.gone {
+					return
+				}
+				m.own--
+				switch o.Status {
+				case StatusRefused:
+					m.paused = now.Add(o.RetryAfter)
+				case StatusFailed:
+					m.broke = true
+				}
+			},
+		})
+	})
+}
+
+func TestSickAgentAttractsNoWorkAndIsTriedAgain(t *testing.T) {
+	for name, sick := range map[string]Result{
+		"fails fast": {Status: StatusFailed, Latency: time.Millisecond},
+		"slow":       {Status: StatusAnswered, Latency: time.Second},
+	} {
+		g := NewWithT(t)
+		r := agents(10)
+		now := time.Unix(1000, 0)
+		run := func(o Result) (n int) {
+			for range 10000 {
+				now = now.Add(time.Millisecond)
+				c, err := r.Pick(now, Query{Kind: "k"})
+				g.Expect(err).NotTo(HaveOccurred())
+				if c.Life.ID != "3" {
+					r.Done(now, c, Result{Latency: 10 * time.Millisecond})
+					continue
+				}
+				n++
+				r.Done(now, c, o)
+			}
+			return n
+		}
+		g.Expect(run(sick)).To(And(BeNumerically(">", 0), BeNumerically("<", 100)), name)
+		run(Result{Latency: 10 * time.Millisecond})
+		run(Result{Latency: 10 * time.Millisecond})
+		g.Expect(run(Result{Latency: 10 * time.Millisecond})).To(BeNumerically(">", 800), name+", mended")
+	}
+}
+
+func agents(n int) *Router {
+	r := &Router{Self: here, Rand: rand.New(rand.NewPCG(1, 2))}
+	for i := range n {
+		r.Observe(time.Unix(0, 0), Report{Life: fleet.Life{ID: fleet.ID(fmt.Sprint(i))}, Place: here, Kind: "k", Limit: 64, At: time.Unix(1, 0)})
+	}
+	return r
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 4000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := agents(n)
+			now := time.Unix(1000, 0)
+			q := Query{Kind: "k", Size: 1000, Deadline: now.Add(time.Hour), Exclude: []fleet.ID{"1", "2"}}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				c, _ := r.Pick(now, q)
+				r.Done(now, c, Result{Latency: 10 * time.Millisecond})
+			}
+		})
+	}
+}
+
+func TestLinkBudgetIsUsedUpAndNotExceeded(t *testing.T) {
+	g := NewWithT(t)
+	r := &Router{Self: here, Rand: rand.New(rand.NewPCG(1, 2))}
+	r.SetTable([]table.Row{{Kind: "k", CrossRegion: true, LinkRate: 2 * linkRate}})
+	r.SetEntries(2)
+	now := time.Unix(1000, 0)
+	r.Observe(now, Report{Life: fleet.Life{ID: "b"}, Place: places[3], Kind: "k", Limit: 64, At: now})
+	crossed := 0
+	for range 4000 {
+		now = now.Add(time.Millisecond)
+		c, err := r.Pick(now, Query{Kind: "k", Size: 10})
+		if err != nil {
+			g.Expect(err).To(MatchError(ErrOverLinkBudget))
+			continue
+		}
+		crossed += 30
+		r.Done(now, c, Result{LinkBytes: 30})
+	}
+	g.Expect(crossed).To(And(BeNumerically(">", 4900), BeNumerically("<=", 5000)))
+	_, err := r.Pick(now, Query{Kind: "k", Deadline: now.Add(2*travelFar - 1)})
+	g.Expect(err).To(MatchError(ErrNoneInTime))
+}
+
+func TestWorkOfOtherEntriesCounts(t *testing.T) {
+	g := NewWithT(t)
+	r := agents(4)
+	r.Observe(time.Unix(5, 0), Report{Life: fleet.Life{ID: "3"}, Place: here, Kind: "k", Limit: 64, InFlight: 60, At: time.Unix(5, 0)})
+	n := map[fleet.ID]int{}
+	for range 100 {
+		c, _ := r.Pick(time.Unix(5, 0), Query{Kind: "k"})
+		n[c.Life.ID]++
+	}
+	g.Expect(n["3"]).To(BeNumerically("<", 5), "%v", n)
+}
