--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -24,6 +24,7 @@
 
 	runner  *runner.Runner[event, admit.Action]
 	tickets atomic.Uint64
+	last    atomic.Pointer[snapshot]
 	// waiting is touched by the actor alone.
 	waiting map[admit.Ticket]chan admit.Action
 }
@@ -130,3 +131,38 @@
 	err := g.runner.Query(ctx, func() { out = g.Admitter.Load(time.Now(), nil) })
 	return out, err
 }
+
+// loadAge is how old the load that LoadOf returns may be.
+const loadAge = 20 * time.Millisecond
+
+// A snapshot is the load of all kinds at one time.
+type snapshot struct {
+	at    time.Time
+	loads []admit.Load
+}
+
+// LoadOf returns the state of one kind, at most a moment old.
+func (g *Gate) LoadOf(k fleet.Kind) admit.Load {
+	s := g.last.Load()
+	if s == nil || time.Since(s.at) > loadAge {
+		s = g.refresh()
+	}
+	for _, l := range s.loads {
+		if l.Kind == k {
+			return l
+		}
+	}
+	return admit.Load{Kind: k}
+}
+
+func (g *Gate) refresh() *snapshot {
+	s := &snapshot{at: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	loads, err := g.Load(ctx)
+	if err == nil {
+		s.loads = loads
+	}
+	g.last.Store(s)
+	return s
+}
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -8,24 +8,51 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sesamestream/sesamestream/internal/admission"
 	"github.com/sesamestream/sesamestream/internal/message"
 	"github.com/sesamestream/sesamestream/internal/peer"
 	"github.com/sesamestream/sesamestream/internal/target"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
-// request serves one request of an entry.
+// busyRetryAfter is when a request that found no free target may come again.
+const busyRetryAfter = 50 * time.Millisecond
+
+// request serves one request of an entry: it waits at the gate, goes to one
+// target, and its answer is streamed back.
 func (a *Agent) request(ctx context.Context, s *peer.Stream) error {
 	q, err := peer.Receive[message.RequestHead](s)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, q.Remaining)
+	deadline := time.Now().Add(q.Remaining)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	p, v := a.gate.Enter(ctx, q.Kind, deadline)
+	if p == nil {
+		return a.refuse(s, q.Kind, v.Reason.String(), v.RetryAfter)
+	}
 	t, err := a.targets.Take(time.Now(), q.Kind)
 	if err != nil {
-		return peer.Send(s, message.AnswerHead{Verdict: message.Refused, Reason: err.Error()})
+		p.Cancel()
+		return a.refuse(s, q.Kind, err.Error(), busyRetryAfter)
 	}
 	defer a.targets.Give(t.ID)
+	return a.forward(ctx, s, q, t, p)
+}
+
+// refuse proves to the entry that no target received the request.
+func (a *Agent) refuse(s *peer.Stream, k fleet.Kind, reason string, after time.Duration) error {
+	return peer.Send(s, message.AnswerHead{
+		Verdict:    message.Refused,
+		Reason:     reason,
+		RetryAfter: after,
+		Load:       a.load(k),
+	})
+}
+
+// forward sends the request to a target once and streams its answer back.
+func (a *Agent) forward(ctx context.Context, s *peer.Stream, q message.RequestHead, t target.Announcement, p *admission.Permit) error {
 	r, err := a.client.Do(ctx, target.Request{
 		Target: t.Address,
 		Method: q.Method,
@@ -35,22 +62,36 @@
 		Length: q.Length,
 	})
 	if err != nil {
-		return peer.Send(s, failure(err))
+		return a.failed(ctx, s, q.Kind, p, err)
 	}
 	defer r.Body.Close()
-	return answer(s, r)
+	err = a.answer(s, q.Kind, r)
+	p.Done(err == nil)
+	return err
 }
 
-func failure(err error) message.AnswerHead {
+// failed tells what is proved of a request that was not answered.
+func (a *Agent) failed(ctx context.Context, s *peer.Stream, k fleet.Kind, p *admission.Permit, err error) error {
+	if ctx.Err() != nil {
+		p.Cancel()
+	} else {
+		p.Done(false)
+	}
 	if errors.Is(err, target.ErrNotSent) {
-		return message.AnswerHead{Verdict: message.Refused, Reason: err.Error()}
+		return a.refuse(s, k, err.Error(), busyRetryAfter)
 	}
-	return message.AnswerHead{Verdict: message.Failed, Reason: err.Error()}
+	return peer.Send(s, message.AnswerHead{Verdict: message.Failed, Reason: err.Error(), Load: a.load(k)})
 }
 
 // answer streams a target's answer; without the end mark the entry knows it is cut.
-func answer(s *peer.Stream, r *http.Response) error {
-	h := message.AnswerHead{Verdict: message.Answered, Status: r.StatusCode, Header: r.Header}
+func (a *Agent) answer(s *peer.Stream, k fleet.Kind, r *http.Response) error {
+	h := message.AnswerHead{
+		Verdict: message.Answered,
+		Status:  r.StatusCode,
+		Header:  r.Header,
+		Load:    a.load(k),
+		Length:  fleet.Bytes(max(r.ContentLength, 0)),
+	}
 	if err := peer.Send(s, h); err != nil {
 		return err
 	}
@@ -59,3 +100,16 @@
 	}
 	return s.End()
 }
+
+// load returns the host's load of one kind for the entry's router.
+func (a *Agent) load(k fleet.Kind) message.Load {
+	l := a.gate.LoadOf(k)
+	return message.Load{
+		InFlight:   l.InFlight,
+		Limit:      l.Limit,
+		Queued:     l.Queued,
+		QueueDelay: l.Delay,
+		Leaving:    a.leaving.Load(),
+		At:         time.Now(),
+	}
+}
--- a/internal/caller/responder.go
+++ b/internal/caller/responder.go
@@ -18,12 +18,16 @@
 	// Refuse tells that the request was not run.
 	Refuse(status int, reason string, retryAfter time.Duration)
 	// Unknown tells that the request may have run.
-	Unknown(reason string)
-	// Answer passes a target's answer on. Where body ends in an error, the
-	// caller's connection is broken, so that a cut answer never looks whole.
-	Answer(status int, header http.Header, body io.Reader)
+	Unknown(status int, reason string)
+	// Answer passes a target's answer on. Errors are ErrGone where the caller
+	// takes no more, or that of body; the handler must then break the connection
+	// by panicking with http.ErrAbortHandler, so that a cut answer never looks whole.
+	Answer(status int, header http.Header, body io.Reader) error
 }
 
+// ErrGone is returned where the caller takes no more of the answer.
+var ErrGone = errors.New("caller: gone")
+
 type responder struct {
 	w http.ResponseWriter
 }
@@ -62,8 +66,8 @@
 	p.plain(status, fleet.NotRun, reason)
 }
 
-func (p *responder) Unknown(reason string) {
-	p.plain(http.StatusGatewayTimeout, fleet.Unknown, reason)
+func (p *responder) Unknown(status int, reason string) {
+	p.plain(status, fleet.Unknown, reason)
 }
 
 func (p *responder) plain(status int, o fleet.Outcome, reason string) {
@@ -75,7 +79,7 @@
 	_, _ = io.WriteString(p.w, string(o)+": "+reason+"\n")
 }
 
-func (p *responder) Answer(status int, header http.Header, body io.Reader) {
+func (p *responder) Answer(status int, header http.Header, body io.Reader) error {
 	h := p.w.Header()
 	for name, values := range endToEnd(header) {
 		if !strings.HasPrefix(name, reservedPrefix) {
@@ -84,9 +88,8 @@
 	}
 	h.Set(HeaderOutcome, string(fleet.Answered))
 	p.w.WriteHeader(status)
-	if _, err := io.Copy(flusher{p.w}, body); err != nil {
-		panic(http.ErrAbortHandler)
-	}
+	_, err := io.Copy(flusher{p.w}, body)
+	return err
 }
 
 // A flusher sends each part on at once.
@@ -99,5 +102,8 @@
 	if err == nil {
 		err = http.NewResponseController(f.w).Flush()
 	}
-	return n, err
+	if err != nil {
+		return n, errors.Wrap(ErrGone, err.Error())
+	}
+	return n, nil
 }
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -75,6 +75,15 @@
 	Epoch journal.Epoch
 	// Mark stands behind all of them.
 	Mark journal.Mark
+	// Before is the owner before, zero where there was none.
+	Before Before
+}
+
+// A Before is the owner that wrote last before a takeover. Its epoch is zero
+// where it is not known.
+type Before struct {
+	Life  fleet.Life
+	Epoch journal.Epoch
 }
 
 // Open takes the journal over, which fences older owners, and returns what it holds.
@@ -98,7 +107,10 @@
 				continue
 			}
 			p := s.last + 1
-			return Replay{s.snapshot, s.records, journal.Epoch(p), journal.Mark{Position: p}}, nil
+			return Replay{
+				Snapshot: s.snapshot, Records: s.records, Epoch: journal.Epoch(p),
+				Mark: journal.Mark{Position: p}, Before: s.before,
+			}, nil
 		case <-ctx.Done():
 			l.Close()
 			return Replay{}, errors.WithMessage(store.ErrUnavailable, "journal: open: "+ctx.Err().Error())
--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -57,6 +57,8 @@
 	RetryAfter time.Duration `cbor:"5,keyasint"`
 	// Load is the agent's load of the request's kind.
 	Load Load `cbor:"6,keyasint"`
+	// Length is the length of the answer's body where the target announced it.
+	Length fleet.Bytes `cbor:"7,keyasint"`
 }
 
 // A Load is how busy an agent is with one kind.
@@ -66,4 +68,6 @@
 	Queued     int           `cbor:"3,keyasint"`
 	QueueDelay time.Duration `cbor:"4,keyasint"`
 	Leaving    bool          `cbor:"5,keyasint"`
+	// At orders the loads of one life of an agent.
+	At time.Time `cbor:"6,keyasint"`
 }
--- /dev/null
+++ b/internal/operator/jobs.go
@@ -0,0 +1,153 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/store"
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+// PathJobs is where jobs are submitted, listed and cancelled.
+const PathJobs = "/v1/jobs"
+
+// A Job is a job as operators write it.
+type Job struct {
+	ID        task.JobID      `json:"id"`
+	Kind      fleet.Kind      `json:"kind"`
+	Team      fleet.Team      `json:"team,omitempty"`
+	Class     table.Class     `json:"class"`
+	Tasks     uint32          `json:"tasks"`
+	Resources fleet.Resources `json:"resources"`
+	Urgent    bool            `json:"urgent,omitempty"`
+	Region    string          `json:"region,omitempty"`
+	// CrossRegion allows tasks outside Region.
+	CrossRegion bool `json:"crossRegion,omitempty"`
+	Spread      bool `json:"spread,omitempty"`
+	// Command is handed to the worker as it is.
+	Command string `json:"command"`
+}
+
+// Spec returns the job as the shard's owner takes it.
+func (j Job) Spec() task.Spec {
+	return task.Spec{
+		Kind: j.Kind, Team: j.Team, Class: j.Class, Tasks: j.Tasks, Need: j.Resources, Urgent: j.Urgent,
+		Region: j.Region, CrossRegion: j.CrossRegion, Spread: j.Spread, Payload: []byte(j.Command),
+	}
+}
+
+// A JobState is a job as operators read it.
+type JobState struct {
+	ID     task.JobID `json:"id"`
+	Kind   fleet.Kind `json:"kind,omitempty"`
+	Phase  string     `json:"phase"`
+	Reason string     `json:"reason,omitempty"`
+	// Tasks counts the job's tasks by phase.
+	Tasks map[string]int `json:"tasks,omitempty"`
+	// Attempts is how many attempts its tasks have had.
+	Attempts int `json:"attempts"`
+}
+
+// NewJobState returns the state of a job.
+func NewJobState(id task.JobID, j task.Job) JobState {
+	s := JobState{ID: id, Kind: j.Spec.Kind, Phase: j.Phase.String(), Reason: j.Reason, Tasks: make(map[string]int)}
+	for _, t := range j.Tasks {
+		s.Tasks[t.Phase.String()]++
+		s.Attempts += int(t.Attempt)
+	}
+	return s
+}
+
+// Jobs carries operators' calls to the owners of jobs.
+type Jobs interface {
+	// Submit returns once the job is durable.
+	Submit(ctx context.Context, id task.JobID, s task.Spec) (task.Phase, error)
+	// Cancel returns once the job does not run.
+	Cancel(ctx context.Context, id task.JobID) (task.Phase, error)
+	// Get returns a job.
+	Get(ctx context.Context, id task.JobID) (task.Job, error)
+	// List returns the ids of all jobs; partial tells that some shards did not answer.
+	List(ctx context.Context) (ids []task.JobID, partial bool, err error)
+}
+
+// A JobList is the answer to a list of jobs.
+type JobList struct {
+	Jobs []task.JobID `json:"jobs"`
+	// Partial tells that some shards did not answer.
+	Partial bool `json:"partial"`
+}
+
+// HandleJobs registers the queries and commands of jobs.
+func (s *Server) HandleJobs(x Jobs) {
+	s.Handle("POST "+PathJobs, func(w http.ResponseWriter, r *http.Request) {
+		var j Job
+		if err := json.NewDecoder(r.Body).Decode(&j); err != nil {
+			Fail(w, http.StatusBadRequest, err)
+			return
+		}
+		p, err := x.Submit(r.Context(), j.ID, j.Spec())
+		replyPhase(w, j.ID, p, err)
+	})
+	s.Handle("DELETE "+PathJobs+"/{id}", func(w http.ResponseWriter, r *http.Request) {
+		id := task.JobID(r.PathValue("id"))
+		p, err := x.Cancel(r.Context(), id)
+		replyPhase(w, id, p, err)
+	})
+	s.Handle("GET "+PathJobs+"/{id}", func(w http.ResponseWriter, r *http.Request) {
+		id := task.JobID(r.PathValue("id"))
+		j, err := x.Get(r.Context(), id)
+		if err != nil {
+			failJob(w, err)
+			return
+		}
+		Reply(w, http.StatusOK, NewJobState(id, j))
+	})
+	s.Handle("GET "+PathJobs, func(w http.ResponseWriter, r *http.Request) {
+		ids, partial, err := x.List(r.Context())
+		if err != nil {
+			failJob(w, err)
+			return
+		}
+		Reply(w, http.StatusOK, JobList{Jobs: ids, Partial: partial})
+	})
+}
+
+func replyPhase(w http.ResponseWriter, id task.JobID, p task.Phase, err error) {
+	if err != nil {
+		failJob(w, err)
+		return
+	}
+	Reply(w, http.StatusOK, JobState{ID: id, Phase: p.String()})
+}
+
+// jobStatuses are the answers to the errors of jobs; all prove that the call
+// had no effect.
+var jobStatuses = []struct {
+	err    error
+	status int
+}{
+	{task.ErrConflict, http.StatusConflict},
+	{task.ErrBadSpec, http.StatusUnprocessableEntity},
+	{task.ErrUnknownJob, http.StatusNotFound},
+	{task.ErrNotReady, http.StatusServiceUnavailable},
+	{store.ErrUnavailable, http.StatusServiceUnavailable},
+}
+
+// failJob tells truly whether the call may have had its effect.
+func failJob(w http.ResponseWriter, err error) {
+	for _, s := range jobStatuses {
+		if errors.Is(err, s.err) {
+			Reply(w, s.status, ErrorAnswer{Error: err.Error(), Outcome: string(fleet.NotRun)})
+			return
+		}
+	}
+	Reply(w, http.StatusGatewayTimeout, ErrorAnswer{
+		Error:   err.Error() + "; ask again with the same id",
+		Outcome: string(fleet.Unknown),
+	})
+}
--- /dev/null
+++ b/internal/shard/old.go
@@ -0,0 +1,70 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/codec"
+	"github.com/sesamestream/sesamestream/internal/journal"
+	decidejournal "github.com/sesamestream/sesamestream/pkg/decide/journal"
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// askOldEvery is how often an owner before that may still grant leases is asked.
+const askOldEvery = 2 * time.Second
+
+// old returns what is known of the owners before. Only the last one is asked,
+// and only where it had settled that those before it were over.
+func (o *Owner) old(ctx context.Context, b journal.Before) task.Old {
+	if b == (journal.Before{}) {
+		return task.OldCeded
+	}
+	if b.Epoch == 0 || o.committed.settled != task.Epoch(b.Epoch) {
+		return task.OldSilent
+	}
+	o.before = b.Life
+	if o.Ended(ctx, b.Life) {
+		return task.OldCeded
+	}
+	return task.OldSilent
+}
+
+// watchOld waits until the owner before is known to grant leases no more, or
+// the time is over in which it could.
+func (o *Owner) watchOld(ctx context.Context, taken time.Time) {
+	span := time.Duration(float64(o.Ride+o.Lease) * (1 + drift))
+	t := time.NewTicker(askOldEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-o.lost:
+			return
+		case <-ctx.Done():
+			return
+		}
+		ended := o.before != (fleet.Life{}) && o.Ended(ctx, o.before)
+		if ended {
+			o.OldEnded()
+		}
+		if ended || time.Since(taken) > span {
+			o.settle()
+			return
+		}
+	}
+}
+
+// settle records that no owner before this one grants leases.
+func (o *Owner) settle() {
+	b, err := codec.Encode(o.epoch)
+	if err != nil {
+		return
+	}
+	record := append([]byte{byte(sortSettled)}, b...)
+	o.Log.Submit(func(m decidejournal.Mark, err error) {
+		if err == nil {
+			_ = o.apply(m, [][]byte{record})
+		}
+	}, record)
+}
--- a/internal/target/standin/target.go
+++ b/internal/target/standin/target.go
@@ -73,7 +73,7 @@
 	// Delay is how long an answer takes.
 	Delay time.Duration
 	// Lose, where set, makes it break the connection instead of answering.
-	Lose func(*http.Request) bool
+	Lose func(id string) bool
 	// Recorder takes each run.
 	Recorder *Recorder
 }
@@ -145,7 +145,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(t.Delay)
-	if t.Lose != nil && t.Lose(r) {
+	if t.Lose != nil && t.Lose(r.Header.Get(HeaderRequest)) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
