--- /dev/null
+++ b/pkg/decide/member/preferred.go
@@ -0,0 +1,56 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// Preferred returns the IDs of up to n agents that should own shard, the first choice first,
+// by rendezvous hashing (Thaler and Ravishankar, 1998). Members that are no agents are passed over.
+func Preferred(shard int, members []fleet.Member, n int) []fleet.ID {
+	agents := make([]fleet.Member, 0, len(members))
+	for _, m := range members {
+		if m.Role == fleet.RoleAgent {
+			agents = append(agents, m)
+		}
+	}
+	return Rendezvous("shard/"+strconv.Itoa(shard), agents, n)
+}
+
+// Rendezvous returns the IDs of the n members with the highest hashes for key, the highest first.
+func Rendezvous(key string, members []fleet.Member, n int) []fleet.ID {
+	ids := make([]fleet.ID, 0, len(members))
+	for _, m := range members {
+		ids = append(ids, m.ID)
+	}
+	return highest(key, ids, n)
+}
+
+type scored struct {
+	id    fleet.ID
+	score uint64
+}
+
+func highest(key string, ids []fleet.ID, n int) []fleet.ID {
+	ss := make([]scored, 0, len(ids))
+	for _, id := range ids {
+		ss = append(ss, scored{id, score(key, id)})
+	}
+	slices.SortFunc(ss, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	out := make([]fleet.ID, 0, n)
+	for _, s := range ss[:min(n, len(ss))] {
+		out = append(out, s.id)
+	}
+	return out
+}
+
+func score(key string, id fleet.ID) uint64 {
+	return xxhash.Sum64String(key + "\x00" + string(id))
+}
--- /dev/null
+++ b/pkg/decide/member/welcome.go
@@ -0,0 +1,49 @@
+package member
+
+import (
+	"net/netip"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+const maxJoiners = 4
+
+// welcome answers a process of another data centre that wants to join: with the summary
+// of this data centre, and with the members of its own that are known here.
+func (m *Machine) welcome(from netip.AddrPort, u *Update) {
+	s := site{u.Detail.Place.Region, u.Detail.Place.DataCentre}
+	c := Contact{Life: u.Life, Role: u.Detail.Role, Address: u.Detail.Address}
+	h := Summary{Region: s.region, DataCentre: s.dataCentre, Source: m.me.life.ID, Contacts: []Contact{c}}
+	r := m.remotes[s]
+	if r == nil {
+		r = m.addRemote(s, &h)
+	}
+	h.Contacts = append(r.joiners, r.hint(m.Random.IntN(len(r.summary.Contacts))).Contacts...)
+	g := Message{Type: Exchange}
+	g.Summaries = []Summary{m.summarize(s, MaxMessage-m.size(&g)-summarySize(&h)), h}
+	m.send(from, g)
+	r.join(c)
+}
+
+// join remembers c as the newest joiner.
+func (r *remote) join(c Contact) {
+	js := []Contact{c}
+	for _, j := range r.joiners {
+		if j.Life.ID != c.Life.ID && len(js) < maxJoiners {
+			js = append(js, j)
+		}
+	}
+	r.joiners = js
+}
+
+// greet tells a new entry of all data centres; the first bridge does so.
+func (m *Machine) greet(r *record) {
+	if r.detail.Role != fleet.RoleEntry || len(m.sites) == 0 || m.bridges()[0] != m.me.life.ID {
+		return
+	}
+	for _, s := range m.sites {
+		if x := m.remotes[s]; x.summary.Members > 0 {
+			m.send(r.detail.Address, Message{Type: Relay, Summaries: []Summary{x.summary}})
+		}
+	}
+}
