Prove the membership machine under faults, alone and in pairs

Properties over virtual networks with loss, pauses, restarts and cuts. Two faults found on the way: a page that could not hold two members of the largest size, and a summary that outgrew a packet; kinds now take at most half of the room and a page starts with the cursor.

--- a/pkg/decide/member/bridge.go
+++ b/pkg/decide/member/bridge.go
@@ -159,6 +159,9 @@
 	if r.summary.Source == s.Source && r.summary.Stamp > s.Stamp {
 		return
 	}
+	if !s.bridged() && m.fresh(r) {
+		return
+	}
 	r.summary, r.seen = *s, m.now
 	m.out = append(m.out, SummaryChanged{Summary: *s})
 	if t == Exchange {
@@ -184,11 +187,21 @@
 
 // refresh takes the contacts of a hint where nothing was heard for long.
 func (m *Machine) refresh(r *remote, s *Summary) {
-	if m.now.Sub(r.seen) > 5*ExchangeInterval {
+	if !m.fresh(r) {
 		r.summary.Contacts = s.Contacts
 	}
 }
 
+func (m *Machine) fresh(r *remote) bool {
+	return m.now.Sub(r.seen) <= 5*ExchangeInterval
+}
+
+// bridged reports whether a bridge made s; only bridges know the loads.
+func (s *Summary) bridged() bool {
+	bs := s.Contacts[:min(Bridges, len(s.Contacts))]
+	return slices.ContainsFunc(bs, func(c Contact) bool { return c.Life.ID == s.Source })
+}
+
 // relay passes a summary on to the bridges and the entries of this data centre.
 func (m *Machine) relay(s *Summary) {
 	bs := m.bridges()
--- a/pkg/decide/member/codec.go
+++ b/pkg/decide/member/codec.go
@@ -85,7 +85,7 @@
 	if m.Type < Ping || m.Type > Report || !named(m.From.ID) {
 		return false
 	}
-	if m.Type == PingRequest && !(named(m.Target) && m.Address.IsValid()) {
+	if m.Type == PingRequest && (!named(m.Target) || !m.Address.IsValid()) {
 		return false
 	}
 	for i := range m.Updates {
@@ -178,7 +178,7 @@
 }
 
 func contactSize(c *Contact) int {
-	return 32 + len(c.Life.ID) + len(c.Role) + addressSize(c.Address)
+	return 28 + len(c.Life.ID) + len(c.Role) + addressSize(c.Address)
 }
 
 // summarySize returns an upper bound of the encoded size of s.
--- a/pkg/decide/member/event.go
+++ b/pkg/decide/member/event.go
@@ -57,8 +57,8 @@
 	Message Message
 }
 
-// MemberChanged tells of a member of the own data centre.
-type MemberChanged struct {
+// Changed tells of a member of the own data centre.
+type Changed struct {
 	Info  Info
 	State State
 }
@@ -78,7 +78,7 @@
 type Superseded struct{ Incarnation fleet.Incarnation }
 
 func (Send) action()           {}
-func (MemberChanged) action()  {}
+func (Changed) action()        {}
 func (RevisionSeen) action()   {}
 func (SummaryChanged) action() {}
 func (Superseded) action()     {}
--- a/pkg/decide/member/machine.go
+++ b/pkg/decide/member/machine.go
@@ -185,7 +185,7 @@
 }
 
 func (m *Machine) setOffers(os []Offer) {
-	if slices.Equal(os, m.me.detail.Offers) {
+	if m.leaving || slices.Equal(os, m.me.detail.Offers) {
 		return
 	}
 	d := *m.me.detail
--- /dev/null
+++ b/pkg/decide/member/member_test.go
@@ -0,0 +1,260 @@
+package member_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/member"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+func init() { _ = flag.Set("rapid.seed", "7") }
+
+// A fault changes w at once and returns what ends it.
+type fault struct {
+	name  string
+	start func(w *network, n *node) (end func())
+}
+
+var faults = []fault{
+	{"crash", func(_ *network, n *node) func() { n.down = true; return func() {} }},
+	{"restart", func(w *network, n *node) func() {
+		n.down = true
+		w.run(2 * time.Second)
+		w.restart(n)
+		return func() {}
+	}},
+	{"late restart", func(w *network, n *node) func() { n.down = true; return func() { w.restart(n) } }},
+	{"pause", func(w *network, n *node) func() { n.paused = w.now.Add(45 * time.Second); return func() {} }},
+	{"cannot send", func(w *network, n *node) func() {
+		return w.cutting(func(a, b *node) bool { return a == n && b != n })
+	}},
+	{"cannot receive", func(w *network, n *node) func() {
+		return w.cutting(func(a, b *node) bool { return b == n && a != n })
+	}},
+	{"one way between two", func(w *network, n *node) func() {
+		return w.cutting(func(a, b *node) bool { return a == n && b == w.nodes[1] })
+	}},
+	{"halves", func(w *network, n *node) func() {
+		return w.cutting(func(a, b *node) bool { return (a.self.ID < n.self.ID) != (b.self.ID < n.self.ID) })
+	}},
+	{"data centre cut off", func(w *network, n *node) func() {
+		return w.cutting(func(a, b *node) bool { return (a.at == n.at) != (b.at == n.at) })
+	}},
+	{"leave", func(w *network, n *node) func() {
+		w.step(n, member.Leave{})
+		w.run(time.Second)
+		n.down = true
+		return func() {}
+	}},
+}
+
+// cutting adds c to the lost links and returns what takes it away.
+func (w *network) cutting(c func(a, b *node) bool) func() {
+	on, old := true, w.cut
+	w.cut = func(a, b *node) bool { return on && c(a, b) || old(a, b) }
+	return func() { on = false }
+}
+
+// resurrected reports whether some process saw an older life, or one that left, come back.
+func (w *network) resurrected() bool {
+	for _, n := range w.nodes {
+		newest, left := map[fleet.ID]fleet.Incarnation{}, map[fleet.Life]bool{}
+		for _, c := range n.changes {
+			if c.life.Incarnation < newest[c.life.ID] || left[c.life] && c.state != member.Left {
+				return true
+			}
+			newest[c.life.ID] = c.life.Incarnation
+			left[c.life] = left[c.life] || c.state == member.Left
+		}
+	}
+	return false
+}
+
+func TestFaultsAloneAndInPairsHeal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		w := newNetwork(rapid.Uint64().Draw(t, "seed"), 9, 4)
+		w.run(30 * time.Second)
+		g.Expect(w.agree()).To(BeTrue(), "joined")
+		w.loss = rapid.SampledFrom([]float64{0, 0.01, 0.1}).Draw(t, "loss")
+		var ends []func()
+		for range rapid.IntRange(1, 2).Draw(t, "faults") {
+			f := rapid.SampledFrom(faults).Draw(t, "fault")
+			n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, f.name)]
+			ends = append(ends, f.start(w, n))
+			w.run(time.Duration(rapid.IntRange(0, 20).Draw(t, "apart")) * time.Second)
+		}
+		w.run(time.Duration(rapid.IntRange(1, 120).Draw(t, "lasting")) * time.Second)
+		for _, end := range ends {
+			end()
+		}
+		w.run(60 * time.Second)
+		w.loss = 0
+		w.run(90 * time.Second)
+		g.Expect(w.err).NotTo(HaveOccurred())
+		g.Expect(w.agree()).To(BeTrue(), "healed")
+		g.Expect(w.resurrected()).To(BeFalse())
+		for _, n := range w.nodes {
+			g.Expect(n.down || len(n.Remotes()) == 1 || len(n.Members()) >= member.Bridges).To(BeTrue())
+		}
+	})
+}
+
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		fault  string
+		lasts  time.Duration
+		others member.State // the verdict on the node once the fault has lasted
+		within time.Duration
+	}{
+		{"crash", 0, member.Dead, 30 * time.Second},
+		{"cannot send", time.Minute, member.Dead, 30 * time.Second},
+		{"cannot receive", time.Minute, member.Dead, 30 * time.Second},
+		{"one way between two", time.Minute, member.Alive, 0},
+		{"data centre cut off", 4 * time.Minute, member.Alive, 0},
+		{"leave", 0, member.Left, 3 * time.Second},
+	} {
+		t.Run(c.fault, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newNetwork(3, 20, 10)
+			w.run(30 * time.Second)
+			n, t0 := w.nodes[7], w.now
+			for _, f := range faults {
+				if f.name == c.fault {
+					f.start(w, n)
+				}
+			}
+			w.run(max(c.lasts, c.within) - w.now.Sub(t0))
+			for _, o := range w.nodes {
+				if s, _, _ := o.State(n.self.ID); o != n && o.at == n.at {
+					g.Expect(s).To(Equal(c.others), "%s", o.self.ID)
+				}
+			}
+			if c.others == member.Alive {
+				g.Expect(w.verdicts(member.Suspect, t0)).To(BeZero())
+			}
+			// Nobody else is accused to death by those who can be reached.
+			for _, o := range w.nodes {
+				for _, x := range o.changes {
+					g.Expect(o == n || x.life.ID == n.self.ID || x.state < member.Dead).To(BeTrue())
+				}
+			}
+		})
+	}
+}
+
+func TestPausedProcessAccusesNobody(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(5, 3)
+	w.run(30 * time.Second)
+	n, x := w.nodes[0], w.nodes[1]
+	w.cut = func(_, _ *node) bool { return true }
+	u := member.Update{State: member.Suspect, Life: x.self.Life, Version: 1, Accuser: w.nodes[2].self.ID}
+	from := w.nodes[2].self
+	w.step(n, member.Packet{From: from.Address, Message: member.Message{Type: member.Gossip, From: from.Life, Updates: []member.Update{u}}})
+	n.Step(w.now.Add(900*time.Millisecond), member.Tick{}, nil)
+	for _, a := range n.Step(w.now.Add(time.Minute), member.Tick{}, nil) {
+		_, verdict := a.(member.Changed)
+		g.Expect(verdict).To(BeFalse(), "%v", a)
+	}
+	s, _, _ := n.State(x.self.ID)
+	g.Expect(s).To(Equal(member.Suspect))
+	g.Expect(n.Health()).To(BeNumerically(">", 0))
+}
+
+func TestMemberThatMissedNewsRepairsItsView(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(5, 60)
+	w.run(time.Minute)
+	n, x := w.nodes[7], w.nodes[40]
+	end := w.cutting(func(_, b *node) bool { return b == n })
+	w.cutting(func(a, b *node) bool { return a == n && b == x || a == x && b == n })
+	w.step(x, member.SetOffers{Offers: []member.Offer{{Kind: "certificate", Limit: 1}}})
+	w.run(3 * time.Second)
+	end()
+	w.run(15 * time.Second)
+	for _, i := range n.Members() {
+		if i.ID == x.self.ID {
+			g.Expect(i.Offers).To(HaveLen(1))
+		}
+	}
+}
+
+func TestRegionsPartedForMinutesLearnTheRevisionAfterwards(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(6, 6, 6, 6, 6, 6) // data centres 0-2 and 3-4 are two regions
+	w.run(30 * time.Second)
+	end := w.cutting(func(a, b *node) bool { return a.self.Place.Region != b.self.Place.Region })
+	w.run(3 * time.Minute)
+	w.step(w.nodes[2], member.SetRevision{Revision: 9, Token: 1})
+	w.run(10 * time.Second)
+	g.Expect(w.nodes[8].rev).To(BeEquivalentTo(9))
+	g.Expect(w.nodes[20].rev).To(BeZero())
+	end()
+	w.run(15 * time.Second)
+	for _, n := range w.nodes[3:] {
+		g.Expect(n.rev).To(BeEquivalentTo(9), "%s", n.self.ID)
+	}
+	g.Expect(w.verdicts(member.Dead, epoch)).To(BeZero())
+}
+
+func TestEntriesKnowTheKindsOfEveryDataCentre(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(8, 12, 12, 12, 12)
+	w.run(40 * time.Second)
+	for _, n := range w.nodes {
+		if n.self.Role != fleet.RoleEntry {
+			continue
+		}
+		g.Expect(n.Remotes()).To(HaveLen(3))
+		for _, r := range n.Remotes() {
+			g.Expect(r.Summary.Kinds).To(Equal([]member.KindSummary{
+				{Kind: "gust", Agents: 11, Capacity: 704, Used: 33},
+				{Kind: "forecast", Agents: 11, Capacity: 88},
+			}))
+			g.Expect(len(r.Summary.Contacts)).To(BeNumerically(">", 8))
+			g.Expect(w.now.Sub(r.Seen)).To(BeNumerically("<", 2*member.ExchangeInterval))
+		}
+	}
+}
+
+func TestRestartWithAnOlderClockIsToldSo(t *testing.T) {
+	g := NewWithT(t)
+	w := newNetwork(9, 5)
+	w.run(10 * time.Second)
+	n := w.nodes[3]
+	n.self.Incarnation = 0
+	w.boot(n)
+	w.run(10 * time.Second)
+	g.Expect(n.superseded).To(BeEquivalentTo(1))
+}
+
+func TestPreferredMovesOnlyTheShardsOfTheMemberThatGoes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		ms := make([]fleet.Member, 0, 20)
+		for _, n := range newNetwork(1, 20).nodes {
+			ms = append(ms, n.self)
+		}
+		shard := rapid.IntRange(0, 1<<20).Draw(t, "shard")
+		before := member.Preferred(shard, ms, 3)
+		i := rapid.IntRange(0, len(ms)-1).Draw(t, "gone")
+		gone := ms[i].ID
+		ms[i] = ms[len(ms)-1]
+		after := member.Preferred(shard, ms[:len(ms)-1], 3)
+		g.Expect(after).To(HaveLen(3))
+		g.Expect(before).NotTo(ContainElement(fleet.ID("host-00-0000")), "an entry owns no shard")
+		want := before[:0:0]
+		for _, id := range before {
+			if id != gone {
+				want = append(want, id)
+			}
+		}
+		g.Expect(after[:len(want)]).To(Equal(want))
+	})
+}
--- a/pkg/decide/member/net_test.go
+++ b/pkg/decide/member/net_test.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sesamestream/sesamestream/pkg/decide/member"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 	"github.com/sesamestream/sesamestream/pkg/table"
@@ -14,15 +16,16 @@
 
 type node struct {
 	member.Machine
-	self    fleet.Member
-	at      int
-	down    bool
-	paused  time.Time
-	sent    int
-	rev     table.Revision
-	revAt   time.Time
-	states  map[fleet.ID]member.State
-	changes []change
+	self       fleet.Member
+	at         int
+	down       bool
+	paused     time.Time
+	sent       int
+	rev        table.Revision
+	revAt      time.Time
+	states     map[fleet.ID]member.State
+	changes    []change
+	superseded fleet.Incarnation
 }
 
 type change struct {
@@ -144,9 +147,11 @@
 	switch a := a.(type) {
 	case member.Send:
 		w.carry(n, a)
-	case member.MemberChanged:
+	case member.Changed:
 		n.states[a.Info.ID] = a.State
 		n.changes = append(n.changes, change{w.now, a.Info.Life, a.State})
+	case member.Superseded:
+		n.superseded = a.Incarnation
 	case member.RevisionSeen:
 		if a.Revision > n.rev {
 			n.rev, n.revAt = a.Revision, w.now
@@ -158,7 +163,7 @@
 func (w *network) carry(n *node, a member.Send) {
 	b, err := member.Encode(&a.Message)
 	if err != nil {
-		w.err = err
+		w.err = errors.Wrapf(err, "type %d updates %d summaries %d", a.Message.Type, len(a.Message.Updates), len(a.Message.Summaries))
 		return
 	}
 	n.sent += len(b) + 41
--- a/pkg/decide/member/record.go
+++ b/pkg/decide/member/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -56,22 +55,15 @@
 }
 
 // compare orders the statement u against r: a newer life, then a newer version, then
-// the worse state goes first, and a left life never returns.
+// the worse state goes first. A member that leaves raises no version any more, so that it never returns.
 func compare(u *Update, r *record) int {
 	return cmp.Or(
 		cmp.Compare(u.Life.Incarnation, r.life.Incarnation),
-		cmp.Compare(finalVersion(u.State, u.Version), finalVersion(r.state, r.version)),
+		cmp.Compare(u.Version, r.version),
 		cmp.Compare(u.State, r.state),
 	)
 }
 
-func finalVersion(s State, v uint32) uint32 {
-	if s == Left {
-		return math.MaxUint32
-	}
-	return v
-}
-
 // merge takes the statement u in.
 func (m *Machine) merge(u *Update) {
 	if u.Life.ID == m.me.life.ID {
@@ -132,7 +124,7 @@
 	m.suspect(r, u.Accuser)
 	m.spread(r)
 	m.changed = m.now
-	m.out = append(m.out, MemberChanged{Info: r.info(), State: r.state})
+	m.out = append(m.out, Changed{Info: r.info(), State: r.state})
 	if !was && r.live() {
 		m.greet(r)
 	}
@@ -143,7 +135,7 @@
 	if u.Detail != nil && r.detailed != u.Version {
 		r.detail, r.detailed = u.Detail, u.Version
 		m.sum(r)
-		m.out = append(m.out, MemberChanged{Info: r.info(), State: r.state})
+		m.out = append(m.out, Changed{Info: r.info(), State: r.state})
 	}
 	if r.state == Suspect {
 		m.support(r, u.Accuser)
--- a/pkg/decide/member/summary.go
+++ b/pkg/decide/member/summary.go
@@ -17,8 +17,11 @@
 		Stamp:      m.now.UnixNano(),
 		Members:    uint32(len(m.ring) + 1),
 	}
-	out.Kinds = m.kinds()
 	room -= summarySize(&out)
+	for _, k := range m.kinds(room / 2) {
+		room -= kindSize(&k)
+		out.Kinds = append(out.Kinds, k)
+	}
 	for _, r := range m.chosen(s) {
 		c := contactOf(r, out.Kinds)
 		if room -= contactSize(&c); room < 0 {
@@ -29,8 +32,8 @@
 	return out
 }
 
-// kinds sums up the offers and loads of the data centre, the largest kinds first.
-func (m *Machine) kinds() []KindSummary {
+// kinds sums up the offers and loads of the data centre, the largest kinds first, in at most room bytes.
+func (m *Machine) kinds(room int) []KindSummary {
 	sums := map[fleet.Kind]*KindSummary{}
 	var out []KindSummary
 	add := func(r *record) {
@@ -55,13 +58,12 @@
 	slices.SortFunc(out, func(a, b KindSummary) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Kind, b.Kind))
 	})
-	return fit(out)
+	return fit(out, room)
 }
 
-// fit cuts off the kinds that would leave no room for contacts.
-func fit(ks []KindSummary) []KindSummary {
+// fit cuts off the kinds that do not fit into room.
+func fit(ks []KindSummary, room int) []KindSummary {
 	ks = ks[:min(len(ks), MaxKinds)]
-	room := MaxMessage / 3
 	for i := range ks {
 		if room -= kindSize(&ks[i]); room < 0 {
 			return ks[:i]
@@ -94,7 +96,7 @@
 		}
 	}
 	key := s.region + "/" + s.dataCentre
-	ids := append(bs, highest(key, entries, 2)...)
+	ids := slices.Concat(bs, highest(key, entries, 2))
 	ids = append(ids, highest(key, agents, max(0, maxContacts-len(ids)))...)
 	out := make([]*record, 0, len(ids))
 	for _, id := range ids {
--- a/pkg/decide/member/sync.go
+++ b/pkg/decide/member/sync.go
@@ -76,18 +76,16 @@
 		return
 	}
 	m.merge(&g.Updates[0])
+	if g.Cursor == "" {
+		m.send(from, Message{Type: Gossip, Updates: []Update{m.me.update()}})
+	}
 	m.sendPage(from, g.Cursor, g.From.ID)
 }
 
-// sendPage sends the members whose ID follows cursor, this process first.
+// sendPage sends the members whose ID follows cursor.
 func (m *Machine) sendPage(to netip.AddrPort, cursor, asker fleet.ID) {
 	g := Message{Type: Page}
 	room := MaxMessage - m.size(&g) - MaxName
-	if cursor == "" {
-		u := m.me.update()
-		room -= updateSize(&u)
-		g.Updates = append(g.Updates, u)
-	}
 	i, found := slices.BinarySearch(m.ids, cursor)
 	if found {
 		i++
@@ -95,7 +93,7 @@
 	for ; i < len(m.ids); i++ {
 		r := m.members[m.ids[i]]
 		u := r.update()
-		if r == m.me || r.live() && u.Detail == nil || r.life.ID == asker && r.state == Alive {
+		if r.live() && u.Detail == nil || r.life.ID == asker && r.state == Alive {
 			continue
 		}
 		n := updateSize(&u)
--- a/pkg/decide/member/welcome.go
+++ b/pkg/decide/member/welcome.go
@@ -2,11 +2,12 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
-const maxJoiners = 4
+const maxJoiners = 2
 
 // welcome answers a process of another data centre that wants to join: with the summary
 // of this data centre, and with the members of its own that are known here.
@@ -18,7 +19,7 @@
 	if r == nil {
 		r = m.addRemote(s, &h)
 	}
-	h.Contacts = append(r.joiners, r.hint(m.Random.IntN(len(r.summary.Contacts))).Contacts...)
+	h.Contacts = slices.Concat(r.joiners, r.hint(m.Random.IntN(len(r.summary.Contacts))).Contacts)
 	g := Message{Type: Exchange}
 	g.Summaries = []Summary{m.summarize(s, MaxMessage-m.size(&g)-summarySize(&h)), h}
 	m.send(from, g)
