--- a/pkg/decide/task/machine_test.go
+++ b/pkg/decide/task/machine_test.go
@@ -144,6 +144,57 @@
 	}
 }
 
+// TestOwnersApart lets owners that know nothing of each other serve hosts
+// while some of them are cut off, paused, or behind.
+func TestOwnersApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.submit("a", 1)
+		for range rapid.IntRange(2, 6).Draw(t, "settled") {
+			w.deliverAll(w.owners[0])
+			w.store(w.owners[0], false)
+		}
+		for range 2 {
+			w.takeOver()
+			o := w.owners[len(w.owners)-1]
+			o.cut = rapid.SampledFrom([]fleet.ID{"h0", "h1", "h2", ""}).Draw(t, "cut")
+		}
+		for range rapid.IntRange(3, 16).Draw(t, "steps") {
+			a := rapid.SampledFrom(w.agents).Draw(t, "agent")
+			o := rapid.SampledFrom(w.owners).Draw(t, "owner")
+			switch rapid.SampledFrom([]string{"keep", "deliver", "store", "pass", "restart", "one"}).Draw(t, "op") {
+			case "keep":
+				w.keep(a, o)
+			case "deliver":
+				w.deliverAll(o)
+			case "store":
+				w.store(o, false)
+			case "pass":
+				w.pass(time.Duration(rapid.IntRange(1, 15).Draw(t, "seconds")) * time.Second)
+				w.step(o, Tick{})
+			case "restart":
+				w.restart(a, rapid.IntRange(0, 2).Draw(t, "what"))
+			case "one":
+				if n := len(w.net); n > 0 {
+					w.deliver(rapid.IntRange(0, n-1).Draw(t, "message"), rapid.Bool().Draw(t, "again"))
+				}
+			}
+		}
+		w.heal()
+	})
+}
+
+// deliverAll passes on what is under way between an owner and its agents.
+func (w *world) deliverAll(o *owner) {
+	for i := 0; i < len(w.net); {
+		if w.net[i].to == o {
+			w.deliver(i, false)
+			continue
+		}
+		i++
+	}
+}
+
 func TestFailuresOfHostsAndJobs(t *testing.T) {
 	s := NewState()
 	fail := func(job JobID, i uint32, on fleet.ID) {
