--- a/pkg/decide/admit/fair.go
+++ b/pkg/decide/admit/fair.go
@@ -4,6 +4,9 @@
 // of service per unit of weight.
 const urgentLead = 0.1
 
+// leastRecall is the least permits up to which an urgent kind may exceed the limit.
+const leastRecall = 2
+
 // leastWeight stands for weights that are zero or less.
 const leastWeight = 1e-3
 
@@ -33,20 +36,35 @@
 // Recall returns the urgent kind that is furthest under its floor. The limit is
 // a learned figure and not a hard one, so an urgent kind need not wait until a
 // lender of its permits ends; lenders start nothing until the host is back
-// below its limit.
+// below its limit. Above its floor a kind is recalled only while no other waits
+// for its own.
 func (f *Fair) Recall(queues []*Queue) *Queue {
 	var b *Queue
+	owed := false
 	for _, q := range queues {
-		if !q.Row.Urgent || q.InFlight >= q.Floor || !q.Ready() {
+		if !q.Ready() {
 			continue
 		}
-		if b == nil || underFloorBefore(q, b) {
+		owed = owed || q.InFlight < q.Floor
+		if q.InFlight < q.recall() && (b == nil || underFloorBefore(q, b)) {
 			b = q
 		}
 	}
+	if b != nil && owed && b.InFlight >= b.Floor {
+		return nil
+	}
 	return b
 }
 
+// recall returns the permits up to which q may exceed the limit: the floor of an
+// urgent kind, and no less than leastRecall, since a floor of one permit holds no burst.
+func (q *Queue) recall() int {
+	if !q.Row.Urgent || q.Floor == 0 {
+		return 0
+	}
+	return max(q.Floor, leastRecall)
+}
+
 // pickFloor returns the most urgent, then the least served kind under its floor.
 func (f *Fair) pickFloor(queues []*Queue, limit int) *Queue {
 	var b *Queue
--- a/pkg/decide/admit/load.go
+++ b/pkg/decide/admit/load.go
@@ -60,7 +60,7 @@
 	return max(0, c.limit-c.inFlight)
 }
 
-// recallable returns the permits that q may have above the limit.
+// recallable returns the permits of its floor that q may have above the limit.
 func (c *controller) recallable(q *Queue) int {
 	if !q.Row.Urgent {
 		return 0
--- a/pkg/decide/admit/machine_test.go
+++ b/pkg/decide/admit/machine_test.go
@@ -66,6 +66,15 @@
 	return n
 }
 
+func (l *ledger) headroom(k fleet.Kind) int {
+	for _, o := range l.c.Load(l.now, nil) {
+		if o.Kind == k {
+			return o.Headroom
+		}
+	}
+	return 0
+}
+
 func (l *ledger) pick(state string) Ticket {
 	for t := Ticket(1); t <= l.next; t++ {
 		if l.state[t] == state && rapid.IntRange(0, 3).Draw(l.T, "skip") == 0 {
@@ -109,9 +118,16 @@
 }
 
 func (s *spyPolicy) Pick(queues []*Queue, limit int) *Queue {
-	b := s.Fair.Pick(queues, limit)
+	return s.check(queues, s.Fair.Pick(queues, limit))
+}
+
+func (s *spyPolicy) Recall(queues []*Queue) *Queue {
+	return s.check(queues, s.Fair.Recall(queues))
+}
+
+func (s *spyPolicy) check(queues []*Queue, b *Queue) *Queue {
 	for _, q := range queues {
-		if q.Ready() && q.InFlight < q.Floor && b.InFlight >= b.Floor {
+		if b != nil && q.Ready() && q.InFlight < q.Floor && b.InFlight >= b.Floor {
 			s.fail("%s above its floor goes before %s below", b.Row.Kind, q.Row.Kind)
 		}
 	}
@@ -146,7 +162,12 @@
 				d := time.Duration(rapid.IntRange(-5, 400).Draw(t, "deadline")) * time.Millisecond
 				l.request[l.next] = Request{l.next, rapid.SampledFrom(kinds).Draw(t, "kind"), l.now.Add(d)}
 				l.state[l.next] = "queued"
+				free := l.headroom(l.request[l.next].Kind)
 				l.check(c.Offer(l.now, l.request[l.next], nil))
+				q, started := c.kinds[l.request[l.next].Kind], l.state[l.next] == "running"
+				if free > 0 && !started && d > 300*time.Millisecond || free == 0 && started && q.InFlight <= q.Floor {
+					t.Fatalf("headroom of %d, started %v", free, started)
+				}
 			}
 			if k := l.pick("queued"); k != 0 && len(c.Offer(l.now, l.request[k], nil)) > 0 {
 				t.Fatalf("a ticket counts twice")
--- a/pkg/decide/admit/settings_test.go
+++ b/pkg/decide/admit/settings_test.go
@@ -120,3 +120,13 @@
 	g.Expect(c.Drain(now, nil)).To(gomega.HaveLen(2))
 	g.Expect(c.Load(now, nil)[0].Limit).To(gomega.BeZero())
 }
+
+func TestAStartIsChargedWhatItTook(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c, now := single(4, 10*time.Millisecond)
+	for k := range Ticket(3) {
+		c.Offer(now, Request{1000 + k, "gust", now.Add(time.Second)}, nil)
+	}
+	c.Done(now, 1002, time.Millisecond, false, nil)
+	g.Expect(c.kinds["gust"].virtual).To(gomega.BeNumerically("~", 0.001, 1e-6))
+}
