Run the whole path: requests and batch tasks through separate processes

Cause: the parts stood alone. Found: (1) the worker's announcements were not routed; (2) with 16 shards on 16 slots a kind's ceiling rounds down to no slot in each shard, so nothing was ever placed. The trial has one shard; dividing shares by demand is to follow.

--- a/cmd/sesamestream/main.go
+++ b/cmd/sesamestream/main.go
@@ -34,7 +34,7 @@
 		Name:  "sesamestream",
 		Usage: "schedule latency-critical and batch work on the same hosts",
 		Commands: []*cli.Command{
-			entryCommand(), agentCommand(), tableCommand(), checkCommand(), keysCommand(),
+			entryCommand(), agentCommand(), tableCommand(), jobCommand(), checkCommand(), keysCommand(),
 			storeCommand(), targetCommand(), workerCommand(),
 		},
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,71 +1,203 @@
 // Package agent is the process beside the targets and the worker of one host.
-// It alone admits work to the host.
+// It alone admits work to the host, and it may own shards.
 package agent
 
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
-	"github.com/phuslu/log"
-	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/errgroup"
-
+	"github.com/sesamestream/sesamestream/internal/admission"
+	"github.com/sesamestream/sesamestream/internal/base"
 	"github.com/sesamestream/sesamestream/internal/message"
-	"github.com/sesamestream/sesamestream/internal/operator"
 	"github.com/sesamestream/sesamestream/internal/peer"
 	"github.com/sesamestream/sesamestream/internal/target"
+	"github.com/sesamestream/sesamestream/pkg/decide/admit"
+	"github.com/sesamestream/sesamestream/pkg/decide/host"
+	"github.com/sesamestream/sesamestream/pkg/decide/member"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
 )
 
-// expireInterval is how often old announcements are dropped.
-const expireInterval = time.Second
+// The times of an agent.
+const (
+	// refreshEvery is how often announcements, offers and shares are brought up to date.
+	refreshEvery = 500 * time.Millisecond
+	// leaveTime is how long an agent that leaves waits until no entry sends it more.
+	leaveTime = 3 * time.Second
+	// drainPoll is how often a draining agent looks whether it is idle.
+	drainPoll = 50 * time.Millisecond
+)
 
 // An Agent is one agent. Its exported fields are set before Run.
 type Agent struct {
-	// Self is the agent as its peers see it.
-	Self fleet.Member
+	// Base is the common part of the process.
+	Base *base.Base
 	// Host is where targets and workers announce themselves.
 	Host netip.AddrPort
-	// Operator serves operators.
-	Operator *operator.Server
-	// Keys are the agent's keys.
-	Keys *peer.KeyRing
-	// Metrics takes the agent's counts.
-	Metrics metrics.Registry
-	// Log takes the agent's events.
-	Log *log.Logger
-
-	node    *peer.Node
+	// Lease and RideThrough are the bounds of the tasks' leases.
+	Lease       time.Duration
+	RideThrough time.Duration
+	// Drain bounds a graceful shutdown.
+	Drain time.Duration
+
+	gate    *admission.Gate
+	tasks   *tasks
+	shards  *shards
 	targets target.Registry
 	client  *target.Client
+	leaving atomic.Bool
+	running atomic.Int64
 }
 
 // Run serves until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	a.client = target.NewClient()
 	defer a.client.Close()
-	h := &peer.Handlers{}
+	a.gate = &admission.Gate{System: a.Base.System, Admitter: admit.New()}
+	a.gate.Start()
+	defer a.gate.Stop()
+	a.Base.OnTable = a.tableChanged
+	a.Base.OnMember = a.memberChanged
+	a.Base.Prepare()
+	a.shards = &shards{base: a.Base, count: a.Base.Shards, lease: a.Lease, ride: a.RideThrough}
+	a.tasks = &tasks{
+		system: a.Base.System, life: a.Base.Self.Life, started: time.Now(), lease: a.Lease, node: a.Base.Node,
+		address: a.Base.Self.Address, owner: a.ownerOf, log: a.Base.Log,
+	}
+	a.tasks.start()
+	a.register()
+	shards, release := context.WithCancel(context.WithoutCancel(ctx))
+	defer release()
+	released := make(chan struct{})
+	return a.Base.Run(ctx,
+		func(ctx context.Context) {
+			a.drain(ctx)
+			release()
+			<-released
+			a.Base.Leave()
+		},
+		a.serveHost,
+		a.tasks.Run,
+		a.refresh,
+		a.tellRooms,
+		func(ctx context.Context) error {
+			defer close(released)
+			defer context.AfterFunc(ctx, release)()
+			return a.shards.Run(shards)
+		},
+	)
+}
+
+// register adds the operations that peers may call.
+func (a *Agent) register() {
+	h := &a.Base.Handlers
 	h.Register(message.OperationRequest, a.request)
-	a.node = &peer.Node{Listen: a.Self.Address, Keys: a.Keys, Handlers: h, Log: a.Log}
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return a.node.Run(ctx) })
-	g.Go(func() error { return a.serveHost(ctx) })
-	g.Go(func() error { return a.Operator.Run(ctx) })
-	g.Go(func() error { return a.expire(ctx) })
-	a.Log.Info().Str("event", "started").Str("id", string(a.Self.ID)).Msg("")
-	return g.Wait()
+	peer.Handle(h, message.OperationOrder, a.tasks.order)
+	peer.Handle(h, message.OperationTell, a.shards.tell)
+	peer.Handle(h, message.OperationOwner, a.shards.isOwner)
+	peer.Handle(h, message.OperationJob, a.shards.job)
+}
+
+// ownerOf finds the owner of a shard for the tasks of this host.
+func (a *Agent) ownerOf(ctx context.Context, s host.Shard) (netip.AddrPort, error) {
+	a.Base.ForgetOwner(int(s))
+	return a.Base.OwnerOf(ctx, int(s))
 }
 
-func (a *Agent) expire(ctx context.Context) error {
-	t := time.NewTicker(expireInterval)
+func (a *Agent) tableChanged(t *table.Table) {
+	a.gate.SetTable(t)
+	if a.shards != nil {
+		go a.shards.setTable(t)
+	}
+}
+
+// memberChanged tells the owners here about hosts that fell silent.
+func (a *Agent) memberChanged(i member.Info, s member.State) {
+	if s < member.Dead || a.shards == nil {
+		return
+	}
+	for _, o := range a.shards.running() {
+		o.Silent(i.ID)
+	}
+}
+
+// refresh brings what the host announces up to date until ctx ends.
+func (a *Agent) refresh(ctx context.Context) error {
+	t := time.NewTicker(refreshEvery)
 	defer t.Stop()
 	for {
+		now := time.Now()
+		a.targets.Expire(now)
+		a.gate.SetCapacity(a.targets.Connections(now))
+		a.gate.SetShares(admit.Scales(a.hosts(now), nil))
+		a.Base.SetOffers(a.offers(now))
 		select {
 		case <-t.C:
-			a.targets.Expire(time.Now())
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
+
+// offers are the kinds this host serves, none while it leaves.
+func (a *Agent) offers(now time.Time) []member.Offer {
+	if a.leaving.Load() {
+		return nil
+	}
+	var out []member.Offer
+	limit := uint32(a.targets.Connections(now))
+	for _, k := range a.targets.Kinds(now) {
+		out = append(out, member.Offer{Kind: k, Limit: limit})
+	}
+	return out
+}
+
+// hosts are the live hosts by which the fleet's shares are placed: those of
+// the data centre one by one, the others by their summaries.
+func (a *Agent) hosts(now time.Time) []admit.Host {
+	own := admit.Host{Connections: a.targets.Connections(now), Kinds: a.targets.Kinds(now)}
+	out := []admit.Host{own}
+	for _, m := range a.Base.Members() {
+		out = append(out, hostOf(m.Offers))
+	}
+	for _, r := range a.Base.Remotes() {
+		for _, k := range r.Summary.Kinds {
+			out = append(out, admit.Host{Connections: int(k.Capacity), Kinds: []fleet.Kind{k.Kind}})
+		}
+	}
+	return out
+}
+
+func hostOf(offers []member.Offer) admit.Host {
+	var h admit.Host
+	for _, o := range offers {
+		h.Connections = max(h.Connections, int(o.Limit))
+		h.Kinds = append(h.Kinds, o.Kind)
+	}
+	return h
+}
+
+// drain lets entries learn that the host leaves, then finishes what runs.
+func (a *Agent) drain(ctx context.Context) {
+	a.leaving.Store(true)
+	a.Base.SetOffers(nil)
+	a.tasks.runner.Tell(host.Drain{})
+	bound, cancel := context.WithTimeout(ctx, a.Drain)
+	defer cancel()
+	pause(bound, leaveTime)
+	a.gate.Drain()
+	for a.running.Load() > 0 && bound.Err() == nil {
+		pause(bound, drainPoll)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamestream/sesamestream/internal/target"
+	"github.com/sesamestream/sesamestream/internal/worker"
 )
 
 // The bounds of the host's port.
@@ -27,6 +28,7 @@
 	}
 	m := http.NewServeMux()
 	m.HandleFunc("POST "+target.PathTargets, a.announceTarget)
+	m.HandleFunc("POST "+worker.PathWorkers, a.announceWorker)
 	h := &http.Server{Handler: m, ReadHeaderTimeout: hostHeaderTimeout}
 	go func() {
 		<-ctx.Done()
@@ -48,3 +50,18 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
 }
+
+func (a *Agent) announceWorker(w http.ResponseWriter, r *http.Request) {
+	var x worker.Announcement
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&x); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer, err := a.tasks.announced(r.Context(), x)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/internal/base/jobs.go
@@ -0,0 +1,108 @@
+package base
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/message"
+	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/internal/store"
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
+)
+
+// jobTries is how many times an owner is looked for where nothing was sent.
+const jobTries = 4
+
+// ShardOf returns the shard of a job.
+func ShardOf(id task.JobID, shards int) int {
+	return int(xxhash.Sum64String(string(id)) % uint64(shards))
+}
+
+// Submit asks the owner of a job's shard to accept it.
+func (b *Base) Submit(ctx context.Context, id task.JobID, s task.Spec) (task.Phase, error) {
+	if err := s.Check(); err != nil {
+		return 0, err
+	}
+	a, err := b.jobCall(ctx, message.JobCall{Verb: message.JobSubmit, ID: id, Spec: &s})
+	return a.Phase, err
+}
+
+// Cancel asks the owner of a job's shard to stop it.
+func (b *Base) Cancel(ctx context.Context, id task.JobID) (task.Phase, error) {
+	a, err := b.jobCall(ctx, message.JobCall{Verb: message.JobCancel, ID: id})
+	return a.Phase, err
+}
+
+// Get returns a job from the owner of its shard.
+func (b *Base) Get(ctx context.Context, id task.JobID) (task.Job, error) {
+	a, err := b.jobCall(ctx, message.JobCall{Verb: message.JobGet, ID: id})
+	if err != nil || a.Job == nil {
+		return task.Job{}, err
+	}
+	return *a.Job, nil
+}
+
+// List returns the ids of all jobs whose shards answer.
+func (b *Base) List(ctx context.Context) ([]task.JobID, bool, error) {
+	var ids []task.JobID
+	partial := false
+	for s := range b.Shards {
+		a, err := b.shardCall(ctx, message.JobCall{Shard: s, Verb: message.JobList})
+		if err != nil {
+			partial = true
+			continue
+		}
+		ids = append(ids, a.IDs...)
+	}
+	slices.Sort(ids)
+	return ids, partial, nil
+}
+
+func (b *Base) jobCall(ctx context.Context, q message.JobCall) (message.JobAnswer, error) {
+	q.Shard = ShardOf(q.ID, b.Shards)
+	return b.shardCall(ctx, q)
+}
+
+// shardCall calls a shard's owner. All its calls are idempotent, so that one
+// which may have been received is made again at a new owner.
+func (b *Base) shardCall(ctx context.Context, q message.JobCall) (message.JobAnswer, error) {
+	err := error(nil)
+	sent := false
+	for range jobTries {
+		var a message.JobAnswer
+		a, err = b.shardCallOnce(ctx, q)
+		if err == nil || settled(err) {
+			return a, err
+		}
+		sent = sent || errors.Is(err, peer.ErrBroken) || errors.Is(err, store.ErrUnknown)
+		b.ForgetOwner(q.Shard)
+		if !store.Pause(ctx, jobPause) {
+			break
+		}
+	}
+	if !sent {
+		return message.JobAnswer{}, errors.Wrap(store.ErrUnavailable, err.Error())
+	}
+	return message.JobAnswer{}, errors.Wrap(store.ErrUnknown, err.Error())
+}
+
+func (b *Base) shardCallOnce(ctx context.Context, q message.JobCall) (message.JobAnswer, error) {
+	to, err := b.OwnerOf(ctx, q.Shard)
+	if err != nil {
+		return message.JobAnswer{}, err
+	}
+	return peer.Call[message.JobCall, message.JobAnswer](ctx, b.Node, to, message.OperationJob, q)
+}
+
+// settled reports whether an owner has answered for good.
+func settled(err error) bool {
+	for _, e := range []error{task.ErrConflict, task.ErrBadSpec, task.ErrUnknownJob} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/base/owners.go
@@ -0,0 +1,87 @@
+package base
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/message"
+	"github.com/sesamestream/sesamestream/internal/ownership"
+	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// ErrNoOwner is returned where the owner of a shard is not found.
+var ErrNoOwner = errors.New("base: the shard's owner is not known")
+
+// The bounds of a search for an owner.
+const (
+	askTimeout = time.Second
+	askPeers   = 3
+)
+
+// OwnerOf returns where the owner of a shard was last known, looking in the
+// store and then among peers where it is not known.
+func (b *Base) OwnerOf(ctx context.Context, shard int) (netip.AddrPort, error) {
+	b.mu.RLock()
+	o, ok := b.owners[shard]
+	b.mu.RUnlock()
+	if ok && !b.Dead(o.Life) {
+		return o.Address, nil
+	}
+	o, err := ownership.Locate(ctx, b.Store, shard)
+	if err != nil || b.Dead(o.Life) {
+		o, err = b.askOwner(ctx, shard)
+	}
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	b.LearnOwner(shard, o)
+	return o.Address, nil
+}
+
+// LearnOwner notes the owner of a shard.
+func (b *Base) LearnOwner(shard int, o ownership.Owner) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.owners[shard] = o
+}
+
+// ForgetOwner makes the next call look for the owner of a shard anew.
+func (b *Base) ForgetOwner(shard int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.owners, shard)
+}
+
+// askOwner asks a few agents which shards they own, the preferred ones first.
+func (b *Base) askOwner(ctx context.Context, shard int) (ownership.Owner, error) {
+	lives := b.PreferredOwners(shard)
+	if len(lives) > askPeers {
+		rand.Shuffle(len(lives)-1, func(i, j int) { lives[i+1], lives[j+1] = lives[j+1], lives[i+1] }) //nolint:gosec // A choice needs no secret.
+		lives = lives[:askPeers]
+	}
+	for _, v := range lives {
+		if o, ok := b.askOne(ctx, shard, v); ok {
+			return o, nil
+		}
+	}
+	return ownership.Owner{}, ErrNoOwner
+}
+
+func (b *Base) askOne(ctx context.Context, shard int, v fleet.Life) (ownership.Owner, bool) {
+	to, ok := b.Address(v)
+	if !ok {
+		return ownership.Owner{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a, err := peer.Call[message.OwnerQuery, message.OwnerAnswer](ctx, b.Node, to, message.OperationOwner, message.OwnerQuery{Shard: shard})
+	if err != nil || !a.Owner {
+		return ownership.Owner{}, false
+	}
+	return ownership.Owner{Life: a.Life, Address: to}, true
+}
--- /dev/null
+++ b/internal/entry/flight.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/caller"
+	"github.com/sesamestream/sesamestream/pkg/decide/attempt"
+	"github.com/sesamestream/sesamestream/pkg/decide/route"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+// events bounds the events of one request that wait: each attempt sends at
+// most its dispatch, its head and its end.
+const events = 8 * attempt.MaxAttempts
+
+// defaultRetryAfter is what a refused caller is told where no agent said more.
+const defaultRetryAfter = time.Second
+
+// A flight is one request on its way: the machine that decides for it and the
+// attempts that it has open. One goroutine drives it.
+type flight struct {
+	entry    *Entry
+	request  *caller.Request
+	row      table.Row
+	revision table.Revision
+	w        caller.Responder
+	deadline time.Time
+
+	machine    *attempt.Machine
+	budget     *budget
+	events     chan attempt.Event
+	choices    []route.Choice
+	exchanges  [attempt.MaxAttempts + 1]*exchange
+	retryAfter time.Duration
+	claim      *claim
+	aborted    bool
+}
+
+// run drives the request to its end.
+func (f *flight) run(ctx context.Context) {
+	f.deadline = f.request.Arrived.Add(f.row.Deadline)
+	f.events = make(chan attempt.Event, events)
+	f.machine = &attempt.Machine{Budget: f.budget.budget, HedgeAfter: f.budget.hedgeAfter(f.row)}
+	f.step(ctx, attempt.Event{Type: attempt.Begin, Unrepeatable: f.row.Unrepeatable, Deadline: f.deadline})
+	for !f.machine.Finished() {
+		f.step(ctx, f.next(ctx))
+	}
+	f.drain()
+	if f.aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// next waits for what happens next.
+func (f *flight) next(ctx context.Context) attempt.Event {
+	at, ok := f.machine.Wake()
+	if !ok {
+		at = f.deadline
+	}
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case e := <-f.events:
+		return e
+	case <-t.C:
+		return f.machine.Waits()
+	case <-ctx.Done():
+		return attempt.Event{Type: attempt.CallerGone}
+	}
+}
+
+func (f *flight) step(ctx context.Context, e attempt.Event) {
+	f.budget.mu.Lock()
+	actions := f.machine.Step(time.Now(), e, nil)
+	f.budget.mu.Unlock()
+	for _, a := range actions {
+		f.carry(ctx, a)
+	}
+}
+
+// drain gives back what a late grant or choice would leave behind and ends
+// the attempts that are still open.
+func (f *flight) drain() {
+	for _, x := range f.exchanges {
+		if x != nil {
+			x.cancel()
+		}
+	}
+	for {
+		select {
+		case e := <-f.events:
+			f.step(context.Background(), e)
+			continue
+		default:
+		}
+		break
+	}
+	if f.claim != nil && !f.claim.settled.Load() {
+		go f.settle()
+	}
+}
+
+// settle takes the answer to a claim that came after the caller was told.
+func (f *flight) settle() {
+	t := time.NewTimer(claimTimeout)
+	defer t.Stop()
+	select {
+	case e := <-f.events:
+		f.step(context.Background(), e)
+	case <-t.C:
+	}
+}
+
+func (f *flight) carry(ctx context.Context, a attempt.Action) {
+	switch a.Type {
+	case attempt.AskClaim:
+		f.claim = f.entry.askClaim(f)
+	case attempt.ReleaseClaim:
+		f.entry.reportClaim(f.claim, a.Outcome)
+	case attempt.Route:
+		f.route(ctx)
+	case attempt.DropRoute:
+		f.entry.routed(f.choice(a.Agent), route.Result{Status: route.StatusCancelled})
+	case attempt.Dispatch:
+		f.dispatch(a)
+	case attempt.CancelAttempt:
+		f.exchanges[a.Attempt].cancel()
+	case attempt.PassBody:
+		f.passBody(ctx, f.exchanges[a.Attempt])
+	case attempt.Respond:
+		f.respond(a)
+	case attempt.AbortBody:
+		f.aborted = true
+	}
+}
+
+// route asks the router for an agent; its answer is the next event.
+func (f *flight) route(ctx context.Context) {
+	q := route.Query{
+		Kind:     f.request.Kind,
+		Size:     fleet.Bytes(len(f.request.Body)),
+		Deadline: f.deadline,
+		Exclude:  f.machine.Tried(nil),
+	}
+	c, err := f.entry.pick(ctx, q)
+	if err != nil {
+		f.events <- attempt.Event{Type: attempt.RouteNone, Reason: attempt.Reason(errors.Cause(err).Error())}
+		return
+	}
+	f.choices = append(f.choices, c)
+	f.events <- attempt.Event{Type: attempt.RouteChosen, Agent: c.Life.ID}
+}
+
+func (f *flight) choice(id fleet.ID) route.Choice {
+	for _, c := range f.choices {
+		if c.Life.ID == id {
+			return c
+		}
+	}
+	return route.Choice{}
+}
+
+func (f *flight) dispatch(a attempt.Action) {
+	x := newExchange(f, a.Attempt, f.choice(a.Agent))
+	f.exchanges[a.Attempt] = x
+	go x.run()
+}
+
+// passBody streams the answer to the caller.
+func (f *flight) passBody(ctx context.Context, x *exchange) {
+	stop := context.AfterFunc(ctx, x.cancel)
+	defer stop()
+	err := f.w.Answer(x.head.Status, x.head.Header, x.stream.Body())
+	e := attempt.Event{Type: attempt.AnswerComplete, Attempt: x.number}
+	switch {
+	case errors.Is(err, caller.ErrGone):
+		e = attempt.Event{Type: attempt.CallerGone}
+	case err != nil:
+		e.Type = attempt.AnswerCut
+	}
+	f.events <- e
+}
+
+// respond tells the caller the outcome, where no body was passed.
+func (f *flight) respond(a attempt.Action) {
+	f.entry.outcome(f.request.Kind, a.Outcome, time.Since(f.request.Arrived))
+	switch a.Outcome {
+	case fleet.Answered:
+	case fleet.NotRun:
+		f.w.Refuse(http.StatusServiceUnavailable, string(a.Reason), f.retry())
+	default:
+		f.w.Unknown(unknownStatus(a.Reason), string(a.Reason))
+	}
+}
+
+func (f *flight) retry() time.Duration {
+	if f.retryAfter > 0 {
+		return f.retryAfter
+	}
+	return defaultRetryAfter
+}
+
+// unknownStatus tells a repeated request from one whose answer was lost.
+func unknownStatus(r attempt.Reason) int {
+	if r == attempt.ReasonRepeated || r == attempt.ReasonRepeatedAnswer {
+		return http.StatusConflict
+	}
+	return http.StatusGatewayTimeout
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,115 @@
+// Package process builds an entry or an agent from its settings.
+package process
+
+import (
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/base"
+	"github.com/sesamestream/sesamestream/internal/gossip"
+	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/internal/settings"
+)
+
+// gossipKeyBytes is the size of a gossip key.
+const gossipKeyBytes = 32
+
+// Secrets are the keys of one process.
+type Secrets struct {
+	// Peer are the keys of mutual TLS.
+	Peer *peer.Keys
+	// Gossip are the keys of packets; the first seals.
+	Gossip [][]byte
+	// Token is the operators' bearer token.
+	Token string
+	// Store is the store's access token.
+	Store string
+}
+
+// A Process is one entry or agent. Its exported fields are set before Run.
+type Process struct {
+	Settings settings.Settings
+	// Secrets are in use until Reload gives others.
+	Secrets Secrets
+	// Reload, where set, reads the secrets anew; it is asked when Again fires.
+	Reload func() (Secrets, error)
+	// Again fires to replace the secrets.
+	Again <-chan os.Signal
+	// Log takes the process's events.
+	Log *log.Logger
+
+	ring   *peer.KeyRing
+	gossip *gossip.KeyRing
+	base   atomic.Pointer[base.Base]
+}
+
+// Load reads the settings and secrets of one process; files are named
+// relative to the settings.
+func Load(file string) (*Process, error) {
+	s, err := settings.Load(file)
+	if err != nil {
+		return nil, err
+	}
+	read := func() (Secrets, error) { return readSecrets(filepath.Dir(file), s) }
+	x, err := read()
+	if err != nil {
+		return nil, err
+	}
+	return &Process{Settings: s, Secrets: x, Reload: read}, nil
+}
+
+func readSecrets(dir string, s settings.Settings) (Secrets, error) {
+	at := func(name string) string {
+		if filepath.IsAbs(name) {
+			return name
+		}
+		return filepath.Join(dir, name)
+	}
+	var x Secrets
+	var err error
+	x.Peer, err = peer.LoadKeys(at(s.Keys.CA), at(s.Keys.Certificate), at(s.Keys.Key))
+	if err != nil {
+		return x, err
+	}
+	x.Gossip, err = readGossip(at(s.Keys.Gossip))
+	if err != nil {
+		return x, err
+	}
+	x.Token, err = readToken(at(s.Operator.TokenFile))
+	if err != nil || s.Store.TokenFile == "" {
+		return x, err
+	}
+	x.Store, err = readToken(at(s.Store.TokenFile))
+	return x, err
+}
+
+func readToken(file string) (string, error) {
+	b, err := os.ReadFile(file)
+	return strings.TrimSpace(string(b)), errors.Wrap(err, "token")
+}
+
+// readGossip reads keys in hexadecimal, one a line.
+func readGossip(file string) ([][]byte, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "gossip keys")
+	}
+	var keys [][]byte
+	for _, l := range strings.Fields(string(b)) {
+		k, err := hex.DecodeString(l)
+		if err != nil || len(k) != gossipKeyBytes {
+			return nil, errors.Wrapf(peer.ErrBadKeys, "%s: each line must be 64 hexadecimal digits", file)
+		}
+		keys = append(keys, k)
+	}
+	if len(keys) == 0 {
+		return nil, errors.Wrapf(peer.ErrBadKeys, "%s holds no key", file)
+	}
+	return keys, nil
+}
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -80,7 +80,16 @@
 	return answer{w.StatusCode, w.Header.Get("Sesamestream-Outcome"), string(b)}, err
 }
 
-func TestRequestsSurviveTheKillOfAnAgent(t *testing.T) {
+// operate calls an operator's command with the deployment's keys.
+func (r *rig) operate(args ...string) (string, error) {
+	keys := filepath.Join(r.dir, "trial", "keys")
+	c := exec.Command(r.binary, args...)
+	c.Env = append(os.Environ(), "SESAMESTREAM_AT=127.0.0.1:7001", "SESAMESTREAM_KEYS="+keys)
+	out, err := c.CombinedOutput()
+	return string(out), err
+}
+
+func TestWorkSurvivesTheKillOfAnAgent(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(t)
 	r.start("store", "--listen", "127.0.0.1:8500")
@@ -89,15 +98,32 @@
 	e := r.process("entry", "entry-1")
 	r.start("target", "--id", "t1", "--agent", "127.0.0.1:7102", "--kind", "gust")
 	r.start("target", "--id", "t2", "--agent", "127.0.0.1:7112", "--kind", "gust")
+	r.start("worker", "--id", "w1", "--agent", "127.0.0.1:7102")
+	r.start("worker", "--id", "w2", "--agent", "127.0.0.1:7112")
 
+	g.Eventually(func() (string, error) {
+		return r.operate("table", "set", filepath.Join(r.dir, "trial", "table.yaml"))
+	}, "20s", "200ms").Should(ContainSubstring("accepted as revision 1"))
 	g.Eventually(func() (answer, error) { return get("/gust/beach?b=1") }, "20s", "100ms").Should(
 		HaveField("Outcome", "answered"))
+	done := func(id string) func() (string, error) {
+		return func() (string, error) { return r.operate("job", "get", id) }
+	}
+	g.Eventually(func() (string, error) {
+		return r.operate("job", "submit", "--kind", "forecast", "--tasks", "4", "--command", "200ms", "first")
+	}, "30s", "200ms").Should(ContainSubstring(`"phase"`))
+	g.Eventually(done("first"), "20s", "100ms").Should(ContainSubstring(`"phase": "done"`))
+
 	g.Expect(a1.Process.Kill()).To(Succeed())
 	g.Eventually(func() (answer, error) { return get("/gust/beach?b=2") }, "20s", "100ms").Should(Equal(
 		answer{200, "answered", "t2 GET /beach?b=2 "}))
 	a, err := get("/nothing/x")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(a.Outcome).To(Equal("notRun"))
+	g.Eventually(func() (string, error) {
+		return r.operate("job", "submit", "--kind", "forecast", "--tasks", "4", "--command", "200ms", "second")
+	}, "60s", "200ms").Should(ContainSubstring(`"phase"`))
+	g.Eventually(done("second"), "60s", "100ms").Should(ContainSubstring(`"phase": "done"`))
 
 	g.Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
 	g.Expect(e.Wait()).To(Succeed())
