--- /dev/null
+++ b/cmd/sesamestream/fleet.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/sesamestream/sesamestream/internal/message"
+	"github.com/sesamestream/sesamestream/internal/operator"
+)
+
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: "print JSON"}
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "status",
+		Usage:  "show who is alive, which table is in force where, and whether the store answers, each with its age",
+		Flags:  append(clientFlags(), jsonFlag()),
+		Action: showStatus,
+	}
+}
+
+func showStatus(ctx context.Context, c *cli.Command) error {
+	k, err := client(c)
+	if err != nil {
+		return err
+	}
+	var all []message.Status
+	if err := k.Call(ctx, http.MethodGet, operator.PathStatus, nil, &all); err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(c, all)
+	}
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "process\trole\tdata centre\tup\ttable\tconfirmed ago\tstore\tmembers\tshards\tstate")
+	for _, s := range all {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%v\t%s\n", s.Member.ID, s.Member.Role, s.Member.Place.DataCentre,
+			short(s.Up), s.Revision, short(s.TableAge), storeState(s), s.Members, s.Shards, state(s))
+	}
+	return w.Flush()
+}
+
+func short(d time.Duration) string {
+	return d.Round(100 * time.Millisecond).String()
+}
+
+func storeState(s message.Status) string {
+	switch {
+	case s.Error != "":
+		return "?"
+	case s.StoreAge < 0:
+		return "not asked"
+	case s.StoreResting:
+		return "silent, last answer " + short(s.StoreAge) + " ago"
+	default:
+		return "answered " + short(s.StoreAge) + " ago"
+	}
+}
+
+func state(s message.Status) string {
+	switch {
+	case s.Error != "":
+		return "no answer: " + s.Error
+	case s.Leaving:
+		return "leaving"
+	default:
+		return "alive"
+	}
+}
+
+func workerCommands() []*cli.Command {
+	return []*cli.Command{
+		{Name: "list", Usage: "list the hosts and their room", Flags: append(clientFlags(), jsonFlag()), Action: listWorkers},
+		{Name: "drain", Usage: "move the tasks of a host away", ArgsUsage: "HOST", Flags: clientFlags(), Action: drainWorker("drain")},
+		{Name: "undrain", Usage: "let a host take tasks again", ArgsUsage: "HOST", Flags: clientFlags(), Action: drainWorker("undrain")},
+	}
+}
+
+func listWorkers(ctx context.Context, c *cli.Command) error {
+	k, err := client(c)
+	if err != nil {
+		return err
+	}
+	var all []operator.Worker
+	if err := k.Call(ctx, http.MethodGet, operator.PathWorkers, nil, &all); err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(c, all)
+	}
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "host\tdata centre\track\tslots free\tprocessors free\tmemory free\ttasks\tstate")
+	for _, x := range all {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d/%d\t%.1f/%.1f\t%d/%d GiB\t%d\t%s\n", x.ID, x.Place.DataCentre, x.Place.Rack,
+			x.Free.Slots, x.Total.Slots, float64(x.Free.Processors)/1000, float64(x.Total.Processors)/1000,
+			x.Free.Memory>>30, x.Total.Memory>>30, x.Tasks, workerState(x))
+	}
+	return w.Flush()
+}
+
+func workerState(x operator.Worker) string {
+	switch {
+	case x.Error != "":
+		return "no answer: " + x.Error
+	case x.Draining:
+		return "draining"
+	default:
+		return "open"
+	}
+}
+
+func drainWorker(verb string) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if c.Args().Len() != 1 {
+			return errors.New("needs exactly one host")
+		}
+		k, err := client(c)
+		if err != nil {
+			return err
+		}
+		return k.Call(ctx, http.MethodPost, operator.PathWorkers+"/"+url.PathEscape(c.Args().First())+"/"+verb, nil, nil)
+	}
+}
--- a/cmd/sesamestream/main.go
+++ b/cmd/sesamestream/main.go
@@ -34,7 +34,7 @@
 		Name:  "sesamestream",
 		Usage: "schedule latency-critical and batch work on the same hosts",
 		Commands: []*cli.Command{
-			entryCommand(), agentCommand(), tableCommand(), jobCommand(), checkCommand(), keysCommand(),
+			entryCommand(), agentCommand(), tableCommand(), jobCommand(), statusCommand(), demoCommand(), localCommand(), checkCommand(), keysCommand(),
 			storeCommand(), targetCommand(), workerCommand(),
 		},
 	}
--- a/cmd/sesamestream/standins.go
+++ b/cmd/sesamestream/standins.go
@@ -19,7 +19,7 @@
 }
 
 func agentFlag() cli.Flag {
-	return &cli.StringFlag{Name: "agent", Required: true, Usage: "host address of the agent"}
+	return &cli.StringFlag{Name: "agent", Value: "127.0.0.1:7102", Usage: "host address of the agent"}
 }
 
 func storeCommand() *cli.Command {
@@ -73,12 +73,13 @@
 
 func workerCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "worker",
-		Usage: "stand in for a worker; for tests and trials",
+		Name:     "worker",
+		Usage:    "stand in for a worker (for tests and trials), or list and drain workers",
+		Commands: workerCommands(),
 		Flags: []cli.Flag{
 			listenFlag("127.0.0.1:0"),
 			agentFlag(),
-			&cli.StringFlag{Name: "id", Required: true, Usage: "name of the worker"},
+			&cli.StringFlag{Name: "id", Value: "worker", Usage: "name of the worker"},
 			&cli.IntFlag{Name: "processors", Value: 16, Usage: "processors it has"},
 			&cli.IntFlag{Name: "memory", Value: 60, Usage: "memory it has, in GiB"},
 			&cli.IntFlag{Name: "accelerators", Usage: "accelerators it has"},
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -60,6 +60,7 @@
 	defer a.gate.Stop()
 	a.Base.OnTable = a.tableChanged
 	a.Base.OnMember = a.memberChanged
+	a.Base.Owned = func() []int { return a.shards.owned() }
 	a.Base.Prepare()
 	a.shards = &shards{base: a.Base, count: a.Base.Shards, lease: a.Lease, ride: a.RideThrough}
 	a.tasks = &tasks{
@@ -98,6 +99,8 @@
 	peer.Handle(h, message.OperationTell, a.shards.tell)
 	peer.Handle(h, message.OperationOwner, a.shards.isOwner)
 	peer.Handle(h, message.OperationJob, a.shards.job)
+	peer.Handle(h, message.OperationRoom, a.room)
+	peer.Handle(h, message.OperationDrain, a.drainWorker)
 }
 
 // ownerOf finds the owner of a shard for the tasks of this host.
@@ -183,7 +186,7 @@
 func (a *Agent) drain(ctx context.Context) {
 	a.leaving.Store(true)
 	a.Base.SetOffers(nil)
-	a.tasks.runner.Tell(host.Drain{})
+	a.tasks.runner.Tell(host.Drain{Draining: true})
 	bound, cancel := context.WithTimeout(ctx, a.Drain)
 	defer cancel()
 	pause(bound, leaveTime)
--- a/internal/agent/rooms.go
+++ b/internal/agent/rooms.go
@@ -23,9 +23,11 @@
 	defer t.Stop()
 	next := 0
 	for {
-		n := a.roomOwners()
-		for range n {
-			a.tellRoom(ctx, host.Shard(next%a.Base.Shards))
+		r, err := a.room(ctx, message.None{})
+		for range a.roomOwners() {
+			if err == nil {
+				a.tellRoom(host.Shard(next%a.Base.Shards), r.Host)
+			}
 			next++
 		}
 		select {
@@ -45,20 +47,44 @@
 	return min(max(a.Base.Shards*roomHosts/hosts, 1), a.Base.Shards)
 }
 
-func (a *Agent) tellRoom(ctx context.Context, s host.Shard) {
+// room returns the host's room.
+func (a *Agent) room(ctx context.Context, _ message.None) (message.Room, error) {
 	var r host.Room
-	if err := a.tasks.runner.Query(ctx, func() { r = a.tasks.machine.Room() }); err != nil || r.Worker == 0 {
-		return
+	if err := a.tasks.runner.Query(ctx, func() { r = a.tasks.machine.Room() }); err != nil {
+		return message.Room{}, err
 	}
 	self := a.Base.Self
-	go a.tasks.tell(message.Tell{
-		Shard:   s,
-		Agent:   self.Life,
-		Worker:  r.Worker,
-		Address: self.Address,
-		Room: &place.Host{
+	return message.Room{
+		Host: place.Host{
 			ID: self.ID, Place: self.Place, Agent: self.Incarnation, Worker: r.Worker,
 			Total: r.Total, Free: r.Free, Draining: r.Draining,
 		},
+		Attempts: r.Attempts,
+	}, nil
+}
+
+func (a *Agent) tellRoom(s host.Shard, h place.Host) {
+	if h.Worker == 0 {
+		return
+	}
+	go a.tasks.tell(message.Tell{
+		Shard:   s,
+		Agent:   a.Base.Self.Life,
+		Worker:  h.Worker,
+		Address: a.Base.Self.Address,
+		Room:    &h,
 	})
 }
+
+// drainWorker moves the tasks of the host away, or takes tasks again.
+func (a *Agent) drainWorker(ctx context.Context, q message.Drain) (message.None, error) {
+	a.tasks.runner.Tell(host.Drain{Draining: q.Draining})
+	r, err := a.room(ctx, message.None{})
+	if err != nil {
+		return message.None{}, err
+	}
+	for s := range a.Base.Shards {
+		a.tellRoom(host.Shard(s), r.Host)
+	}
+	return message.None{}, nil
+}
--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -271,3 +272,17 @@
 		cancel()
 	}
 }
+
+// owned returns the shards whose owner decides here, in order.
+func (s *shards) owned() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []int
+	for n, o := range s.owners {
+		if ready(o.owner) {
+			out = append(out, n)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/internal/base/base.go
+++ b/internal/base/base.go
@@ -59,6 +59,9 @@
 	// OnMember is told each change of a member of the data centre; it must not block.
 	OnMember func(member.Info, member.State)
 
+	// Owned returns the shards that this process owns, nil for none ever.
+	Owned func() []int
+
 	// Node speaks to peers; Prepare makes it.
 	Node *peer.Node
 	// Handlers answer peers.
@@ -72,6 +75,8 @@
 	since  atomic.Pointer[time.Time]
 	age    atomic.Pointer[tablesync.ReportAge]
 	killed atomic.Bool
+	// leaving is set once the process drains.
+	leaving atomic.Bool
 
 	mu     sync.RWMutex
 	states map[fleet.ID]known
@@ -100,6 +105,11 @@
 	})
 	b.Operator.HandleTables(b.Tables, b)
 	b.Operator.HandleJobs(b)
+	b.Operator.HandleWorkers(b)
+	b.Operator.HandleStatus(b)
+	peer.Handle(&b.Handlers, message.OperationStatus, func(context.Context, message.None) (message.Status, error) {
+		return b.Status(), nil
+	})
 }
 
 // Run runs the base and the parts until ctx ends. Then drain, which may be
@@ -140,6 +150,7 @@
 	if b.killed.Load() {
 		return
 	}
+	b.leaving.Store(true)
 	b.Log.Info().Str("event", "stopping").Str("id", string(b.Self.ID)).Msg("")
 	if drain != nil {
 		drain(ctx)
--- /dev/null
+++ b/internal/base/workers.go
@@ -0,0 +1,67 @@
+package base
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/message"
+	"github.com/sesamestream/sesamestream/internal/operator"
+	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// roomTimeout bounds the wait for one host's room.
+const roomTimeout = 2 * time.Second
+
+// A contact is where an agent is reached.
+type contact struct {
+	id fleet.ID
+	at netip.AddrPort
+}
+
+// agents returns the agents known here, this process included.
+func (b *Base) agents() []contact {
+	var out []contact
+	for _, m := range b.gossip.Known() {
+		if m.Role == fleet.RoleAgent {
+			out = append(out, contact{id: m.ID, at: m.Address})
+		}
+	}
+	return out
+}
+
+// Workers asks the agents known here for the rooms of their hosts.
+func (b *Base) Workers(ctx context.Context) []operator.Worker {
+	ctx, cancel := context.WithTimeout(ctx, roomTimeout)
+	defer cancel()
+	agents := b.agents()
+	out := make([]operator.Worker, len(agents))
+	var w sync.WaitGroup
+	for i, c := range agents {
+		w.Go(func() { out[i] = b.worker(ctx, c) })
+	}
+	w.Wait()
+	return out
+}
+
+func (b *Base) worker(ctx context.Context, c contact) operator.Worker {
+	r, err := peer.Call[message.None, message.Room](ctx, b.Node, c.at, message.OperationRoom, message.None{})
+	if err != nil {
+		return operator.Worker{ID: c.id, Error: err.Error()}
+	}
+	h := r.Host
+	return operator.Worker{ID: c.id, Place: h.Place, Total: h.Total, Free: h.Free, Tasks: r.Attempts, Draining: h.Draining}
+}
+
+// DrainWorker tells a host's agent to move its tasks away, or to take tasks again.
+func (b *Base) DrainWorker(ctx context.Context, id fleet.ID, draining bool) error {
+	for _, c := range b.agents() {
+		if c.id == id {
+			_, err := peer.Call[message.Drain, message.None](ctx, b.Node, c.at, message.OperationDrain, message.Drain{Draining: draining})
+			return err
+		}
+	}
+	return operator.ErrNoWorker
+}
--- a/internal/local/cluster.go
+++ b/internal/local/cluster.go
@@ -15,12 +15,14 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sesamestream/sesamestream/internal/base"
 	storestandin "github.com/sesamestream/sesamestream/internal/consul/standin"
 	"github.com/sesamestream/sesamestream/internal/peer"
 	"github.com/sesamestream/sesamestream/internal/process"
 	"github.com/sesamestream/sesamestream/internal/settings"
 	targetstandin "github.com/sesamestream/sesamestream/internal/target/standin"
 	workerstandin "github.com/sesamestream/sesamestream/internal/worker/standin"
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -258,3 +260,8 @@
 		Recorder:  &c.Runs,
 	}
 }
+
+// taskName is a task's name at the workers.
+func taskName(j task.JobID, index, shards int) string {
+	return fmt.Sprintf("%d/%d/%s", base.ShardOf(j, shards), index, j)
+}
--- a/internal/local/recorder.go
+++ b/internal/local/recorder.go
@@ -41,51 +41,85 @@
 type Callers struct {
 	mu    sync.Mutex
 	kinds map[fleet.Kind]*Tally
+	flood map[fleet.Kind]*Tally
 	// outcomes are those told of each request.
 	outcomes map[string][]fleet.Outcome
 }
 
 // Tell records one request's end.
-func (c *Callers) Tell(k fleet.Kind, id string, o fleet.Outcome, latency time.Duration, broken, wrong bool) {
+func (c *Callers) Tell(k fleet.Kind, id string, e End) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := c.tally(k)
+	if c.outcomes == nil {
+		c.kinds = make(map[fleet.Kind]*Tally)
+		c.flood = make(map[fleet.Kind]*Tally)
+		c.outcomes = make(map[string][]fleet.Outcome)
+	}
+	tallyOf(c.kinds, k).add(e)
+	if e.Flood {
+		tallyOf(c.flood, k).add(e)
+	}
+	if e.Broken {
+		e.Outcome = fleet.Unknown
+	}
+	c.outcomes[id] = append(c.outcomes[id], e.Outcome)
+}
+
+// An End is how one request ended for its caller.
+type End struct {
+	Outcome fleet.Outcome
+	Latency time.Duration
+	// Broken tells that no whole answer came.
+	Broken bool
+	// Wrong tells that the answer was another request's.
+	Wrong bool
+	// Flood tells that the request was sent during the flood.
+	Flood bool
+}
+
+func (t *Tally) add(e End) {
 	t.Offered++
 	switch {
-	case broken:
+	case e.Broken:
 		t.Broken++
-		o = fleet.Unknown
-	case wrong:
+	case e.Wrong:
 		t.Wrong++
-	case o == fleet.Answered:
+	case e.Outcome == fleet.Answered:
 		t.Answered++
-		_ = t.latency.RecordValue(max(latency.Microseconds(), lowest))
-	case o == fleet.NotRun:
+		_ = t.latency.RecordValue(max(e.Latency.Microseconds(), lowest))
+	case e.Outcome == fleet.NotRun:
 		t.NotRun++
 	default:
 		t.Unknown++
 	}
-	c.outcomes[id] = append(c.outcomes[id], o)
 }
 
-func (c *Callers) tally(k fleet.Kind) *Tally {
-	if c.kinds == nil {
-		c.kinds = make(map[fleet.Kind]*Tally)
-		c.outcomes = make(map[string][]fleet.Outcome)
-	}
-	t := c.kinds[k]
+func tallyOf(m map[fleet.Kind]*Tally, k fleet.Kind) *Tally {
+	t := m[k]
 	if t == nil {
 		t = &Tally{latency: hdrhistogram.New(lowest, highest, digits)}
-		c.kinds[k] = t
+		m[k] = t
 	}
 	return t
 }
 
 // Of returns a copy of the tally of one kind.
 func (c *Callers) Of(k fleet.Kind) Tally {
+	return c.copy(c.kinds, k)
+}
+
+// InFlood returns a copy of the tally of one kind during the flood.
+func (c *Callers) InFlood(k fleet.Kind) Tally {
+	return c.copy(c.flood, k)
+}
+
+func (c *Callers) copy(m map[fleet.Kind]*Tally, k fleet.Kind) Tally {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := *c.tally(k)
+	if m == nil {
+		return Tally{latency: hdrhistogram.New(lowest, highest, digits)}
+	}
+	t := *tallyOf(m, k)
 	t.latency = hdrhistogram.Import(t.latency.Export())
 	return t
 }
--- a/internal/shard/command.go
+++ b/internal/shard/command.go
@@ -47,8 +47,13 @@
 
 // Tell takes what an agent tells.
 func (o *Owner) Tell(t message.Tell) {
-	if e, ok := t.Event(); ok {
-		o.runner.Tell(e)
+	e, ok := t.Event()
+	if !ok {
+		return
+	}
+	o.runner.Tell(e)
+	if t.Room != nil && t.Room.Draining {
+		o.runner.Tell(task.Drain{Host: t.Room.ID})
 	}
 }
 
@@ -67,11 +72,6 @@
 	o.runner.Tell(task.Silent{Host: h})
 }
 
-// Drain moves the work of a host away.
-func (o *Owner) Drain(h fleet.ID) {
-	o.runner.Tell(task.Drain{Host: h})
-}
-
 // SetTable puts a table in force.
 func (o *Owner) SetTable(ctx context.Context, t *table.Table) error {
 	return o.runner.Query(ctx, func() { o.placer.Table = t })
--- a/pkg/decide/host/host.go
+++ b/pkg/decide/host/host.go
@@ -95,8 +95,8 @@
 // Tick lets time pass.
 type Tick struct{}
 
-// Drain refuses new attempts from now on.
-type Drain struct{}
+// Drain refuses new attempts from now on, or takes them again.
+type Drain struct{ Draining bool }
 
 func (Order) event()        {}
 func (WorkerSeen) event()   {}
--- a/pkg/decide/host/machine.go
+++ b/pkg/decide/host/machine.go
@@ -86,7 +86,7 @@
 	case Commanded:
 		return m.commanded(e, out)
 	case Drain:
-		m.draining = true
+		m.draining = e.Draining
 	case Tick:
 		return m.tick(out)
 	}
