Keep refused and ejected agents in a queue of their own

What was in flight when an agent was ejected counted again: one crash with 20 requests in flight made the pause grow to its maximum and kept the trial from being chosen. Failures and answers within a pause are now left out.

Seen to fail first: failures and answers within a pause, end of an ejection, at most half ejected, order of the queue, all-busy told from no agent.

--- a/pkg/decide/route/done.go
+++ b/pkg/decide/route/done.go
@@ -56,6 +56,8 @@
 	return max(size, min(size+p.answer, fleet.Bytes(p.link.burst())))
 }
 
+// learn takes how a choice of e ended. What was in flight when a pause began
+// neither makes the pause longer nor ends a trial.
 func (p *pool) learn(now time.Time, e *peer, o Result) {
 	switch o.Status {
 	case StatusAnswered:
@@ -63,6 +65,9 @@
 	case StatusRefused:
 		e.pause(now, max(o.RetryAfter, refusalMin))
 	case StatusFailed:
+		if e.until.After(now) {
+			return
+		}
 		e.health.failed(now)
 		if e.health.trial || e.health.failing > ejectFailing {
 			p.eject(now, e)
@@ -76,6 +81,9 @@
 	}
 	s := max(o.Latency-2*e.path.travel, 0)
 	e.health.answered(s)
+	if e.until.After(now) {
+		return
+	}
 	if e.health.trial {
 		p.try(now, e, s)
 		return
--- a/pkg/decide/route/peer.go
+++ b/pkg/decide/route/peer.go
@@ -93,11 +93,12 @@
 	// until is when a refusal or an ejection ends.
 	until time.Time
 
-	state state
-	index int // in the list that state names
+	state   state
+	index   int  // in the ready list
+	pausing bool // in the pauses
 }
 
-// A state says which list of its pool holds a peer.
+// A state says whether a peer may be chosen: not at all, now, or after its pause.
 type state int
 
 const (
--- a/pkg/decide/route/pick.go
+++ b/pkg/decide/route/pick.go
@@ -70,7 +70,7 @@
 		return r.choose(now, p, c, q.Size), nil
 	case c.late:
 		return Choice{}, ErrNoneInTime
-	case len(p.avoided) > 0:
+	case p.avoided > 0:
 		return Choice{}, ErrAllBusy
 	default:
 		return Choice{}, ErrNoAgent
--- a/pkg/decide/route/pool.go
+++ b/pkg/decide/route/pool.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/fleet"
@@ -10,10 +9,10 @@
 // A pool holds the peers of one kind: those ready for work by their distance,
 // and those avoided by the time their pause ends.
 type pool struct {
-	ready   [tiers][]*peer
-	avoided pauses
-	known   int
-	ejected int
+	ready  [tiers][]*peer
+	pauses pauses
+
+	known, avoided, ejected int
 
 	service time.Duration
 	answer  fleet.Bytes
@@ -33,12 +32,12 @@
 
 // wake returns the peers whose pause has ended to work.
 func (p *pool) wake(now time.Time) {
-	for len(p.avoided) > 0 && !p.avoided[0].until.After(now) {
-		p.settle(now, p.avoided[0])
+	for e := p.pauses.pop(now); e != nil; e = p.pauses.pop(now) {
+		p.settle(now, e)
 	}
 }
 
-// settle moves e to the list it belongs to.
+// settle moves e to the state it belongs in.
 func (p *pool) settle(now time.Time, e *peer) {
 	p.lift(e)
 	switch {
@@ -46,7 +45,8 @@
 		return
 	case e.until.After(now):
 		e.state = avoided
-		heap.Push(&p.avoided, e)
+		p.avoided++
+		p.pauses.push(e)
 	default:
 		e.state = ready
 		e.index = len(p.ready[e.tier])
@@ -54,13 +54,13 @@
 	}
 }
 
-// lift takes e out of its list.
+// lift parks e.
 func (p *pool) lift(e *peer) {
 	switch e.state {
 	case ready:
 		p.unready(e)
 	case avoided:
-		heap.Remove(&p.avoided, e.index)
+		p.avoided--
 	}
 	e.state = parked
 }
@@ -87,29 +87,3 @@
 func (p *pool) mayEject() bool {
 	return 2*(p.ejected+1) <= p.known
 }
-
-// pauses is a heap of avoided peers, the first to come back on top.
-type pauses []*peer
-
-func (p pauses) Len() int           { return len(p) }
-func (p pauses) Less(i, j int) bool { return p[i].until.Before(p[j].until) }
-
-func (p pauses) Swap(i, j int) {
-	p[i], p[j] = p[j], p[i]
-	p[i].index = i
-	p[j].index = j
-}
-
-func (p *pauses) Push(x any) {
-	e := x.(*peer)
-	e.index = len(*p)
-	*p = append(*p, e)
-}
-
-func (p *pauses) Pop() any {
-	l := *p
-	e := l[len(l)-1]
-	l[len(l)-1] = nil
-	*p = l[:len(l)-1]
-	return e
-}
--- a/pkg/decide/route/route.go
+++ b/pkg/decide/route/route.go
@@ -85,7 +85,7 @@
 	StatusAnswered Status = iota
 	// StatusRefused means that the agent refused and asks to be left alone for RetryAfter.
 	StatusRefused
-	// StatusFailed means that the agent or its target broke.
+	// StatusFailed means that the agent or its target broke, or did not answer by the deadline.
 	StatusFailed
 	// StatusCancelled means that the entry gave up on it; it says nothing of the agent.
 	StatusCancelled
--- a/pkg/decide/route/route_test.go
+++ b/pkg/decide/route/route_test.go
@@ -92,8 +92,10 @@
 					l, _ := life(t)
 					q.Exclude = append(q.Exclude, l.ID)
 				}
-				room := tiers
+				room, busy, broke := tiers, false, false
 				for _, m := range model {
+					busy = busy || !m.gone && !m.Leaving && m.Limit > 0 && m.paused.After(now)
+					broke = broke || m.broke
 					if m.eligible(now, q.Exclude) && !m.broke && m.own < m.Limit {
 						room = min(room, tierOf(here.Distance(m.Place)))
 					}
@@ -101,6 +103,7 @@
 				c, err := r.Pick(now, q)
 				if err != nil {
 					g.Expect(room == tiers || room == far && errors.Is(err, ErrOverLinkBudget)).To(BeTrue(), "%v with room in tier %d", err, room)
+					g.Expect(broke || errors.Is(err, ErrOverLinkBudget) || errors.Is(err, ErrAllBusy) == busy).To(BeTrue(), "%v", err)
 					return
 				}
 				m := model[c.Life.ID]
@@ -126,7 +129,7 @@
 				i := rapid.IntRange(0, len(open)-1).Draw(t, "choice")
 				c := open[i]
 				open = slices.Delete(open, i, i+1)
-				o := Result{Status: Status(rapid.IntRange(0, 3).Draw(t, "status")), Latency: c.Travel * 3, RetryAfter: time.Second}
+				o := Result{Status: Status(rapid.IntRange(0, 3).Draw(t, "status")), Latency: c.Travel * 3, RetryAfter: time.Duration(rapid.IntRange(1, 30).Draw(t, "retryAfter")) * 100 * time.Millisecond}
 				r.Done(now, c, o)
 				m := model[c.Life.ID]
 				if m.Life != c.Life || m.gone {
@@ -135,7 +138,9 @@
 				m.own--
 				switch o.Status {
 				case StatusRefused:
-					m.paused = now.Add(o.RetryAfter)
+					if p := now.Add(o.RetryAfter); p.After(m.paused) {
+						m.paused = p
+					}
 				case StatusFailed:
 					m.broke = true
 				}
@@ -182,18 +187,21 @@
 }
 
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{10, 100, 1000, 4000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			r := agents(n)
-			now := time.Unix(1000, 0)
-			q := Query{Kind: "k", Size: 1000, Deadline: now.Add(time.Hour), Exclude: []fleet.ID{"1", "2"}}
-			b.ReportAllocs()
-			for b.Loop() {
-				now = now.Add(time.Microsecond)
-				c, _ := r.Pick(now, q)
-				r.Done(now, c, Result{Latency: 10 * time.Millisecond})
-			}
-		})
+	for name, o := range map[string]Result{"answered": {Latency: 10 * time.Millisecond}, "refused": {Status: StatusRefused}} {
+		for _, n := range []int{10, 100, 1000, 4000} {
+			b.Run(fmt.Sprint(name, "/", n), func(b *testing.B) {
+				r := agents(n)
+				now := time.Unix(1000, 0)
+				q := Query{Kind: "k", Size: 1000, Deadline: now.Add(time.Hour), Exclude: []fleet.ID{"1", "2"}}
+				b.ReportAllocs()
+				for b.Loop() {
+					now = now.Add(20 * time.Microsecond)
+					if c, err := r.Pick(now, q); err == nil {
+						r.Done(now, c, o)
+					}
+				}
+			})
+		}
 	}
 }
 
@@ -220,6 +228,42 @@
 	g.Expect(err).To(MatchError(ErrNoneInTime))
 }
 
+func TestOneCrashIsOneEjectionAndOneTrial(t *testing.T) {
+	g := NewWithT(t)
+	r := agents(2)
+	now := time.Unix(1000, 0)
+	run := func(fail int) (n int) {
+		var open []Choice
+		for range 40 {
+			c, err := r.Pick(now, Query{Kind: "k"})
+			g.Expect(err).NotTo(HaveOccurred())
+			open = append(open, c)
+		}
+		for _, c := range open {
+			o := Result{Latency: time.Millisecond}
+			if c.Life.ID == "1" {
+				if n < fail {
+					o.Status = StatusFailed
+				}
+				n++
+			}
+			r.Done(now, c, o)
+		}
+		return n
+	}
+	for crash := range 3 {
+		g.Expect(run(10)).To(BeNumerically(">=", 10))
+		g.Expect(run(0)).To(BeZero())
+		now = now.Add(ejectMin << crash)
+		g.Expect(run(0)).To(Equal(1))
+	}
+	for range 100 {
+		c, err := r.Pick(now, Query{Kind: "k"})
+		g.Expect(err).NotTo(HaveOccurred(), "every agent ejected")
+		r.Done(now, c, Result{Status: StatusFailed})
+	}
+}
+
 func TestWorkOfOtherEntriesCounts(t *testing.T) {
 	g := NewWithT(t)
 	r := agents(4)
@@ -231,3 +275,18 @@
 	}
 	g.Expect(n["3"]).To(BeNumerically("<", 5), "%v", n)
 }
+
+func TestPausesEndInTime(t *testing.T) {
+	g := NewWithT(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var p pauses
+	for range 200 {
+		p.push(&peer{until: time.Unix(0, rnd.Int64N(100))})
+	}
+	for i := range int64(100) {
+		for e := p.pop(time.Unix(0, i)); e != nil; e = p.pop(time.Unix(0, i)) {
+			g.Expect(e.until.UnixNano()).To(Equal(i))
+		}
+	}
+	g.Expect(p).To(BeEmpty())
+}
