Find silent connections by probes that traffic drives

Cause: a killed peer's connection was only given up after the idle timeout. The watch steps the liveness machine by what is in flight and by the count of received packets; an idle connection has no timer. The idle timeout is 30 s again.

--- a/internal/base/base.go
+++ b/internal/base/base.go
@@ -96,7 +96,7 @@
 func (b *Base) Prepare() {
 	b.states = make(map[fleet.ID]known)
 	b.owners = make(map[int]ownership.Owner)
-	b.Node = &peer.Node{Listen: b.Self.Address, Keys: b.Keys, Handlers: &b.Handlers, Log: b.Log}
+	b.Node = &peer.Node{Listen: b.Self.Address, Keys: b.Keys, Handlers: &b.Handlers, Log: b.Log, Metrics: b.Metrics}
 	b.Tables = &tables.Tables{Store: b.Store}
 	b.sync = newTableSync(b)
 	b.gossip = b.newGossip()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -112,7 +112,7 @@
 		r.Status = route.StatusAnswered
 		r.LinkBytes = fleet.Bytes(len(x.flight.request.Body)) + x.head.Length
 	}
-	if x.ctx.Err() != nil && e.Type == attempt.Broken {
+	if errors.Is(x.ctx.Err(), context.Canceled) && e.Type == attempt.Broken {
 		r.Status = route.StatusCancelled
 	}
 	if err == nil {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -8,6 +8,8 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/liveness"
 )
 
 // An Operation names an exchange.
@@ -145,19 +147,21 @@
 	return f(ctx, s)
 }
 
-// Open starts an exchange. Its error is ErrNotSent: nothing reached the handler.
+// Open starts an exchange, which the caller ends by Abort, also after it has
+// the whole answer. Its error is ErrNotSent: nothing reached the handler.
 func (n *Node) Open(ctx context.Context, to netip.AddrPort, o Operation) (*Stream, error) {
-	c, err := n.connected(ctx, to)
+	w, err := n.connected(ctx, to)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	q, err := c.OpenStreamSync(ctx)
+	q, err := w.conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	s := &Stream{s: q}
+	w.step(liveness.Sent)
+	s := &Stream{s: q, watch: w}
 	if err := Send(s, opening{Version: openingVersion, Operation: o}); err != nil {
 		s.Abort()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
@@ -173,6 +177,7 @@
 	if err != nil {
 		return zero, err
 	}
+	defer s.finish()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
 	if err := Send(s, q); err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -16,8 +16,9 @@
 	// dial lets one caller at a time connect.
 	dial chan struct{}
 
-	mu   sync.Mutex
-	conn *quic.Conn
+	mu    sync.Mutex
+	conn  *quic.Conn
+	watch *watch
 }
 
 func newLink(to netip.AddrPort) *link {
@@ -25,24 +26,43 @@
 	return l
 }
 
-// current returns the connection where it lives.
-func (l *link) current() *quic.Conn {
+// current returns the watch of the connection where it lives.
+func (l *link) current() *watch {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn == nil || l.conn.Context().Err() != nil {
 		return nil
 	}
-	return l.conn
+	return l.watch
 }
 
-func (l *link) set(c *quic.Conn) *quic.Conn {
+func (l *link) set(w *watch) *quic.Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old := l.conn
-	l.conn = c
+	l.watch = w
+	l.conn = nil
+	if w != nil {
+		l.conn = w.conn
+	}
 	return old
 }
 
+// replace puts c, which may be nil, in the place of old.
+func (l *link) replace(old, c *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != old {
+		return
+	}
+	node := l.watch.node
+	l.conn = c
+	l.watch = nil
+	if c != nil {
+		l.watch = &watch{node: node, link: l, conn: c}
+	}
+}
+
 func (l *link) close(code quic.ApplicationErrorCode) {
 	if c := l.set(nil); c != nil {
 		_ = c.CloseWithError(code, "")
@@ -50,7 +70,7 @@
 }
 
 // connected returns a living connection, dialling where there is none.
-func (n *Node) connected(ctx context.Context, to netip.AddrPort) (*quic.Conn, error) {
+func (n *Node) connected(ctx context.Context, to netip.AddrPort) (*watch, error) {
 	l, err := n.link(to)
 	if err != nil {
 		return nil, err
@@ -71,8 +91,9 @@
 	if err != nil {
 		return nil, err
 	}
-	l.set(c)
-	return c, nil
+	w := &watch{node: n, link: l, conn: c}
+	l.set(w)
+	return w, nil
 }
 
 func (n *Node) link(to netip.AddrPort) (*link, error) {
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -28,7 +29,7 @@
 // The bounds of connections.
 const (
 	dialTimeout        = time.Second
-	idleTimeout        = 2 * time.Second
+	idleTimeout        = 30 * time.Second
 	maxStreams         = 4096
 	openTimeout        = 2 * time.Second
 	streamReceiveBytes = 256 << 10
@@ -52,6 +53,8 @@
 	Handlers *Handlers
 	// Log takes the node's events.
 	Log *log.Logger
+	// Metrics takes the node's counts; nil keeps none.
+	Metrics metrics.Registry
 
 	mu        sync.Mutex
 	transport *quic.Transport
@@ -86,6 +89,7 @@
 	if err != nil {
 		return errors.Wrap(err, "peer: listen")
 	}
+	n.Handlers.Register(operationPing, pong)
 	n.open(t)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.accept(ctx, l) })
@@ -100,6 +104,20 @@
 	return nil
 }
 
+// The names of the node's metrics.
+const (
+	// metricReplaced counts connections that went silent while new ones worked.
+	metricReplaced = "peer.connectionsReplaced"
+	// metricSilent counts peers that answered on no connection.
+	metricSilent = "peer.silent"
+)
+
+func (n *Node) count(name string) {
+	if n.Metrics != nil {
+		metrics.GetOrRegisterCounter(name, n.Metrics).Inc(1)
+	}
+}
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:       dialTimeout,
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -2,18 +2,23 @@
 
 import (
 	"io"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 
 	"github.com/sesamestream/sesamestream/internal/codec"
+	"github.com/sesamestream/sesamestream/pkg/decide/liveness"
 )
 
 // A Stream carries one exchange between two processes: messages and bodies.
 type Stream struct {
 	s    *quic.Stream
 	body *bodyWriter
+	// watch hears of the end of an exchange that was opened here.
+	watch *watch
+	ended sync.Once
 }
 
 // errorAborted is the code of a stream that one side gave up.
@@ -70,8 +75,16 @@
 	return s.s.Close()
 }
 
+// finish tells the watch that nothing more is waited for.
+func (s *Stream) finish() {
+	if s.watch != nil {
+		s.ended.Do(func() { s.watch.step(liveness.Ended) })
+	}
+}
+
 // Abort gives the exchange up in both directions.
 func (s *Stream) Abort() {
+	s.finish()
 	s.s.CancelRead(errorAborted)
 	s.s.CancelWrite(errorAborted)
 }
