--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -99,6 +99,8 @@
 	peer.Handle(h, message.OperationTell, a.shards.tell)
 	peer.Handle(h, message.OperationOwner, a.shards.isOwner)
 	peer.Handle(h, message.OperationJob, a.shards.job)
+	peer.Handle(h, message.OperationClaim, a.shards.claim)
+	peer.Handle(h, message.OperationClaimEnd, a.shards.claimEnd)
 	peer.Handle(h, message.OperationRoom, a.room)
 	peer.Handle(h, message.OperationDrain, a.drainWorker)
 }
--- a/internal/agent/jobs.go
+++ b/internal/agent/jobs.go
@@ -36,3 +36,22 @@
 	p, err := o.Submit(ctx, q.ID, *q.Spec)
 	return message.JobAnswer{Phase: p}, err
 }
+
+// claim asks the owner of a key's shard for a claim.
+func (s *shards) claim(ctx context.Context, q message.Claim) (message.ClaimAnswer, error) {
+	o, err := s.get(q.Shard)
+	if err != nil {
+		return message.ClaimAnswer{}, err
+	}
+	return o.Claim(ctx, q), nil
+}
+
+// claimEnd tells the owner how a claimed request ended.
+func (s *shards) claimEnd(_ context.Context, q message.ClaimEnd) (message.None, error) {
+	o, err := s.get(q.Shard)
+	if err != nil {
+		return message.None{}, err
+	}
+	o.ClaimEnd(q)
+	return message.None{}, nil
+}
--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -147,6 +147,7 @@
 		Ride:   s.ride,
 		Table:  s.base.InForce(),
 		Ended:  func(ctx context.Context, v fleet.Life) bool { return s.ended(ctx, n, v) },
+		Holds:  func(now time.Time) bool { return s.manager.Holds(n, now) },
 		Send:   s.send,
 		Logger: s.base.Log,
 	}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -26,6 +26,8 @@
 // A claim is one request's claim of its key.
 type claim struct {
 	ask message.Claim
+	// grant names the claim once it is granted.
+	grant atomic.Uint64
 	// settled is set once its answer became an event.
 	settled atomic.Bool
 }
@@ -43,26 +45,29 @@
 // askClaim asks for the key of f; the answer comes as an event.
 func (e *Entry) askClaim(f *flight) *claim {
 	d := digest(f.request.Kind, f.request.Key)
-	c := &claim{ask: message.Claim{Shard: shardOf(d, e.Base.Shards), Digest: d, Kind: f.request.Kind, Request: f.request.ID}}
+	c := &claim{ask: message.Claim{Shard: shardOf(d, e.Base.Shards), Digest: d, Kind: f.request.Kind}}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 		defer cancel()
-		v := e.claimed(ctx, c.ask)
+		v := e.claimed(ctx, c)
 		c.settled.Store(true)
 		f.events <- v
 	}()
 	return c
 }
 
-// claimed asks the owner, again where nothing was sent or the owner moved. An
-// ask that may have been received is repeated too: the same request is granted
-// its own claim again.
-func (e *Entry) claimed(ctx context.Context, q message.Claim) attempt.Event {
+// claimed asks the owner, again where it is proved that no owner received the
+// ask: repeated after that, it would find its own grant and take it for another's.
+func (e *Entry) claimed(ctx context.Context, c *claim) attempt.Event {
 	for range claimTries {
-		a, err := callOwner[message.Claim, message.ClaimAnswer](ctx, e, q.Shard, message.OperationClaim, q)
+		a, err := callOwner[message.Claim, message.ClaimAnswer](ctx, e, c.ask.Shard, message.OperationClaim, c.ask)
 		if err == nil {
+			c.grant.Store(a.Grant)
 			return claimEvent(a)
 		}
+		if errors.Is(err, peer.ErrBroken) {
+			break
+		}
 		select {
 		case <-time.After(claimPause):
 		case <-ctx.Done():
@@ -87,13 +92,13 @@
 // reportClaim tells the owner how the claimed request ended. What gets lost
 // leaves the key's outcome unknown, which is never untrue.
 func (e *Entry) reportClaim(c *claim, o fleet.Outcome) {
-	if c == nil {
+	if c == nil || c.grant.Load() == 0 {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
 		defer cancel()
-		q := message.ClaimEnd{Shard: c.ask.Shard, Digest: c.ask.Digest, Request: c.ask.Request, Outcome: o}
+		q := message.ClaimEnd{Shard: c.ask.Shard, Digest: c.ask.Digest, Grant: c.grant.Load(), Outcome: o}
 		for range claimTries {
 			if _, err := callOwner[message.ClaimEnd, message.None](ctx, e, q.Shard, message.OperationClaimEnd, q); err == nil {
 				return
--- a/internal/local/demo.go
+++ b/internal/local/demo.go
@@ -197,7 +197,7 @@
 	for i := range d.traffic.Entries {
 		for n := 0; ; n++ {
 			id := fmt.Sprintf("warm-%d-%d", i, n)
-			if warm.Send(kindGust, id, "", i) == fleet.Answered {
+			if warm.Send(kindAlert, id, id, i) == fleet.Answered {
 				break
 			}
 			if ctx.Err() != nil {
--- a/internal/message/claim.go
+++ b/internal/message/claim.go
@@ -16,12 +16,11 @@
 // A Digest stands for an idempotency key and its kind.
 type Digest [32]byte
 
-// A Claim asks for a key; Request names the claimant.
+// A Claim asks for a key.
 type Claim struct {
-	Shard   int        `cbor:"1,keyasint"`
-	Digest  Digest     `cbor:"2,keyasint"`
-	Kind    fleet.Kind `cbor:"3,keyasint"`
-	Request string     `cbor:"4,keyasint"`
+	Shard  int        `cbor:"1,keyasint"`
+	Digest Digest     `cbor:"2,keyasint"`
+	Kind   fleet.Kind `cbor:"3,keyasint"`
 }
 
 // A ClaimResult is what became of a claim.
@@ -43,12 +42,14 @@
 type ClaimAnswer struct {
 	Result  ClaimResult   `cbor:"1,keyasint"`
 	Earlier fleet.Outcome `cbor:"2,keyasint,omitempty"`
+	// Grant names the claim that was granted.
+	Grant uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // A ClaimEnd tells how the request that was granted a key ended.
 type ClaimEnd struct {
 	Shard   int           `cbor:"1,keyasint"`
 	Digest  Digest        `cbor:"2,keyasint"`
-	Request string        `cbor:"3,keyasint"`
+	Grant   uint64        `cbor:"3,keyasint"`
 	Outcome fleet.Outcome `cbor:"4,keyasint"`
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -58,6 +58,8 @@
 	// Ended reports whether a life grants leases of the shard no more: it has
 	// died, or says itself that it is not the owner. It may block.
 	Ended func(ctx context.Context, v fleet.Life) bool
+	// Holds reports whether the process holds the shard's lease at a time, by its own clock.
+	Holds func(now time.Time) bool
 	// Send carries an order to an agent; it must not block.
 	Send func(to fleet.ID, o message.Order)
 	// Logger takes the owner's events.
@@ -70,6 +72,7 @@
 	runner  *runner.Runner[task.Event, task.Action]
 	machine *task.Machine
 	placer  *place.Placer[task.ID]
+	claims  *claims
 
 	// The fields below are touched by the actor alone.
 	requests task.Request
@@ -112,6 +115,8 @@
 	}
 	o.runner.Start()
 	defer o.runner.Stop()
+	o.claims.runner.Start()
+	defer o.claims.runner.Stop()
 	old := o.old(ctx, r.Before)
 	o.runner.Tell(task.Takeover{Epoch: o.epoch, Old: old, Sent: sent})
 	close(o.ready)
@@ -134,6 +139,7 @@
 	if err != nil {
 		return err
 	}
+	o.claims = newClaims(o, live.claims)
 	o.mark = r.Mark
 	o.epoch = task.Epoch(r.Epoch)
 	seed := uint64(time.Now().UnixNano())
--- a/internal/shard/record.go
+++ b/internal/shard/record.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamestream/sesamestream/internal/codec"
+	"github.com/sesamestream/sesamestream/pkg/decide/claim"
 	"github.com/sesamestream/sesamestream/pkg/decide/task"
 )
 
@@ -43,7 +44,7 @@
 
 // restore rebuilds the state that a journal holds.
 func restore(snap []byte, records [][]byte) (*state, error) {
-	s := &state{tasks: task.NewState()}
+	s := &state{tasks: task.NewState(), claims: &claim.Machine{}}
 	if snap != nil {
 		if err := s.load(snap); err != nil {
 			return nil, err
@@ -60,6 +61,7 @@
 // A state is what the committed records of a shard add up to.
 type state struct {
 	tasks   *task.State
+	claims  *claim.Machine
 	settled task.Epoch
 }
 
@@ -70,7 +72,10 @@
 	}
 	s.settled = x.Settled
 	s.tasks, err = task.Restore(x.Tasks)
-	return err
+	if err != nil || x.Claims == nil {
+		return err
+	}
+	return s.claims.Restore(x.Claims)
 }
 
 func (s *state) apply(b []byte) error {
@@ -84,6 +89,12 @@
 			return err
 		}
 		return s.tasks.Apply(r)
+	case sortClaim:
+		r, err := claim.Decode(b[1:])
+		if err == nil {
+			s.claims.Apply(r)
+		}
+		return err
 	case sortSettled:
 		e, err := codec.Decode[task.Epoch](b[1:])
 		s.settled = max(s.settled, e)
@@ -98,5 +109,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return codec.Encode(snapshot{Tasks: b, Settled: s.settled})
+	c, err := s.claims.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return codec.Encode(snapshot{Tasks: b, Claims: c, Settled: s.settled})
 }
