--- a/internal/store/door/door_test.go
+++ b/internal/store/door/door_test.go
@@ -38,10 +38,11 @@
 				go func() { _, _, _ = d.CAS(ctx, "k", nil, 0) }()
 				go func() { _, _ = d.Get(ctx, "k") }()
 			}
-			time.Sleep(time.Second)
+			synctest.Wait()
 			if !errors.Is(d.Renew(ctx, "none"), store.ErrLeaseLapsed) {
 				refused++
 			}
+			time.Sleep(time.Second)
 		}
 		g.Expect(refused).To(BeZero(), "leases have a budget of their own")
 		time.Sleep(5 * time.Second)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,56 @@
 	})
 }
 
+// A fastStore renews at once and answers late, or loses the answer, and its clock runs 1.5% fast.
+type fastStore struct {
+	rand *rand.Rand
+	end  atomic.Int64
+}
+
+func (f *fastStore) Renew(ctx context.Context, _ store.LeaseID) error {
+	if e := f.end.Load(); e != 0 && time.Now().UnixNano() > e {
+		return store.ErrLeaseLapsed
+	}
+	f.end.Store(time.Now().Add(consul.MinTTL * 985 / 1000).UnixNano())
+	store.Pause(ctx, time.Duration(f.rand.IntN(12))*time.Second)
+	if f.rand.IntN(3) == 0 {
+		return store.ErrUnknown
+	}
+	return nil
+}
+
+func (f *fastStore) Grant(ctx context.Context, _ time.Duration) (store.LeaseID, error) {
+	f.end.Store(0)
+	return "l", f.Renew(ctx, "l")
+}
+
+func (f *fastStore) Revoke(context.Context, store.LeaseID) error { return nil }
+
+func TestHeldImpliesTheStoreHoldsIt(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f := &fastStore{rand: rand.New(rand.NewPCG(seed, 7))}
+			l := &store.Lease{Store: f, TTL: consul.MinTTL}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+			defer cancel()
+			go func() { _ = l.Run(ctx) }()
+			held := 0
+			for range 5000 {
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				if l.Held(time.Now()) {
+					held++
+					g.Expect(time.Now().UnixNano()).To(BeNumerically("<", f.end.Load()))
+				}
+			}
+			g.Expect(held).To(BeNumerically(">", 500))
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
 // A lossy transport loses requests and answers, and delays requests beyond their callers.
 type lossy struct {
 	server *standin.Server
@@ -68,8 +119,9 @@
 	case 2:
 		late := r.Clone(context.Background())
 		late.Body, _ = r.GetBody()
+		d := time.Duration(l.rand.IntN(100)) * time.Millisecond
 		go func() {
-			time.Sleep(time.Duration(l.rand.IntN(100)) * time.Millisecond)
+			time.Sleep(d)
 			_, _ = l.server.RoundTrip(late) //nolint:bodyclose // The answer has no socket.
 		}()
 		return nil, errors.New("request late")
