--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -8,18 +8,21 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 	"pgregory.net/rapid"
 
 	"github.com/sesamestream/sesamestream/internal/consul"
 	"github.com/sesamestream/sesamestream/internal/consul/standin"
 	"github.com/sesamestream/sesamestream/internal/journal"
 	"github.com/sesamestream/sesamestream/internal/store"
+	decided "github.com/sesamestream/sesamestream/pkg/decide/journal"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -206,3 +209,34 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	})
 }
+
+// Sixteen logs under load share one pace; each tells its commits in the order of submission.
+func TestLogsShareOnePace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &standin.Server{}
+		pace := rate.NewLimiter(100, 10)
+		var told, wrong atomic.Int64
+		for n := range 16 {
+			l := &journal.Log{Store: client(s), Shard: n, Life: fleet.Life{ID: "a"}, Pace: pace}
+			defer l.Close()
+			_, err := l.Open(context.Background())
+			g.Expect(err).NotTo(HaveOccurred())
+			var last decided.Mark
+			for range 500 {
+				l.Submit(func(m decided.Mark, err error) {
+					if err != nil || !last.Before(m) {
+						wrong.Add(1)
+					}
+					last = m
+					told.Add(1)
+				}, []byte("r"))
+				time.Sleep(time.Millisecond)
+			}
+		}
+		time.Sleep(time.Second)
+		g.Expect(told.Load()).To(BeEquivalentTo(16 * 500))
+		g.Expect(wrong.Load()).To(BeZero())
+		g.Expect(s.Counts().Writes).To(BeNumerically("<=", 100*9+10+16), "9 s at 100 writes a second, and the takeovers")
+	})
+}
