--- /dev/null
+++ b/pkg/decide/member/measure_test.go
@@ -0,0 +1,207 @@
+package member_test
+
+import (
+	"fmt"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/member"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+const (
+	joining  = 40 * time.Second
+	watching = time.Minute
+)
+
+var loads = []struct {
+	name  string
+	sizes []int
+}{
+	{"10", []int{10}},
+	{"50", []int{50}},
+	{"200", []int{200}},
+	{"17x12", fill(17, 12)},
+	{"17x50", fill(17, 50)},
+	{"17x224", fill(17, 224)},
+}
+
+func fill(n, size int) []int {
+	return slices.Repeat([]int{size}, n)
+}
+
+// BenchmarkTraffic measures bytes sent per member and second, seals counted, on average, for the
+// busiest agent and the busiest entry, and processor time per member, codec counted, seals not.
+func BenchmarkTraffic(b *testing.B) {
+	for _, l := range loads {
+		b.Run(l.name, func(b *testing.B) {
+			for range b.N {
+				traffic(b, l.sizes)
+			}
+		})
+	}
+}
+
+func traffic(b *testing.B, sizes []int) {
+	w := newNetwork(1, sizes...)
+	w.run(joining)
+	for _, n := range w.nodes {
+		n.sent, n.received = 0, 0
+	}
+	began := processorTime(b)
+	w.run(watching)
+	used := processorTime(b) - began
+	all, sent, received := 0, 0, 0
+	for _, n := range w.nodes {
+		all += n.sent
+		sent, received = max(sent, n.sent), max(received, n.received)
+	}
+	s := watching.Seconds()
+	b.ReportMetric(float64(all)/s/float64(len(w.nodes)), "B/s-sent")
+	b.ReportMetric(float64(sent)/s, "B/s-sent-max")
+	b.ReportMetric(float64(received)/s, "B/s-received-max")
+	b.ReportMetric(used.Seconds()/s/float64(len(w.nodes))*100, "%core")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkRevision measures the virtual time until a revision is in force, over 20 edits.
+func BenchmarkRevision(b *testing.B) {
+	for _, l := range loads {
+		for _, loss := range []float64{0, 0.1} {
+			b.Run(fmt.Sprintf("%s/loss=%g", l.name, loss), func(b *testing.B) {
+				for range b.N {
+					w := newNetwork(2, l.sizes...)
+					w.run(joining)
+					w.loss = loss
+					report(b, w.revisions(20))
+				}
+			})
+		}
+	}
+}
+
+// revisions lets n edits arrive at random members and returns how long each took to each other member.
+func (w *network) revisions(n int) []time.Duration {
+	if len(w.nodes) > 1000 {
+		n = 5
+	}
+	var out []time.Duration
+	for i := range n {
+		r, t0 := table.Revision(i+1), w.now
+		first := w.nodes[w.rnd.IntN(len(w.nodes))]
+		first.rev, first.revAt = r, w.now
+		w.step(first, member.SetRevision{Revision: r, Token: uint64(r)})
+		w.run(10 * time.Second)
+		for _, o := range w.nodes {
+			d := 10 * time.Second
+			if o.rev == r {
+				d = o.revAt.Sub(t0)
+			}
+			if o != first {
+				out = append(out, d)
+			}
+		}
+	}
+	return out
+}
+
+// report gives the p50, the p99 and the longest of ds.
+func report(b *testing.B, ds []time.Duration) {
+	if len(ds) == 0 {
+		b.Fatal("nothing measured")
+	}
+	slices.Sort(ds)
+	for _, q := range []struct {
+		name string
+		rank int
+	}{{"s-p50", len(ds) / 2}, {"s-p99", len(ds) * 99 / 100}, {"s-max", len(ds) - 1}} {
+		b.ReportMetric(ds[q.rank].Seconds(), q.name)
+	}
+}
+
+// BenchmarkDetection measures the virtual time from crash, and from Leave, to the verdict of each member.
+func BenchmarkDetection(b *testing.B) {
+	for _, size := range []int{10, 50, 200} {
+		for _, loss := range []float64{0, 0.01, 0.1} {
+			for _, v := range []member.State{member.Dead, member.Left} {
+				b.Run(fmt.Sprintf("%d/loss=%g/%s", size, loss, v), func(b *testing.B) {
+					for range b.N {
+						report(b, detections(size, loss, v))
+					}
+				})
+			}
+		}
+	}
+}
+
+func detections(size int, loss float64, verdict member.State) []time.Duration {
+	var out []time.Duration
+	w := newNetwork(3, size)
+	w.run(joining)
+	w.loss = loss
+	for i := range 5 {
+		n, t0 := w.nodes[i+1], w.now
+		if verdict == member.Left {
+			w.step(n, member.Leave{})
+		} else {
+			n.down = true
+		}
+		w.run(time.Minute)
+		n.down = true
+		for _, o := range w.nodes {
+			for _, c := range o.changes {
+				if !o.down && c.life == n.self.Life && c.state == verdict && !c.at.Before(t0) {
+					out = append(out, c.at.Sub(t0))
+				}
+			}
+		}
+	}
+	return out
+}
+
+// BenchmarkAccuracy counts wrong suspicions and wrong deaths, as held by any one member, in an hour of each member.
+func BenchmarkAccuracy(b *testing.B) {
+	for _, size := range []int{10, 50, 200} {
+		for _, loss := range []float64{0, 0.01, 0.1} {
+			b.Run(fmt.Sprintf("%d/loss=%g", size, loss), func(b *testing.B) {
+				for range b.N {
+					w := newNetwork(4, size)
+					w.run(joining)
+					w.loss = loss
+					t0 := w.now
+					w.run(10 * time.Minute)
+					h := float64(size) * w.now.Sub(t0).Hours()
+					b.ReportMetric(float64(w.accused(t0))/h, "accusations/member-h")
+					b.ReportMetric(float64(w.verdicts(member.Suspect, t0))/h, "suspicions/member-h")
+					b.ReportMetric(float64(w.verdicts(member.Dead, t0))/h, "deaths/member-h")
+				}
+			})
+		}
+	}
+}
+
+// accused counts the statements of suspicion since t, each once however many members hold it.
+func (w *network) accused(t time.Time) int {
+	type key struct {
+		id string
+		at int64
+	}
+	seen := map[key]bool{}
+	for _, n := range w.nodes {
+		for _, c := range n.changes {
+			if c.state == member.Suspect && !c.at.Before(t) {
+				seen[key{string(c.life.ID), c.at.Unix() / 5}] = true
+			}
+		}
+	}
+	return len(seen)
+}
--- a/pkg/decide/member/net_test.go
+++ b/pkg/decide/member/net_test.go
@@ -16,16 +16,16 @@
 
 type node struct {
 	member.Machine
-	self       fleet.Member
-	at         int
-	down       bool
-	paused     time.Time
-	sent       int
-	rev        table.Revision
-	revAt      time.Time
-	states     map[fleet.ID]member.State
-	changes    []change
-	superseded fleet.Incarnation
+	self           fleet.Member
+	at             int
+	down           bool
+	paused         time.Time
+	sent, received int
+	rev            table.Revision
+	revAt          time.Time
+	states         map[fleet.ID]member.State
+	changes        []change
+	superseded     fleet.Incarnation
 }
 
 type change struct {
@@ -176,6 +176,7 @@
 		w.err = err
 		return
 	}
+	to.received += len(b) + 41
 	d := time.Millisecond
 	if n.self.Place.Region != to.self.Place.Region {
 		d = 30 * time.Millisecond
