--- a/pkg/decide/claim/machine.go
+++ b/pkg/decide/claim/machine.go
@@ -40,6 +40,7 @@
 	keys    map[Digest]entry
 	buckets map[time.Duration][]Digest
 	oldest  time.Duration
+	last    time.Duration
 	waiters []waiter
 	token   Token
 	done    Token
@@ -74,6 +75,7 @@
 		m.keys = map[Digest]entry{}
 		m.buckets = map[time.Duration][]Digest{}
 	}
+	m.expire(r.At)
 	e := m.keys[r.Key]
 	switch {
 	case r.Op == OpGrant && r.Grant == e.grant+1:
@@ -134,7 +136,7 @@
 
 func (m *Machine) commit(now time.Time, r Record, out []Action) []Action {
 	r.Version = Version
-	r.At = time.Duration(now.UnixNano())
+	r.At = max(m.last, time.Duration(now.UnixNano()))
 	m.Apply(r)
 	m.token++
 	return append(out, Commit{Records: []Record{r}, Token: m.token})
@@ -173,6 +175,8 @@
 
 // expire drops the buckets that are older than the retention.
 func (m *Machine) expire(at time.Duration) {
+	m.last = max(m.last, at)
+	at = m.last
 	for len(m.buckets) > 0 && m.oldest+bucketSpan+cmp.Or(m.Retain, defaultRetain) < at {
 		for _, k := range m.buckets[m.oldest] {
 			if m.keys[k].bucket == m.oldest {
