Bound how long a claim waits for its commit; test the placer

A claim that waited longer than the retention was dropped and granted to a second caller as well: the property test saw both grants. A claim now waits 30 s and is then refused and released.

--- a/pkg/decide/claim/machine.go
+++ b/pkg/decide/claim/machine.go
@@ -12,6 +12,8 @@
 const (
 	defaultRetain = 24 * time.Hour
 	defaultLimit  = 1_000_000
+	// maxWait is how long a claim waits for its commit; it is far below any retention.
+	maxWait = 30 * time.Second
 	// bucketSpan is how much time one bucket of keys spans.
 	bucketSpan = 30 * time.Minute
 )
@@ -27,6 +29,7 @@
 type waiter struct {
 	token Token
 	reply Reply
+	since time.Time
 }
 
 // A Machine holds the claims of one shard. Set its exported fields before the
@@ -51,6 +54,9 @@
 
 // Step applies e at now, appends the actions that follow to out and returns it.
 func (m *Machine) Step(now time.Time, e Event, out []Action) []Action {
+	if len(m.waiters) > 0 && now.Sub(m.waiters[0].since) > maxWait {
+		out = m.fail(now, out)
+	}
 	m.expire(time.Duration(now.UnixNano()))
 	switch e := e.(type) {
 	case Claim:
@@ -110,14 +116,14 @@
 		p.Grant = e.grant
 		p.Outcome = e.outcome
 		p.Err = ErrAlreadyGranted
-		return m.wait(p, out)
+		return m.wait(now, p, out)
 	case !known && len(m.keys) >= cmp.Or(m.Limit, defaultLimit):
 		p.Err = ErrFull
 		return append(out, p)
 	}
 	p.Grant = e.grant + 1
 	out = m.commit(now, Record{Op: OpGrant, Key: c.Key, Grant: p.Grant}, out)
-	return m.wait(p, out)
+	return m.wait(now, p, out)
 }
 
 func (m *Machine) report(now time.Time, r Report, out []Action) []Action {
@@ -143,8 +149,8 @@
 }
 
 // wait replies once everything so far is committed.
-func (m *Machine) wait(p Reply, out []Action) []Action {
-	m.waiters = append(m.waiters, waiter{token: m.token, reply: p})
+func (m *Machine) wait(now time.Time, p Reply, out []Action) []Action {
+	m.waiters = append(m.waiters, waiter{token: m.token, reply: p, since: now})
 	return m.release(out)
 }
 
--- /dev/null
+++ b/pkg/decide/place/placer_test.go
@@ -0,0 +1,141 @@
+package place
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+func init() { _ = flag.Set("rapid.seed", "7") }
+
+func fleetOf(n, cores, slots int) *Placer[int] {
+	p := &Placer[int]{Rand: rand.New(rand.NewPCG(7, 7)), Shards: 1}
+	r := fleet.Resources{Processors: fleet.MilliProcessors(cores) * 1000, Slots: slots}
+	for i := range n {
+		id := fleet.ID(fmt.Sprint("h", i))
+		p.See(Host{ID: id, Place: fleet.Place{Region: "yug", Rack: fmt.Sprint(i / 3)}, Total: r, Free: r})
+		p.Exclude(id, false)
+	}
+	return p
+}
+
+// TestNeverOverfilled places and frees at random and counts by itself.
+func TestNeverOverfilled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := fleetOf(5, 4, 4)
+		p.Rules(&table.Table{
+			Rows:  []table.Row{{Kind: "a", Weight: 1, Ceiling: 0.5}, {Kind: "b", Weight: 2, Ceiling: 1, Floor: 0.5}},
+			Teams: []table.TeamRow{{Team: "t", Weight: 1, Quota: 0.6}},
+		})
+		now := time.Unix(1e6, 0)
+		wants := map[int]Want{}
+		on := map[int]fleet.ID{}
+		for k := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			w := Want{Kind: "a", Need: fleet.Resources{Processors: fleet.MilliProcessors(rapid.IntRange(1, 4000).Draw(t, "need")), Slots: 1}}
+			if rapid.Bool().Draw(t, "b") {
+				w.Kind = "b"
+				w.Team = "t"
+			}
+			wants[k] = w
+			p.Add(now, k, w)
+			if rapid.Bool().Draw(t, "free") {
+				d := rapid.IntRange(0, k).Draw(t, "which")
+				p.Free(d)
+				delete(on, d)
+			}
+			now = now.Add(time.Second)
+			for {
+				i, h, ok := p.Next(now)
+				if !ok {
+					break
+				}
+				on[i] = h
+			}
+			used := map[fleet.ID]fleet.Resources{}
+			kinds := map[fleet.Kind]int{}
+			for i, h := range on {
+				used[h] = used[h].Plus(wants[i].Need)
+				kinds[wants[i].Kind]++
+				if !used[h].Fits(fleet.Resources{Processors: 4000, Slots: 4}) {
+					t.Fatalf("%s is overfilled: %+v", h, used[h])
+				}
+			}
+			if kinds["a"] > 10 || kinds["b"] > 12 {
+				t.Fatalf("over the ceiling or the quota: %v", kinds)
+			}
+		}
+	})
+}
+
+func TestBigTaskIsNotStarved(t *testing.T) {
+	p := fleetOf(3, 4, 4)
+	now := time.Unix(1e6, 0)
+	small := Want{Kind: "a", Need: fleet.Resources{Processors: 1000, Slots: 1}}
+	for k := 1; k < 2000; k++ {
+		p.Add(now, k, small)
+	}
+	p.Add(now, 0, Want{Kind: "b", Need: fleet.Resources{Processors: 4000, Slots: 1}})
+	var running []int
+	for range 600 {
+		now = now.Add(300 * time.Millisecond)
+		for {
+			k, _, ok := p.Next(now)
+			if !ok {
+				break
+			}
+			if k == 0 {
+				return
+			}
+			running = append(running, k)
+		}
+		p.Free(running[0])
+		running = running[1:]
+	}
+	t.Fatal("the big task never found a place")
+}
+
+func TestUrgentEvictsTheFewest(t *testing.T) {
+	p := fleetOf(2, 4, 4)
+	now := time.Unix(1e6, 0)
+	for k := range 5 {
+		need := fleet.MilliProcessors(4000)
+		if k > 0 {
+			need = 1000
+		}
+		p.Add(now, k, Want{Kind: "a", Class: table.ClassBatch, Need: fleet.Resources{Processors: need, Slots: 1}})
+		p.Next(now)
+	}
+	p.Add(now, 9, Want{Kind: "u", Urgent: true, Need: fleet.Resources{Processors: 4000, Slots: 1}})
+	if v := p.Victims(now.Add(time.Second)); len(v) != 1 || v[0] != 0 {
+		t.Fatalf("evicts %v", v)
+	}
+}
+
+func BenchmarkNext(b *testing.B) {
+	for _, hosts := range []int{22, 400, 3800} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			p := fleetOf(hosts, 16, 8)
+			now := time.Unix(1e6, 0)
+			w := Want{Kind: "dossier", Need: fleet.Resources{Processors: 1500, Slots: 1}}
+			full := hosts * 25000 / 3800
+			for k := range full {
+				p.Add(now, k, w)
+				p.Next(now)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				p.Free(i)
+				p.Add(now, i+full, w)
+				p.Next(now)
+			}
+		})
+	}
+}
