--- a/pkg/decide/place/placer_test.go
+++ b/pkg/decide/place/placer_test.go
@@ -81,8 +81,12 @@
 	for k := 1; k < 2000; k++ {
 		p.Add(now, k, small)
 	}
-	p.Add(now, 0, Want{Kind: "b", Need: fleet.Resources{Processors: 4000, Slots: 1}})
 	var running []int
+	for range 12 {
+		k, _, _ := p.Next(now)
+		running = append(running, k)
+	}
+	p.Add(now, 0, Want{Kind: "b", Need: fleet.Resources{Processors: 4000, Slots: 1}})
 	for range 600 {
 		now = now.Add(300 * time.Millisecond)
 		for {
--- a/pkg/decide/task/machine_test.go
+++ b/pkg/decide/task/machine_test.go
@@ -264,3 +264,36 @@
 		}
 	})
 }
+
+// TestAgentFencesTheOldOwner proves by the new owner's list that an attempt
+// does not run, and then lets the old owner's Start arrive.
+func TestAgentFencesTheOldOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.submit("a", 1)
+		old := w.owners[0]
+		w.deliverAll(old)
+		w.store(old, false)
+		start := slices.IndexFunc(w.net, func(m message) bool { _, ok := m.order.(Start); return ok })
+		late := w.net[start]
+		w.net = slices.Delete(w.net, start, start+1)
+		a := w.agents[slices.IndexFunc(w.agents, func(a *agent) bool { return a.life.ID == late.agent })]
+		if rapid.Bool().Draw(t, "listed") {
+			w.list(a)
+		}
+		restart := rapid.IntRange(0, 3).Draw(t, "restart")
+		w.takeOver()
+		last := w.owners[1]
+		for range 4 {
+			w.deliverAll(last)
+			w.store(last, false)
+		}
+		if restart < 3 {
+			w.restart(a, restart)
+		}
+		w.send(late)
+		w.deliver(len(w.net)-1, false)
+		w.keep(a, old)
+		w.heal()
+	})
+}
