--- a/pkg/decide/task/machine_test.go
+++ b/pkg/decide/task/machine_test.go
@@ -284,8 +284,17 @@
 		restart := rapid.IntRange(0, 3).Draw(t, "restart")
 		w.takeOver()
 		last := w.owners[1]
+		unasked := rapid.Bool().Draw(t, "unasked")
 		for range 4 {
-			w.deliverAll(last)
+			for i := 0; i < len(w.net); {
+				if _, ask := w.net[i].order.(Ask); ask && unasked {
+					w.net = slices.Delete(w.net, i, i+1)
+				} else if w.net[i].to == last {
+					w.deliver(i, false)
+				} else {
+					i++
+				}
+			}
 			w.store(last, false)
 		}
 		if restart < 3 {
