--- a/pkg/decide/task/machine_test.go
+++ b/pkg/decide/task/machine_test.go
@@ -278,12 +278,12 @@
 		late := w.net[start]
 		w.net = slices.Delete(w.net, start, start+1)
 		a := w.agents[slices.IndexFunc(w.agents, func(a *agent) bool { return a.life.ID == late.agent })]
-		if rapid.Bool().Draw(t, "listed") {
-			w.list(a)
-		}
 		restart := rapid.IntRange(0, 3).Draw(t, "restart")
 		w.takeOver()
 		last := w.owners[1]
+		if rapid.Bool().Draw(t, "listed") {
+			w.list(a)
+		}
 		unasked := rapid.Bool().Draw(t, "unasked")
 		for range 4 {
 			for i := 0; i < len(w.net); {
