Hold ceilings below one permit by resting between requests

A share that came to less than a permit was rounded up to one on each host, so a small ceiling was exceeded many times over on a large fleet. A kind now rests after a request until its mean use is back at its share; without the rest TestACeilingBelowOnePermitHolds fails.

--- a/pkg/decide/admit/controller.go
+++ b/pkg/decide/admit/controller.go
@@ -74,7 +74,7 @@
 	}
 	n := c.at(now)
 	c.learn(n, r, latency, ok)
-	c.release(r)
+	c.release(n, r)
 	return c.dispatch(n, out)
 }
 
@@ -89,8 +89,9 @@
 		c.forget(r)
 		return out
 	}
-	c.release(r)
-	return c.dispatch(c.at(now), out)
+	n := c.at(now)
+	c.release(n, r)
+	return c.dispatch(n, out)
 }
 
 // Drain refuses what is queued and all that is offered from now on.
@@ -103,14 +104,19 @@
 	return out
 }
 
-// Tick refuses what can no longer be answered in time.
+// Tick refuses what can no longer be answered in time and starts kinds that rested.
 func (c *controller) Tick(now time.Time, out []Action) []Action {
 	n := c.at(now)
-	if !c.policy.Timely() {
-		return out
+	if c.policy.Timely() {
+		out = c.refuseLates(n, out)
 	}
+	return c.dispatch(n, out)
+}
+
+// refuseLates refuses all that can no longer be answered in time.
+func (c *controller) refuseLates(now time.Duration, out []Action) []Action {
 	for _, q := range c.queues {
-		for q.Queued() > 0 && n >= q.latestStart(q.waiting[0]) {
+		for q.Queued() > 0 && now >= q.latestStart(q.waiting[0]) {
 			out = c.refuseLate(q, out)
 		}
 	}
@@ -165,6 +171,7 @@
 
 // dispatch starts requests while permits are free.
 func (c *controller) dispatch(now time.Duration, out []Action) []Action {
+	c.endRests(now)
 	for {
 		q := c.next()
 		if q == nil {
@@ -175,7 +182,7 @@
 			out = c.refuseLate(q, out)
 			continue
 		}
-		out = c.start(q, r, out)
+		out = c.start(now, q, r, out)
 	}
 }
 
@@ -192,9 +199,10 @@
 }
 
 // start gives r a permit. What is above the floor is charged to its kind.
-func (c *controller) start(q *Queue, r *request, out []Action) []Action {
+func (c *controller) start(now time.Duration, q *Queue, r *request, out []Action) []Action {
 	q.remove(r)
 	r.index = running
+	r.started = now
 	if q.InFlight >= q.Floor {
 		r.charge = q.service.mean
 		if r.charge == 0 {
@@ -210,7 +218,8 @@
 }
 
 // release takes the permit of r back.
-func (c *controller) release(r *request) {
+func (c *controller) release(now time.Duration, r *request) {
+	r.queue.rest(now, now-r.started)
 	r.queue.InFlight--
 	c.inFlight--
 	c.forget(r)
--- a/pkg/decide/admit/flood/flood_test.go
+++ b/pkg/decide/admit/flood/flood_test.go
@@ -103,3 +103,13 @@
 		gomega.NewWithT(t).Expect(r.Admitter.Limit()).To(gomega.And(gomega.BeNumerically(">", p*3/4), gomega.BeNumerically("<", p*5/2)), "%d processors", p)
 	}
 }
+
+func TestACeilingBelowOnePermitHolds(t *testing.T) {
+	for _, ceiling := range []table.Share{0.002, 0.01, 0.0155} {
+		k := []Kind{{Rate: 100, Service: 20 * time.Millisecond, Row: row("one", 1, 0.001, ceiling, 5*time.Second)}}
+		r := &Run{Admitter: with(fair, admit.Fixed{})(), Kinds: k, Processors: 16, Connections: 64, Length: 60 * time.Second, After: 5 * time.Second, Seed: 3}
+		used := r.Do()[0].Work() / r.Length.Seconds()
+		share := float64(ceiling) * 64
+		gomega.NewWithT(t).Expect(used).To(gomega.BeNumerically("~", share, share/10))
+	}
+}
--- a/pkg/decide/admit/judge.go
+++ b/pkg/decide/admit/judge.go
@@ -24,7 +24,7 @@
 	case budget <= bound:
 		return q.judgeProbe(now)
 	}
-	wait := q.delay(q.ahead(deadline))
+	wait := q.delay(q.ahead(deadline)) + q.restLeft(now)
 	most := min(maxQueueDelay, budget/queuePart)
 	switch {
 	case wait+bound >= budget:
--- a/pkg/decide/admit/queue.go
+++ b/pkg/decide/admit/queue.go
@@ -29,6 +29,8 @@
 	index int
 	// charge is what the start cost its kind above the floor.
 	charge time.Duration
+	// started is when the request got its permit.
+	started time.Duration
 	// probe marks a request that is started whatever the estimate says.
 	probe bool
 }
@@ -90,13 +92,20 @@
 	nextProbe time.Duration
 	// listed reports whether the table has the kind.
 	listed bool
+	// share is the ceiling in permits before it is rounded.
+	share float64
+	// resting reports whether a kind with a share below one permit waits until restEnd.
+	resting bool
+	restEnd time.Duration
 }
 
 // Queued returns how many requests wait.
 func (q *Queue) Queued() int { return len(q.waiting) }
 
 // Ready reports whether a request waits that the ceiling allows to start.
-func (q *Queue) Ready() bool { return len(q.waiting) > 0 && q.InFlight < q.Ceiling }
+func (q *Queue) Ready() bool {
+	return len(q.waiting) > 0 && q.InFlight < q.Ceiling && !q.resting
+}
 
 // Arrival returns the order of arrival of the request that is next.
 // The queue must not be empty.
@@ -124,13 +133,16 @@
 }
 
 // permits returns how many permits serve the queue, by what it holds and may claim.
-func (q *Queue) permits() int {
-	return max(1, q.InFlight, q.Floor)
+func (q *Queue) permits() float64 {
+	if q.share > 0 && q.share < 1 {
+		return q.share
+	}
+	return float64(max(1, q.InFlight, q.Floor))
 }
 
 // delay returns the expected wait behind n requests, by Little's law.
 func (q *Queue) delay(n int) time.Duration {
-	return time.Duration(float64(n) * float64(q.service.mean) / float64(q.permits()))
+	return time.Duration(float64(n) * float64(q.service.mean) / q.permits())
 }
 
 // ahead estimates how many waiting requests have an earlier deadline than d,
--- a/pkg/decide/admit/settings.go
+++ b/pkg/decide/admit/settings.go
@@ -59,7 +59,7 @@
 		delete(c.kinds, q.Row.Kind)
 		return out
 	}
-	q.Floor, q.Ceiling = 0, 0
+	q.Floor, q.Ceiling, q.share = 0, 0, 0
 	c.queues = append(c.queues, q)
 	return out
 }
@@ -150,7 +150,8 @@
 	per := float64(c.limit) / max(1, sum)
 	permits := 0
 	for _, q := range c.queues {
-		q.Ceiling = q.ceilingPermits(c.limit)
+		q.share = q.ceilingShare(c.limit)
+		q.Ceiling = q.ceilingPermits()
 		q.Floor = min(q.Ceiling, q.floorPermits(per))
 		permits += q.Floor
 	}
@@ -194,11 +195,18 @@
 }
 
 // ceilingPermits returns the permits that the kind never exceeds: its share
-// rounded down, but one permit where the share is above zero.
-func (q *Queue) ceilingPermits(limit int) int {
-	share := min(1, float64(q.Row.Ceiling)*q.scale)
-	if !q.listed || share <= 0 || limit == 0 {
+// rounded down. A share below one permit is one permit for a part of the time.
+func (q *Queue) ceilingPermits() int {
+	if q.share <= 0 {
 		return 0
 	}
-	return max(1, int(share*float64(limit)+rounding))
+	return max(1, int(q.share+rounding))
+}
+
+// ceilingShare returns the kind's part of limit before it is rounded.
+func (q *Queue) ceilingShare(limit int) float64 {
+	if !q.listed {
+		return 0
+	}
+	return min(1, max(0, float64(q.Row.Ceiling)*q.scale)) * float64(limit)
 }
