--- a/pkg/decide/admit/load.go
+++ b/pkg/decide/admit/load.go
@@ -60,7 +60,7 @@
 		l.Limit = 0
 		return l
 	}
-	if q.resting {
+	if q.restLeft(now) > 0 {
 		return l
 	}
 	l.Headroom = max(0, min(q.Ceiling-q.InFlight, max(spare, c.recallable(q)))-q.Queued())
