--- a/model/task.pml
+++ b/model/task.pml
@@ -144,7 +144,7 @@
 }
 inline host(h) {
 	if
-	:: hAtt[h] || hEpoch[h] -> list(h)
+	:: hAtt[h] -> list(h)
 	:: gOn[h] && gAtt[h] == hAtt[h] && FENCED(h, gEpoch[h] - 1) -> begin(h)
 	:: hState[h] == 2 -> finish(h, 3, 0)
 	:: h == 0 && restarts == 0 -> restarts++; hLife[h]++; hState[h] = 0; hAtt[h] = 0; fKind[h] = 0; hEpoch[h] = 0
