Test that a service replica is replaced on silence and before a planned stop

The recorder's rule of one place holds for batch tasks only: replicas are not exclusive, and a drained one stops after its successor has started.

--- a/pkg/decide/task/machine_test.go
+++ b/pkg/decide/task/machine_test.go
@@ -306,3 +306,27 @@
 		w.heal()
 	})
 }
+
+func TestReplicaIsReplacedBeforeItStops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		o := w.owners[0]
+		w.send(message{to: o, event: Submit{ID: "service", Spec: Spec{Kind: "windcast", Class: "service", Tasks: 1}}})
+		settle := func() {
+			for i := 0; i < 8; i++ {
+				for len(w.net) > 0 {
+					w.deliver(0, false)
+				}
+				w.store(o, false)
+			}
+		}
+		settle()
+		a := w.holder()
+		e := rapid.SampledFrom([]Event{Drain{Host: a.life.ID}, Silent{Host: a.life.ID}}).Draw(t, "event")
+		w.step(o, e)
+		settle()
+		if _, drained := e.(Drain); w.begun[ID{Job: "service"}] != 2 || drained && len(a.held) > 0 {
+			t.Fatal("the replica was not replaced, or did not stop after that")
+		}
+	})
+}
