--- a/cmd/sesamestream/tables.go
+++ b/cmd/sesamestream/tables.go
@@ -220,11 +220,10 @@
 	}
 	var p document.Problems
 	if errors.As(err, &p) {
-		lines := make([]string, 0, len(p))
-		for _, q := range p {
-			lines = append(lines, file+":"+q.String())
+		for i := range p {
+			p[i].File = file
 		}
-		return errors.Wrap(document.ErrInvalid, strings.Join(lines, "\n"))
+		return p
 	}
 	if err != nil {
 		return err
--- a/internal/base/base.go
+++ b/internal/base/base.go
@@ -81,6 +81,8 @@
 	mu     sync.RWMutex
 	states map[fleet.ID]known
 	owners map[int]ownership.Owner
+	// preferences are the orders of owners that were worked out lately.
+	preferences map[int]preference
 }
 
 // A known is the newest that was heard of a member.
@@ -96,6 +98,7 @@
 func (b *Base) Prepare() {
 	b.states = make(map[fleet.ID]known)
 	b.owners = make(map[int]ownership.Owner)
+	b.preferences = make(map[int]preference)
 	b.Node = &peer.Node{Listen: b.Self.Address, Keys: b.Keys, Handlers: &b.Handlers, Log: b.Log, Metrics: b.Metrics}
 	b.Tables = &tables.Tables{Store: b.Store}
 	b.sync = newTableSync(b)
--- a/internal/base/members.go
+++ b/internal/base/members.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -141,10 +142,34 @@
 	lives  []fleet.Life
 }
 
+// preferenceAge is how long an order of owners is used again.
+const preferenceAge = 2 * time.Second
+
+// A preference is the order of owners of one shard at a time.
+type preference struct {
+	at    time.Time
+	lives []fleet.Life
+}
+
 // PreferredOwners returns the lives that may own a shard, the best first: the
 // data centres in the order of their rendezvous hashes, in each its agents in
-// the order of theirs.
+// the order of theirs. The result is shared and not to be changed.
 func (b *Base) PreferredOwners(shard int) []fleet.Life {
+	now := time.Now()
+	b.mu.RLock()
+	p, ok := b.preferences[shard]
+	b.mu.RUnlock()
+	if ok && now.Sub(p.at) < preferenceAge {
+		return p.lives
+	}
+	p = preference{at: now, lives: b.preferredOwners(shard)}
+	b.mu.Lock()
+	b.preferences[shard] = p
+	b.mu.Unlock()
+	return p.lives
+}
+
+func (b *Base) preferredOwners(shard int) []fleet.Life {
 	var out []fleet.Life
 	for _, d := range b.dataCentres(shard) {
 		out = append(out, ranked(shard, d.lives)...)
--- a/internal/base/owners.go
+++ b/internal/base/owners.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,7 +60,7 @@
 
 // askOwner asks a few agents which shards they own, the preferred ones first.
 func (b *Base) askOwner(ctx context.Context, shard int) (ownership.Owner, error) {
-	lives := b.PreferredOwners(shard)
+	lives := slices.Clone(b.PreferredOwners(shard))
 	if len(lives) > askPeers {
 		rand.Shuffle(len(lives)-1, func(i, j int) { lives[i+1], lives[j+1] = lives[j+1], lives[i+1] }) //nolint:gosec // A choice needs no secret.
 		lives = lives[:askPeers]
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,8 @@
 	mu        sync.Mutex
 	budgets   map[fleet.Kind]*budget
 	addresses map[fleet.Life]netip.AddrPort
+	// remote are the addresses in other data centres, as last summarised.
+	remote map[fleet.Life]netip.AddrPort
 }
 
 // A budget pays for the retries and hedges of one kind.
@@ -169,7 +171,11 @@
 		return
 	}
 	e.mu.Lock()
-	e.addresses[i.Life] = i.Address
+	if s > member.Suspect {
+		delete(e.addresses, i.Life)
+	} else {
+		e.addresses[i.Life] = i.Address
+	}
 	e.mu.Unlock()
 	e.router.Post(func(x *route.Router) {
 		if s > member.Suspect {
@@ -192,7 +198,9 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for _, r := range e.Base.Remotes() {
+		remotes := e.Base.Remotes()
+		e.setRemote(remotes)
+		for _, r := range remotes {
 			e.observeRemote(r)
 		}
 		entries := 1
@@ -205,6 +213,19 @@
 	}
 }
 
+// setRemote notes where the agents of other data centres are reached.
+func (e *Entry) setRemote(remotes []member.Remote) {
+	out := make(map[fleet.Life]netip.AddrPort)
+	for _, r := range remotes {
+		for _, c := range r.Summary.Contacts {
+			out[c.Life] = c.Address
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.remote = out
+}
+
 // observeRemote takes the contacts of one data centre in, each with its part
 // of the data centre's capacity.
 func (e *Entry) observeRemote(r member.Remote) {
@@ -213,9 +234,6 @@
 		if c.Role != fleet.RoleAgent {
 			continue
 		}
-		e.mu.Lock()
-		e.addresses[c.Life] = c.Address
-		e.mu.Unlock()
 		for i, k := range r.Summary.Kinds {
 			if c.Kinds&(1<<i) == 0 || k.Agents == 0 {
 				continue
@@ -230,6 +248,9 @@
 func (e *Entry) address(v fleet.Life) (netip.AddrPort, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a, ok := e.addresses[v]
+	if a, ok := e.addresses[v]; ok {
+		return a, true
+	}
+	a, ok := e.remote[v]
 	return a, ok
 }
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -19,13 +19,18 @@
 
 // A Problem is one fault in a document; lines and columns count from 1, 0 is unknown.
 type Problem struct {
+	// File is where the problem is, empty where the reader knows.
+	File string
 	Line    int
 	Column  int
 	Message string
 }
 
-// String returns the problem as "line:column: message".
+// String returns the problem as "line:column: message", behind the file where it is set.
 func (p Problem) String() string {
+	if p.File != "" {
+		return fmt.Sprintf("%s:%d:%d: %s", p.File, p.Line, p.Column, p.Message)
+	}
 	return fmt.Sprintf("%d:%d: %s", p.Line, p.Column, p.Message)
 }
 
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 )
 
 // A rig is one deployment of separate processes on loopback.
@@ -128,3 +129,78 @@
 	g.Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
 	g.Expect(e.Wait()).To(Succeed())
 }
+
+// TestOperatorsTools edits the table from two sides, drains and stops.
+func TestOperatorsTools(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t)
+	r.start("store", "--listen", "127.0.0.1:8500")
+	a := r.process("agent", "agent-1")
+	r.process("entry", "entry-1")
+	r.start("worker", "--id", "w1", "--agent", "127.0.0.1:7102")
+	set := func() (string, error) {
+		return r.operate("table", "set", filepath.Join(r.dir, "trial", "table.yaml"))
+	}
+	g.Eventually(set, "20s", "200ms").Should(ContainSubstring("accepted as revision 1"))
+
+	out, err := r.operate("table", "edit", "--by", "an", "gust", "floor=0.35", "weight=9")
+	g.Expect(err).NotTo(HaveOccurred(), out)
+	out, err = r.operate("table", "edit", "--by", "binh", "--revision", "1", "gust", "floor=0.3")
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(out).To(And(
+		ContainSubstring("revision 2 by an was accepted first"),
+		MatchRegexp(`accepted: class=request weight=9 floor=0.35`),
+		MatchRegexp(`yours: +class=request weight=9 floor=0.3 `)))
+	out, err = r.operate("table", "edit", "gust", "floor=0.9")
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(out).To(ContainSubstring("add up to"))
+	g.Eventually(func() (string, error) { return r.operate("table", "get", "--format", "csv") }, "6s", "100ms").Should(
+		And(ContainSubstring("revision,2"), ContainSubstring("kind,gust,request,9,0.35")))
+	out, err = r.operate("table", "history")
+	g.Expect(err).NotTo(HaveOccurred(), out)
+	g.Expect(out).To(MatchRegexp(`revision 2 .* an\n +kind gust: .*weight=8 floor=0.4 .* -> .*weight=9 floor=0.35`))
+
+	g.Eventually(func() (string, error) { return r.operate("worker", "list") }, "20s", "200ms").Should(
+		MatchRegexp(`agent-1 .* 8/8 .* open`))
+	out, err = r.operate("worker", "drain", "agent-1")
+	g.Expect(err).NotTo(HaveOccurred(), out)
+	g.Eventually(func() (string, error) { return r.operate("worker", "list") }, "5s", "200ms").Should(ContainSubstring("draining"))
+	g.Eventually(func() (string, error) { return r.operate("status") }, "10s", "200ms").Should(And(
+		MatchRegexp(`entry-1 +entry +mui-ne .* 2 .* alive`), MatchRegexp(`agent-1 +agent +mui-ne .* 2 .* alive`)))
+
+	g.Expect(a.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	g.Expect(a.Wait()).To(Succeed(), "the first signal drains and exits with 0")
+}
+
+// TestSecondSignalEndsAtOnce kills a draining process by a second signal.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t)
+	e := r.process("entry", "entry-1")
+	g.Eventually(func() error { _, err := get("/gust/x"); return err }, "20s", "50ms").Should(Succeed())
+	g.Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	g.Eventually(func() int {
+		w, err := http.Get("http://127.0.0.1:7002/ready")
+		if err != nil {
+			return 0
+		}
+		defer w.Body.Close()
+		return w.StatusCode
+	}, "5s", "20ms").Should(Equal(http.StatusServiceUnavailable))
+	g.Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	g.Expect(e.Wait()).NotTo(Succeed())
+}
+
+// TestCheckNamesEachFault runs check on files with faults.
+func TestCheckNamesEachFault(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(t)
+	file := filepath.Join(r.dir, "bad.yaml")
+	bad := "kinds:\n- {kind: gust, class: request, weight: 1, floor: 0.8, ceiling: 0.5, deadline: 1s}\n"
+	g.Expect(os.WriteFile(file, []byte(bad), 0o600)).To(Succeed())
+	out, err := r.operate("check", file)
+	var x *exec.ExitError
+	g.Expect(errors.As(err, &x)).To(BeTrue())
+	g.Expect(x.ExitCode()).To(Equal(2))
+	g.Expect(out).To(ContainSubstring("bad.yaml:2:64: $.kinds[0].ceiling: ceiling 0.5 is under floor 0.8"))
+}
