--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -20,7 +20,7 @@
 // A Problem is one fault in a document; lines and columns count from 1, 0 is unknown.
 type Problem struct {
 	// File is where the problem is, empty where the reader knows.
-	File string
+	File    string
 	Line    int
 	Column  int
 	Message string
