Check planned stops by what was cut, not by how fast the machine was

Cause: the check asked for an answer to every request, which depends on the deadline and so on the load of the machine; the promise is that nothing is cut. As strict on the promise: a refused request must not have run by the target's own record, which was not checked before.

--- a/internal/local/drain_test.go
+++ b/internal/local/drain_test.go
@@ -11,7 +11,8 @@
 )
 
 // TestPlannedStopsCutNothingOff drains an agent and then an entry under load:
-// each request that was sent is answered.
+// each request that was sent is answered, or refused and by the target's
+// record not run. How many are refused depends on the machine's load.
 func TestPlannedStopsCutNothingOff(t *testing.T) {
 	g := NewWithT(t)
 	c := start(t)
@@ -38,5 +39,6 @@
 	o := x.Callers.Of(kindGust)
 	g.Expect(o.Offered).To(BeNumerically(">", 100))
 	g.Expect(o.Broken + o.Unknown + o.Wrong).To(BeZero())
-	g.Expect(o.Answered).To(Equal(o.Offered))
+	g.Expect(o.Answered + o.NotRun).To(Equal(o.Offered))
+	g.Expect(x.Callers.Lies(c.Requests.Runs)).To(BeEmpty())
 }
