--- a/cmd/sesamestream/processes.go
+++ b/cmd/sesamestream/processes.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -53,5 +54,6 @@
 	signal.Notify(again, syscall.SIGHUP)
 	p.Again = again
 	p.Log = newLogger(p.Settings.Log)
+	debug.SetMemoryLimit(int64(p.Settings.MemoryLimit))
 	return p.Run(ctx)
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -18,6 +18,8 @@
 	maxLease     = time.Hour
 	maxRide      = 48 * time.Hour
 	maxBodyBound = 1 << 30
+	// minMemory is in bytes.
+	minMemory = 32 << 20
 )
 
 // Faults returns every rule that s breaks.
@@ -37,6 +39,7 @@
 	for _, a := range s.Seeds {
 		c.that(a.IsValid() && a.Port() != 0, "$.seeds", "holds an impossible address")
 	}
+	c.that(s.MemoryLimit >= minMemory, "$.memoryLimit", "must be at least 32 MiB, in bytes")
 	c.that(log.ParseLevel(s.Log) != log.Level(0) && log.ParseLevel(s.Log) <= log.PanicLevel, "$.log", "must be trace, debug, info, warn or error")
 	return c.faults
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,8 @@
 	Tasks Tasks `yaml:"tasks"`
 	// Log is the lowest level that is written.
 	Log string `yaml:"log"`
+	// MemoryLimit is the heap size at which the process collects garbage harder.
+	MemoryLimit fleet.Bytes `yaml:"memoryLimit"`
 }
 
 // An Endpoint is an address to listen at.
@@ -113,6 +115,7 @@
 	defaultRideThrough   = 2 * time.Hour
 	defaultShards        = 16
 	defaultLog           = "info"
+	defaultMemoryLimit   = 200 << 20
 )
 
 // Default returns settings with every default in place.
@@ -127,6 +130,8 @@
 		Store: Store{Writes: defaultWrites, Reads: defaultReads, Timeout: defaultStoreTimeout},
 		Tasks: Tasks{Lease: defaultLease, RideThrough: defaultRideThrough, Shards: defaultShards},
 		Log:   defaultLog,
+
+		MemoryLimit: defaultMemoryLimit,
 	}
 }
 
