--- a/cmd/sesamestream/processes.go
+++ b/cmd/sesamestream/processes.go
@@ -21,9 +21,10 @@
 
 func entryCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "entry",
-		Usage: "serve callers behind the platform's balancer",
-		Flags: []cli.Flag{settingsFlag()},
+		Name:        "entry",
+		Usage:       "serve callers behind the platform's balancer",
+		Description: settings.Help(),
+		Flags:       []cli.Flag{settingsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return runProcess(ctx, c.String("settings"), fleet.RoleEntry)
 		},
@@ -32,9 +33,10 @@
 
 func agentCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "agent",
-		Usage: "admit work on one target host",
-		Flags: []cli.Flag{settingsFlag()},
+		Name:        "agent",
+		Usage:       "admit work on one target host",
+		Description: settings.Help(),
+		Flags:       []cli.Flag{settingsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return runProcess(ctx, c.String("settings"), fleet.RoleAgent)
 		},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 
@@ -45,3 +46,25 @@
 		})
 	}
 }
+
+// names returns the YAML names of the fields of a type, with dots.
+func names(prefix string, t reflect.Type) []string {
+	var out []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		n := prefix + f.Tag.Get("yaml")
+		if f.Type.Kind() == reflect.Struct {
+			out = append(out, names(n+".", f.Type)...)
+			continue
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+func TestHelpNamesEverySetting(t *testing.T) {
+	g := NewWithT(t)
+	for _, n := range names("", reflect.TypeFor[settings.Settings]()) {
+		g.Expect(settings.Help()).To(ContainSubstring("  " + n + " "))
+	}
+}
