--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"net/netip"
 	"reflect"
 	"strings"
 	"testing"
@@ -53,7 +54,7 @@
 	for i := range t.NumField() {
 		f := t.Field(i)
 		n := prefix + f.Tag.Get("yaml")
-		if f.Type.Kind() == reflect.Struct {
+		if f.Type.Kind() == reflect.Struct && f.Type != reflect.TypeFor[netip.AddrPort]() {
 			out = append(out, names(n+".", f.Type)...)
 			continue
 		}
