Count how kinds are served and report their burn rates

Operators had no view of how fast each kind spends its error budget. Each process now counts outcomes in buckets, and report burn collects them by a peer call without the store. Not measured yet; tests follow.

--- /dev/null
+++ b/cmd/sesamestream/report.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/sesamestream/sesamestream/internal/burn/page"
+	"github.com/sesamestream/sesamestream/internal/burn/words"
+	"github.com/sesamestream/sesamestream/internal/operator"
+	"github.com/sesamestream/sesamestream/pkg/burn"
+)
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "report",
+		Usage: "report on how the fleet serves",
+		Commands: []*cli.Command{{
+			Name:  "burn",
+			Usage: "show how fast each kind of request spends its error budget",
+			Flags: append(clientFlags(), jsonFlag(),
+				&cli.StringFlag{Name: "html", Usage: "write a page with plots to `FILE`"},
+				&cli.StringSliceFlag{Name: "window", Usage: "an alert as `NAME=RATE/LONG/SHORT`, such as page=14.4/1h/5m; may be repeated (default: page=14.4/1h/5m, ticket=6/6h/30m)"},
+				&cli.DurationFlag{Name: "span", Usage: "how far the plots go back (default: the long window of the first alert)"},
+			),
+			Action: reportBurn,
+		}},
+	}
+}
+
+func reportBurn(ctx context.Context, c *cli.Command) error {
+	k, err := client(c)
+	if err != nil {
+		return err
+	}
+	q := url.Values{operator.ParameterAlert: c.StringSlice("window")}
+	if c.IsSet("span") {
+		q.Set(operator.ParameterSpan, c.Duration("span").String())
+	}
+	var r burn.Report
+	if err := k.Call(ctx, http.MethodGet, operator.PathBurn+"?"+q.Encode(), nil, &r); err != nil {
+		return err
+	}
+	if f := c.String("html"); f != "" {
+		if err := writePage(f, r); err != nil {
+			return err
+		}
+	}
+	if c.Bool("json") {
+		return printJSON(c, r)
+	}
+	return printBurn(c.Root().Writer, r)
+}
+
+// writePage replaces the file by the whole page or leaves it as it was.
+func writePage(name string, r burn.Report) error {
+	f, err := os.CreateTemp(filepath.Dir(name), ".burn-*")
+	if err != nil {
+		return errors.Wrap(err, "report: page")
+	}
+	defer func() { _ = os.Remove(f.Name()) }()
+	if err := page.Write(f, r); err != nil {
+		_ = f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return errors.Wrap(err, "report: page")
+	}
+	return errors.Wrap(os.Rename(f.Name(), name), "report: page")
+}
+
+// printBurn writes the report as text.
+func printBurn(out io.Writer, r burn.Report) error {
+	p := func(format string, a ...any) { _, _ = fmt.Fprintf(out, format+"\n", a...) }
+	p("%s, table %d, %d processes asked, counting for up to %s", r.At.UTC().Format("2006-01-02 15:04:05 UTC"),
+		r.Revision, len(r.Processes), words.Duration(r.Age))
+	if r.Partial {
+		p("PARTIAL: %s; there may be more of everything", words.Silent(r))
+		for _, x := range r.Processes {
+			if x.Error != "" {
+				p("  no answer from %s (%s, %s): %s", x.ID, x.Role, x.DataCentre, x.Error)
+			}
+		}
+	}
+	for _, a := range r.Alerts {
+		p("%s", words.Alert(a))
+	}
+	p("")
+	if err := printCounts(out, r); err != nil {
+		return err
+	}
+	p("")
+	return printRates(out, r)
+}
+
+func printCounts(out io.Writer, r burn.Report) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "kind\tobjective\twindow\ttold\tanswered\tlate\trefused\tunknown\tp50\tp99\tunder floor\trefused there\tqueued late there")
+	for _, k := range r.Kinds {
+		for _, x := range k.Windows {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%d\t%d\t%d\n", k.Kind, words.Objective(k),
+				words.Coverage(x.Window, r.Age), x.Told(), x.Answered, x.Late, x.NotRun, x.Unknown,
+				words.Quantile(x.P50), words.Quantile(x.P99), x.FloorAsked, x.FloorRefused, x.FloorLate)
+		}
+	}
+	return w.Flush()
+}
+
+func printRates(out io.Writer, r burn.Report) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprint(w, "kind\tburn rate of")
+	for _, a := range r.Alerts {
+		_, _ = fmt.Fprintf(w, "\t%s\t%s\t%s", words.Duration(a.Long), words.Duration(a.Short), a.Name)
+	}
+	_, _ = fmt.Fprintln(w)
+	for _, k := range r.Kinds {
+		for _, s := range k.Signals {
+			_, _ = fmt.Fprintf(w, "%s\t%s", k.Kind, words.Signal(s.Signal))
+			for _, a := range s.Alerts {
+				_, _ = fmt.Fprintf(w, "\t%s\t%s\t%s", words.Burn(a.Long.Burn), words.Burn(a.Short.Burn), words.State(a.State))
+			}
+			_, _ = fmt.Fprintln(w)
+		}
+	}
+	return w.Flush()
+}
--- a/internal/base/base.go
+++ b/internal/base/base.go
@@ -22,6 +22,7 @@
 	"github.com/sesamestream/sesamestream/internal/peer"
 	"github.com/sesamestream/sesamestream/internal/store/door"
 	"github.com/sesamestream/sesamestream/internal/tables"
+	"github.com/sesamestream/sesamestream/pkg/burn"
 	"github.com/sesamestream/sesamestream/pkg/decide/member"
 	"github.com/sesamestream/sesamestream/pkg/decide/tablesync"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
@@ -66,6 +67,8 @@
 	Node *peer.Node
 	// Handlers answer peers.
 	Handlers peer.Handlers
+	// Burn counts how requests are served.
+	Burn burn.Recorder
 	// Tables reads and edits the table in the store.
 	Tables *tables.Tables
 
@@ -107,6 +110,7 @@
 	b.Operator.HandleJobs(b)
 	b.Operator.HandleWorkers(b)
 	b.Operator.HandleStatus(b)
+	b.prepareBurn()
 	peer.Handle(&b.Handlers, message.OperationStatus, func(context.Context, message.None) (message.Status, error) {
 		return b.Status(), nil
 	})
--- /dev/null
+++ b/internal/base/burn.go
@@ -0,0 +1,142 @@
+package base
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestream/sesamestream/internal/message"
+	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/pkg/burn"
+	"github.com/sesamestream/sesamestream/pkg/decide/admit"
+	"github.com/sesamestream/sesamestream/pkg/decide/member"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+// The bounds of the collection of a report.
+const (
+	// burnTimeout bounds the wait for all answers.
+	burnTimeout = 8 * time.Second
+	// burnCallTimeout bounds the wait for one process.
+	burnCallTimeout = 2 * time.Second
+	// burnCalls is how many processes are asked at once.
+	burnCalls = 64
+)
+
+// prepareBurn begins to count and answers those who ask for the counts.
+func (b *Base) prepareBurn() {
+	b.Burn.Since = time.Now()
+	b.Operator.HandleBurn(b)
+	peer.Handle(&b.Handlers, message.OperationBurn, func(_ context.Context, q burn.Query) (burn.Snapshot, error) {
+		if err := q.Check(); err != nil {
+			return burn.Snapshot{}, err
+		}
+		return b.Burn.Snapshot(time.Now(), q), nil
+	})
+}
+
+// Told counts what a caller was told, by the objective of the table in force.
+func (b *Base) Told(k fleet.Kind, o fleet.Outcome, latency time.Duration) {
+	b.Burn.Told(time.Now(), k, o, latency, b.row(k).Objective)
+}
+
+// Admitted counts how the agent here treated a request that met load l and
+// waited for queued.
+func (b *Base) Admitted(k fleet.Kind, l admit.Load, queued time.Duration, started bool) {
+	r := b.row(k)
+	a := burn.Admission{InFlight: l.InFlight, Floor: burn.LocalFloor(r, l.Limit), Queued: queued, Started: started}
+	b.Burn.Admitted(time.Now(), k, a, r.Objective)
+}
+
+func (b *Base) row(k fleet.Kind) table.Row {
+	t := b.InForce()
+	if t == nil {
+		return table.Row{}
+	}
+	r, _ := t.Row(k)
+	return r
+}
+
+// BurnReport asks all processes known here. Its error is burn.ErrInvalid.
+func (b *Base) BurnReport(ctx context.Context, alerts []burn.Alert, span time.Duration) (burn.Report, error) {
+	q, err := burn.NewQuery(alerts, span)
+	if err != nil {
+		return burn.Report{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
+	defer cancel()
+	c := collection{query: q, ask: b.askBurn}
+	c.run(ctx, b.gossip.Known())
+	r := burn.Assemble(time.Now(), alerts, q, b.InForce(), c.sum)
+	r.Processes = c.processes
+	r.Unseen = unseen(b.Remotes())
+	r.Partial = c.silent || r.Unseen > 0
+	return r, nil
+}
+
+func (b *Base) askBurn(ctx context.Context, m fleet.Member, q burn.Query) (burn.Snapshot, error) {
+	if m.ID == b.Self.ID {
+		return b.Burn.Snapshot(time.Now(), q), nil
+	}
+	return peer.Call[burn.Query, burn.Snapshot](ctx, b.Node, m.Address, message.OperationBurn, q)
+}
+
+// unseen counts the processes of other data centres whose addresses are not known here.
+func unseen(remotes []member.Remote) int {
+	n := 0
+	for _, r := range remotes {
+		n += max(0, int(r.Summary.Members)-len(r.Summary.Contacts))
+	}
+	return n
+}
+
+// A collection gathers the snapshots of processes.
+type collection struct {
+	query burn.Query
+	ask   func(context.Context, fleet.Member, burn.Query) (burn.Snapshot, error)
+
+	sum       burn.Snapshot
+	processes []burn.Process
+	// silent tells that some process did not answer, or not as asked.
+	silent bool
+}
+
+// run asks all members and sums up the answers that came before ctx ends.
+func (c *collection) run(ctx context.Context, all []fleet.Member) {
+	answers := make([]burn.Snapshot, len(all))
+	c.processes = make([]burn.Process, len(all))
+	var g errgroup.Group
+	g.SetLimit(burnCalls)
+	for i, m := range all {
+		g.Go(func() error {
+			answers[i], c.processes[i] = c.one(ctx, m)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	for i, p := range c.processes {
+		if p.Error != "" {
+			c.silent = true
+			continue
+		}
+		c.sum.Merge(answers[i])
+	}
+}
+
+func (c *collection) one(ctx context.Context, m fleet.Member) (burn.Snapshot, burn.Process) {
+	p := burn.Process{ID: m.ID, Role: m.Role, DataCentre: m.Place.DataCentre}
+	ctx, cancel := context.WithTimeout(ctx, burnCallTimeout)
+	defer cancel()
+	s, err := c.ask(ctx, m, c.query)
+	if err == nil {
+		err = s.Check(c.query)
+	}
+	if err != nil {
+		p.Error = err.Error()
+		return burn.Snapshot{}, p
+	}
+	p.Age = s.Age
+	return s, p
+}
--- /dev/null
+++ b/internal/burn/page/page.go
@@ -0,0 +1,76 @@
+// Package page writes the report on service-level burn as one HTML page that
+// needs nothing else: its plots are SVG, and it loads no script, font or image.
+package page
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/burn/words"
+	"github.com/sesamestream/sesamestream/pkg/burn"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+//go:embed page.html
+var source string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"burn":     words.Burn,
+	"duration": words.Duration,
+	"signal":   words.Signal,
+	"meaning":  words.Meaning,
+	"state":    words.State,
+	"share":    words.Share,
+	"quantile": words.Quantile,
+	"coverage": words.Coverage,
+	"alert":    words.Alert,
+	"silent":   words.Silent,
+	"signals":  burn.Signals,
+	"budget":   budget,
+	"time":     func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
+}).Parse(source))
+
+// budget returns the error budget of a target.
+func budget(target table.Share) table.Share {
+	b, _ := burn.Budget(target)
+	return table.Share(b)
+}
+
+// A view is what the page shows.
+type view struct {
+	burn.Report
+	Sections []section
+	Firing   []string
+}
+
+// A section is the part of one kind.
+type section struct {
+	burn.KindReport
+	Charts []chart
+	Firing string
+}
+
+// Write writes the page.
+func Write(w io.Writer, r burn.Report) error {
+	v := view{Report: r}
+	for _, k := range r.Kinds {
+		s := section{KindReport: k, Charts: charts(r, k)}
+		for _, g := range k.Signals {
+			name, firing := g.Firing()
+			if !firing {
+				continue
+			}
+			v.Firing = append(v.Firing, fmt.Sprintf("%s: %s (%s)", k.Kind, words.Signal(g.Signal), name))
+			if s.Firing == "" {
+				s.Firing = name
+			}
+		}
+		v.Sections = append(v.Sections, s)
+	}
+	return errors.Wrap(page.Execute(w, v), "page")
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -127,6 +127,7 @@
 
 // outcome counts what a caller is told.
 func (e *Entry) outcome(k fleet.Kind, o fleet.Outcome, latency time.Duration) {
+	e.Base.Told(k, o, latency)
 	name := "requests." + string(k) + "."
 	metrics.GetOrRegisterCounter(name+string(o), e.Base.Metrics).Inc(1)
 	if o == fleet.Answered {
--- /dev/null
+++ b/pkg/burn/counts.go
@@ -0,0 +1,112 @@
+package burn
+
+import (
+	"math"
+	"time"
+)
+
+// Counts are sums over some time.
+type Counts struct {
+	// Answered counts the requests that got their answer, by the callers' side.
+	Answered uint64 `cbor:"1,keyasint,omitempty" json:"answered"`
+	// Late counts the answered ones that took longer than the objective.
+	Late uint64 `cbor:"2,keyasint,omitempty" json:"late"`
+	// NotRun counts the requests whose callers were told that they were not run.
+	NotRun uint64 `cbor:"3,keyasint,omitempty" json:"notRun"`
+	// Unknown counts those whose callers were told that nobody knows.
+	Unknown uint64 `cbor:"4,keyasint,omitempty" json:"unknown"`
+	// FloorAsked counts the requests that reached an agent while its use of
+	// their kind was under the kind's floor.
+	FloorAsked uint64 `cbor:"5,keyasint,omitempty" json:"floorAsked"`
+	// FloorRefused counts those of FloorAsked that the agent refused.
+	FloorRefused uint64 `cbor:"6,keyasint,omitempty" json:"floorRefused"`
+	// FloorLate counts those of FloorAsked that started, but queued for longer
+	// than the objective.
+	FloorLate uint64 `cbor:"7,keyasint,omitempty" json:"floorLate"`
+	// Latency is the distribution of the latencies of Answered.
+	Latency Latency `cbor:"8,keyasint,omitempty" json:"-"`
+}
+
+// Told returns how many callers were told an outcome.
+func (c *Counts) Told() uint64 {
+	return c.Answered + c.NotRun + c.Unknown
+}
+
+// Add adds o to c.
+func (c *Counts) Add(o *Counts) {
+	c.Answered += o.Answered
+	c.Late += o.Late
+	c.NotRun += o.NotRun
+	c.Unknown += o.Unknown
+	c.FloorAsked += o.FloorAsked
+	c.FloorRefused += o.FloorRefused
+	c.FloorLate += o.FloorLate
+	c.Latency.add(o.Latency)
+}
+
+// The cells of a latency distribution: each ends at a fixed factor of the one
+// before, from a millisecond to about 65 seconds.
+const (
+	cells          = 96
+	cellsPerOctave = 6
+	firstCell      = time.Millisecond
+)
+
+// A Latency is a histogram of latencies: cell i counts those up to
+// firstCell * 2^(i/cellsPerOctave), the last one all that are longer.
+type Latency []uint64
+
+// cellOf returns the cell that counts d.
+func cellOf(d time.Duration) int {
+	if d <= firstCell {
+		return 0
+	}
+	i := int(math.Ceil(cellsPerOctave * math.Log2(float64(d)/float64(firstCell))))
+	return min(i, cells-1)
+}
+
+// cellEnd returns the longest latency that cell i counts.
+func cellEnd(i int) time.Duration {
+	return time.Duration(math.Round(float64(firstCell) * math.Exp2(float64(i)/cellsPerOctave)))
+}
+
+// record counts one latency.
+func (l *Latency) record(d time.Duration) {
+	i := cellOf(d)
+	l.grow(i + 1)
+	(*l)[i]++
+}
+
+func (l *Latency) add(o Latency) {
+	l.grow(len(o))
+	for i, n := range o {
+		(*l)[i] += n
+	}
+}
+
+func (l *Latency) grow(n int) {
+	if n > len(*l) {
+		*l = append(*l, make(Latency, n-len(*l))...)
+	}
+}
+
+// Quantile returns the latency that the share q of the answers did not exceed,
+// rounded up to the end of its cell (at most 13% more), and false where there
+// was no answer.
+func (l Latency) Quantile(q float64) (time.Duration, bool) {
+	total := uint64(0)
+	for _, n := range l {
+		total += n
+	}
+	if total == 0 {
+		return 0, false
+	}
+	rank := max(1, uint64(math.Ceil(q*float64(total))))
+	seen := uint64(0)
+	for i, n := range l {
+		if seen += n; seen >= rank {
+			return cellEnd(i), true
+		}
+	}
+	return cellEnd(len(l) - 1), true
+}
