--- a/pkg/burn/rate.go
+++ b/pkg/burn/rate.go
@@ -71,11 +71,12 @@
 
 // LocalFloor returns how many requests of the row's kind an agent owes to have
 // running, where limit of them may run at most: the part of limit that the
-// floor is of the ceiling, rounded down. It never counts the larger share that
-// the kind has on hosts which make up for those without its targets.
+// floor is of the ceiling, rounded down, and at least one where there is a
+// floor. It leaves out the larger share that the kind has on hosts which make
+// up for those without its targets.
 func LocalFloor(r table.Row, limit int) int {
-	if r.Ceiling <= 0 || limit <= 0 {
+	if r.Floor <= 0 || r.Ceiling <= 0 || limit <= 0 {
 		return 0
 	}
-	return int(float64(limit) * min(1, float64(r.Floor/r.Ceiling)))
+	return max(1, int(float64(limit)*min(1, float64(r.Floor/r.Ceiling))))
 }
