Leave the running bucket out of the plots; name kinds at the top

A first page from a live run ended each plot with a bar of a third of the traffic, because the running bucket was drawn as a whole step.

--- a/cmd/sesamestream/report.go
+++ b/cmd/sesamestream/report.go
@@ -19,6 +19,9 @@
 	"github.com/sesamestream/sesamestream/pkg/burn"
 )
 
+// pageMode lets all read the page.
+const pageMode = 0o644
+
 func reportCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "report",
@@ -67,12 +70,15 @@
 		return errors.Wrap(err, "report: page")
 	}
 	defer func() { _ = os.Remove(f.Name()) }()
-	if err := page.Write(f, r); err != nil {
-		_ = f.Close()
-		return err
+	err = page.Write(f, r)
+	if err == nil {
+		err = errors.Wrap(f.Chmod(pageMode), "report: page")
 	}
-	if err := f.Close(); err != nil {
-		return errors.Wrap(err, "report: page")
+	if x := f.Close(); err == nil {
+		err = errors.Wrap(x, "report: page")
+	}
+	if err != nil {
+		return err
 	}
 	return errors.Wrap(os.Rename(f.Name(), name), "report: page")
 }
@@ -105,7 +111,7 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "kind\tobjective\twindow\ttold\tanswered\tlate\trefused\tunknown\tp50\tp99\tunder floor\trefused there\tqueued late there")
 	for _, k := range r.Kinds {
-		for _, x := range k.Windows {
+		for _, x := range words.Distinct(k.Windows, r.Age) {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%d\t%d\t%d\n", k.Kind, words.Objective(k),
 				words.Coverage(x.Window, r.Age), x.Told(), x.Answered, x.Late, x.NotRun, x.Unknown,
 				words.Quantile(x.P50), words.Quantile(x.P99), x.FloorAsked, x.FloorRefused, x.FloorLate)
--- a/internal/burn/page/charts.go
+++ b/internal/burn/page/charts.go
@@ -138,7 +138,7 @@
 		most = max(most, d.perSecond(p.FloorAsked))
 	}
 	labels := nice(most)
-	f := newFrame("Requests under the floor", "that reached an agent using less than the kind's floor, a second",
+	f := newFrame("Requests under the floor", "a second, at agents using less than the floor",
 		d.times, linear(labels[len(labels)-1]), labels, number)
 	f.bars([]part{
 		{"good", "started", collect(d, func(p burn.SeriesPoint) float64 { return d.perSecond(p.FloorAsked - p.FloorRefused - p.FloorLate) })},
--- a/internal/burn/page/page.go
+++ b/internal/burn/page/page.go
@@ -29,9 +29,12 @@
 	"quantile": words.Quantile,
 	"coverage": words.Coverage,
 	"alert":    words.Alert,
+	"distinct": words.Distinct,
 	"silent":   words.Silent,
 	"signals":  burn.Signals,
 	"budget":   budget,
+	"fires":    fires,
+	"first":    func(s burn.SignalReport) burn.AlertReport { return s.Alerts[0] },
 	"time":     func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
 }).Parse(source))
 
@@ -41,6 +44,12 @@
 	return table.Share(b)
 }
 
+// fires returns the name of the first alert of the signal that fires, empty for none.
+func fires(s burn.SignalReport) string {
+	name, _ := s.Firing()
+	return name
+}
+
 // A view is what the page shows.
 type view struct {
 	burn.Report
--- a/internal/burn/words/words.go
+++ b/internal/burn/words/words.go
@@ -84,6 +84,17 @@
 	return fmt.Sprintf("%s (has %s)", Duration(w), Duration(age.Round(time.Second)))
 }
 
+// Distinct returns the windows that hold different counts: where all processes
+// are younger than several windows, only the shortest of these.
+func Distinct(w []burn.WindowReport, age time.Duration) []burn.WindowReport {
+	for i := range w {
+		if w[i].Window >= age {
+			return w[:i+1]
+		}
+	}
+	return w
+}
+
 var signals = map[burn.Signal][2]string{
 	burn.LatencySignal:       {"late answers", "answered later than the objective, of all answers"},
 	burn.RefusalsSignal:      {"all refusals", "callers told “not run”, of all callers told an outcome"},
--- a/pkg/burn/assemble.go
+++ b/pkg/burn/assemble.go
@@ -131,7 +131,8 @@
 }
 
 func (a assembly) point(index int, step, sum *Counts) SeriesPoint {
-	p := SeriesPoint{At: a.now.Add(-time.Duration(index) * a.query.Step), Counts: *step}
+	newest := time.Unix(0, numberOf(a.now)*int64(Width)).UTC()
+	p := SeriesPoint{At: newest.Add(-time.Duration(index) * a.query.Step), Counts: *step}
 	p.P50, p.P99 = quantiles(step)
 	for _, s := range Signals() {
 		p.Burns = append(p.Burns, SignalBurn{Signal: s, Burn: a.burn(s, sum)})
--- /dev/null
+++ b/pkg/burn/burn_test.go
@@ -0,0 +1,251 @@
+package burn
+
+import (
+	"flag"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/sesamestream/sesamestream/internal/codec"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+func init() { _ = flag.Set("rapid.seed", "7") }
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 6, time.UTC)
+
+// An occurrence is one thing that a process counts.
+type occurrence struct {
+	age       time.Duration
+	kind      fleet.Kind
+	outcome   fleet.Outcome
+	latency   time.Duration
+	admission *Admission
+}
+
+const objective = 300 * time.Millisecond
+
+func drawOccurrence(t *rapid.T) occurrence {
+	o := occurrence{
+		age:     time.Duration(rapid.Int64Range(0, int64(Longest+10*time.Minute)).Draw(t, "age")),
+		kind:    rapid.SampledFrom([]fleet.Kind{"gust", "alert", "session"}).Draw(t, "kind"),
+		outcome: rapid.SampledFrom([]fleet.Outcome{fleet.Answered, fleet.Answered, fleet.NotRun, fleet.Unknown}).Draw(t, "outcome"),
+		latency: time.Duration(rapid.Int64Range(0, int64(2*objective)).Draw(t, "latency")),
+	}
+	if rapid.Bool().Draw(t, "atAgent") {
+		o.admission = &Admission{
+			InFlight: rapid.IntRange(0, 3).Draw(t, "inFlight"), Floor: rapid.IntRange(0, 3).Draw(t, "floor"),
+			Queued: o.latency, Started: rapid.Bool().Draw(t, "started"),
+		}
+	}
+	return o
+}
+
+func (o occurrence) record(r *Recorder) {
+	at := now.Add(-o.age)
+	if o.admission != nil {
+		r.Admitted(at, o.kind, *o.admission, objective)
+		return
+	}
+	r.Told(at, o.kind, o.outcome, o.latency, objective)
+}
+
+// add is the meaning of counting, without buckets.
+func (o occurrence) add(c *Counts) {
+	switch a := o.admission; {
+	case a != nil && a.InFlight >= a.Floor:
+	case a != nil && !a.Started:
+		c.Add(&Counts{FloorAsked: 1, FloorRefused: 1})
+	case a != nil && a.Queued > objective:
+		c.Add(&Counts{FloorAsked: 1, FloorLate: 1})
+	case a != nil:
+		c.Add(&Counts{FloorAsked: 1})
+	case o.outcome == fleet.NotRun:
+		c.Add(&Counts{NotRun: 1})
+	case o.outcome == fleet.Unknown:
+		c.Add(&Counts{Unknown: 1})
+	case o.latency > objective:
+		c.Add(&Counts{Answered: 1, Late: 1})
+	default:
+		c.Add(&Counts{Answered: 1})
+	}
+}
+
+func query(g Gomega) Query {
+	q, err := NewQuery(Defaults(), time.Hour)
+	g.Expect(err).NotTo(HaveOccurred())
+	return q
+}
+
+// TestRecorders checks that several recorders tell what one would, in whatever
+// order they are merged and encoded, and that a window holds all that happened
+// in it but for the oldest bucket, and nothing else.
+func TestRecorders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		q := query(g)
+		one := Recorder{Since: now}
+		parts := make([]Recorder, 3)
+		all := rapid.SliceOfN(rapid.Custom(drawOccurrence), 0, 60).Draw(t, "all")
+		// A process counts in the order of its clock.
+		slices.SortStableFunc(all, func(a, b occurrence) int { return int(b.age - a.age) })
+		for _, o := range all {
+			o.record(&one)
+			o.record(&parts[rapid.IntRange(0, len(parts)-1).Draw(t, "process")])
+		}
+		whole := one.Snapshot(now, q)
+		g.Expect(whole.Check(q)).To(Succeed())
+
+		var merged Snapshot
+		for _, i := range rapid.Permutation([]int{0, 1, 2}).Draw(t, "order") {
+			parts[i].Since = now
+			b, err := codec.Encode(parts[i].Snapshot(now, q))
+			g.Expect(err).NotTo(HaveOccurred())
+			s, err := codec.Decode[Snapshot](b)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(s.Check(q)).To(Succeed())
+			merged.Merge(s)
+		}
+		g.Expect(merged).To(Equal(whole))
+
+		for _, k := range whole.Kinds {
+			for i, w := range q.Windows {
+				var least, most Counts
+				for _, o := range all {
+					if o.kind == k.Kind && o.age <= w-Width {
+						o.add(&least)
+					}
+					if o.kind == k.Kind && o.age <= w {
+						o.add(&most)
+					}
+				}
+				within(g, least, k.Windows[i], most)
+			}
+		}
+	})
+}
+
+func within(g Gomega, least, c, most Counts) {
+	for _, f := range []func(Counts) uint64{
+		func(c Counts) uint64 { return c.Answered }, func(c Counts) uint64 { return c.Late },
+		func(c Counts) uint64 { return c.NotRun }, func(c Counts) uint64 { return c.Unknown },
+		func(c Counts) uint64 { return c.FloorAsked }, func(c Counts) uint64 { return c.FloorRefused },
+		func(c Counts) uint64 { return c.FloorLate },
+	} {
+		g.Expect(f(c)).To(And(BeNumerically(">=", f(least)), BeNumerically("<=", f(most))))
+	}
+}
+
+// TestRate checks the formula, that more misses never burn slower, and that
+// nothing counted is no rate.
+func TestRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		target := table.Share(rapid.Float64Range(0.01, 1).Draw(t, "target"))
+		total := rapid.Uint64Range(1, 1e9).Draw(t, "total")
+		bad := rapid.Uint64Range(0, total-1).Draw(t, "bad")
+		b, ok := Budget(target)
+		g.Expect(ok).To(BeTrue())
+		r, _ := Rate(bad, total, b)
+		worse, _ := Rate(bad+1, total, b)
+		strict, _ := Budget(min(1, target+0.001))
+		stricter, _ := Rate(bad, total, strict)
+		g.Expect(r * b * float64(total)).To(BeNumerically("~", float64(bad), 1e-6*float64(bad+1)))
+		g.Expect(worse).To(BeNumerically(">", r))
+		g.Expect(stricter).To(BeNumerically(">=", r))
+		g.Expect(math.IsInf(worse, 0)).To(BeFalse())
+		_, ok = Rate(0, 0, b)
+		g.Expect(ok).To(BeFalse())
+	})
+}
+
+// TestQuantile checks that a quantile is not below the true one and at most a cell above.
+func TestQuantile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		ds := rapid.SliceOfN(rapid.Int64Range(int64(time.Millisecond), int64(50*time.Second)), 1, 50).Draw(t, "latencies")
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		var l Latency
+		for _, d := range ds {
+			l.record(time.Duration(d))
+		}
+		slices.Sort(ds)
+		exact := float64(ds[max(1, int(math.Ceil(share*float64(len(ds)))))-1])
+		d, ok := l.Quantile(share)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(float64(d)).To(And(BeNumerically(">=", exact-1), BeNumerically("<=", exact*math.Exp2(1.0/cellsPerOctave)+1)))
+	})
+}
+
+// TestAlerts checks when an alert fires, and that an empty window is no data.
+func TestAlerts(t *testing.T) {
+	rows := &table.Table{Rows: []table.Row{
+		{Kind: "gust", Class: table.ClassRequest, Target: 0.99, Objective: objective},
+		{Kind: "loose", Class: table.ClassRequest},
+	}}
+	for _, c := range []struct {
+		name        string
+		kind        fleet.Kind
+		old, recent int
+		want        State
+	}{
+		{"nothing", "gust", 0, 0, StateNoData},
+		{"only long ago", "gust", 10, 0, StateNoData},
+		{"both windows", "gust", 10, 10, StateFiring},
+		{"no target", "loose", 10, 10, StateNoObjective},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var r Recorder
+			for range c.old {
+				r.Told(now.Add(-40*time.Minute), c.kind, fleet.NotRun, 0, objective)
+			}
+			for range c.recent {
+				r.Told(now.Add(-time.Minute), c.kind, fleet.NotRun, 0, objective)
+			}
+			q := query(g)
+			p := Assemble(now, Defaults(), q, rows, r.Snapshot(now, q))
+			i := slices.IndexFunc(p.Kinds, func(k KindReport) bool { return k.Kind == c.kind })
+			a := p.Kinds[i].Signals[1].Alerts[0]
+			g.Expect(a.State).To(Equal(c.want))
+			g.Expect(a.Short.Burn == nil).To(Equal(c.recent == 0 || c.kind == "loose"))
+			g.Expect(p.Kinds).To(HaveLen(2))
+		})
+	}
+}
+
+// TestBounds checks that what is not an answer to the query is refused.
+func TestBounds(t *testing.T) {
+	g := NewWithT(t)
+	q := query(g)
+	ok := func() Snapshot {
+		return Snapshot{Kinds: []KindCounts{{Kind: "gust", Windows: make([]Counts, len(q.Windows)), Points: []Point{{Index: 1}}}}}
+	}
+	s := ok()
+	g.Expect(s.Check(q)).To(Succeed())
+	for name, spoil := range map[string]func(*Snapshot){
+		"cells":     func(s *Snapshot) { s.Kinds[0].Windows[0].Latency = make(Latency, cells+1) },
+		"windows":   func(s *Snapshot) { s.Kinds[0].Windows = nil },
+		"index":     func(s *Snapshot) { s.Kinds[0].Points[0].Index = q.Points },
+		"negative":  func(s *Snapshot) { s.Kinds[0].Points[0].Index = -1 },
+		"repeated":  func(s *Snapshot) { s.Kinds = append(s.Kinds, s.Kinds[0]) },
+		"parts":     func(s *Snapshot) { s.Kinds[0].Points[0].Counts.Late = 1 },
+		"all kinds": func(s *Snapshot) { s.Kinds = make([]KindCounts, maxKinds+1) },
+	} {
+		s := ok()
+		spoil(&s)
+		g.Expect(s.Check(q)).To(MatchError(ErrMalformed), name)
+	}
+	for _, a := range []string{"", "page", "page=14.4/1h", "=1/1h/5m", "p=0/1h/5m", "p=NaN/1h/5m", "p=1/5m/1h", "p=1/7h/5m", "p=1/1h/1s"} {
+		_, err := ParseAlert(a)
+		g.Expect(err).To(MatchError(ErrInvalid), a)
+	}
+	for _, a := range Defaults() {
+		g.Expect(ParseAlert(a.String())).To(Equal(a))
+	}
+}
--- a/pkg/burn/query.go
+++ b/pkg/burn/query.go
@@ -13,7 +13,7 @@
 // A Query asks a recorder for sums over windows and for a series.
 type Query struct {
 	Windows []time.Duration `cbor:"1,keyasint" json:"windows"`
-	// Step is the time from one point of the series to the next.
+	// Step is the time from one point of the series to the next, a multiple of Width.
 	Step time.Duration `cbor:"2,keyasint" json:"step"`
 	// Points is how many steps back from now the series goes.
 	Points int `cbor:"3,keyasint" json:"points"`
@@ -58,7 +58,7 @@
 	if len(q.Windows) > maxWindows || q.Points < 0 || q.Points > maxPoints {
 		return errors.Wrap(ErrInvalid, "too many windows or points")
 	}
-	if q.Step < Width || q.Step > Longest {
+	if q.Step < Width || q.Step > Longest || q.Step%Width != 0 {
 		return errors.Wrap(ErrInvalid, "step out of bounds")
 	}
 	for _, w := range q.Windows {
--- a/pkg/burn/snapshot.go
+++ b/pkg/burn/snapshot.go
@@ -12,7 +12,8 @@
 
 // A Point is the counts of one step of a series.
 type Point struct {
-	// Index is how many whole steps the point lies back from now.
+	// Index is how many whole steps the point lies back from the running bucket,
+	// which is in no point: it would look like a fall in traffic.
 	Index  int    `cbor:"1,keyasint"`
 	Counts Counts `cbor:"2,keyasint"`
 }
@@ -86,7 +87,8 @@
 			windows[i].Add(&b.counts)
 		}
 	}
-	if i := int(age / q.Step); i < len(points) {
+	whole := numberOf(now) - 1 - b.number
+	if i := int(whole / int64(q.Step/Width)); whole >= 0 && i < len(points) {
 		if points[i] == nil {
 			points[i] = &Counts{}
 		}
