--- /dev/null
+++ b/internal/base/burn_test.go
@@ -0,0 +1,80 @@
+package base
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/pkg/burn"
+	"github.com/sesamestream/sesamestream/pkg/decide/member"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// TestCollection checks that a report waits no longer than its bound for
+// processes that do not answer, names them, and sums up the others.
+func TestCollection(t *testing.T) {
+	q, err := burn.NewQuery(burn.Defaults(), time.Hour)
+	answer := func(_ context.Context, _ fleet.Member, q burn.Query) (burn.Snapshot, error) {
+		r := burn.Recorder{Since: time.Now()}
+		r.Told(time.Now(), "gust", fleet.Answered, time.Millisecond, time.Second)
+		return r.Snapshot(time.Now(), q), nil
+	}
+	silent := func(ctx context.Context, _ fleet.Member, _ burn.Query) (burn.Snapshot, error) {
+		<-ctx.Done()
+		return burn.Snapshot{}, errors.WithStack(ctx.Err())
+	}
+	other := func(ctx context.Context, m fleet.Member, q burn.Query) (burn.Snapshot, error) {
+		q.Windows = q.Windows[1:]
+		return answer(ctx, m, q)
+	}
+	for _, c := range []struct {
+		name    string
+		bad     func(context.Context, fleet.Member, burn.Query) (burn.Snapshot, error)
+		partial bool
+	}{
+		{"all answer", answer, false},
+		{"some silent", silent, true},
+		{"some answer something else", other, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				g.Expect(err).NotTo(HaveOccurred())
+				ctx, cancel := context.WithTimeout(t.Context(), burnTimeout)
+				defer cancel()
+				var all []fleet.Member
+				for i := range 3 * burnCalls {
+					all = append(all, fleet.Member{Life: fleet.Life{ID: fleet.ID(fmt.Sprint("process-", i))}})
+				}
+				bad := all[7].ID
+				x := collection{query: q, ask: func(ctx context.Context, m fleet.Member, q burn.Query) (burn.Snapshot, error) {
+					if m.ID == bad {
+						return c.bad(ctx, m, q)
+					}
+					return answer(ctx, m, q)
+				}}
+				began := time.Now()
+				x.run(ctx, all)
+				g.Expect(time.Since(began)).To(BeNumerically("<=", burnCallTimeout))
+				g.Expect(x.silent).To(Equal(c.partial))
+				want := len(all)
+				if c.partial {
+					want--
+				}
+				g.Expect(x.sum.Kinds[0].Windows[0].Answered).To(BeEquivalentTo(want))
+				for i, p := range x.processes {
+					g.Expect(p.ID).To(Equal(all[i].ID))
+					g.Expect(p.Error != "").To(Equal(c.partial && p.ID == bad), string(p.ID))
+				}
+			})
+		})
+	}
+	g := NewWithT(t)
+	remote := member.Summary{Members: 20, Contacts: make([]member.Contact, 15)}
+	g.Expect(unseen([]member.Remote{{Summary: remote}, {}})).To(Equal(5))
+}
