--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -28,7 +28,7 @@
 	deadline := time.Now().Add(q.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	arrived, load := time.Now(), a.gate.LoadOf(q.Kind)
+	load, arrived := a.gate.LoadOf(q.Kind), time.Now()
 	p, v := a.gate.Enter(ctx, q.Kind, deadline)
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		a.Base.Admitted(q.Kind, load, time.Since(arrived), p != nil)
--- /dev/null
+++ b/pkg/burn/bench_test.go
@@ -0,0 +1,48 @@
+package burn
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/codec"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// BenchmarkTold measures one count, alone and by many goroutines of one kind.
+func BenchmarkTold(b *testing.B) {
+	var r Recorder
+	b.ReportAllocs()
+	b.RunParallel(func(p *testing.PB) {
+		for p.Next() {
+			r.Told(now, "gust", fleet.Answered, 20*time.Millisecond, objective)
+		}
+	})
+}
+
+// BenchmarkSnapshot measures the answer of a process that has counted ten
+// kinds in every bucket, and its size.
+func BenchmarkSnapshot(b *testing.B) {
+	var r Recorder
+	for i := range buckets {
+		for k := range 10 {
+			for j := range 8 {
+				at := now.Add(-time.Duration(buckets-1-i) * Width)
+				r.Told(at, fleet.Kind(rune('a'+k)), fleet.Answered, time.Millisecond<<j, objective)
+			}
+		}
+	}
+	q, err := NewQuery(Defaults(), time.Hour)
+	if err != nil {
+		b.Fatal(err)
+	}
+	size := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		c, err := codec.Encode(r.Snapshot(now, q))
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(c)
+	}
+	b.ReportMetric(float64(size), "bytes/answer")
+}
