Check which requests count as under the floor

Seen to fail on a scratch copy with the guard broken: only the use on arrival, requests that were taken back, uses that never end, the limit taken for the floor.

--- a/internal/base/burn_test.go
+++ b/internal/base/burn_test.go
@@ -11,8 +11,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamestream/sesamestream/pkg/burn"
+	"github.com/sesamestream/sesamestream/pkg/decide/admit"
 	"github.com/sesamestream/sesamestream/pkg/decide/member"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
 )
 
 // TestCollection checks that a report waits no longer than its bound for
@@ -78,3 +80,46 @@
 	remote := member.Summary{Members: 20, Contacts: make([]member.Contact, 15)}
 	g.Expect(unseen([]member.Remote{{Summary: remote}, {}})).To(Equal(5))
 }
+
+// TestArrival checks which requests count as under the floor of their kind.
+func TestArrival(t *testing.T) {
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	load := func(fleet.Kind) admit.Load { return admit.Load{Limit: 8} }
+	for _, c := range []struct {
+		name           string
+		ctx            context.Context
+		before, during int
+		start          bool
+		asked, refused uint64
+	}{
+		{"started", t.Context(), 1, 0, true, 1, 0},
+		{"refused", t.Context(), 1, 0, false, 1, 1},
+		{"the floor is in use", t.Context(), 2, 0, false, 0, 0},
+		{"the floor came into use", t.Context(), 1, 1, false, 0, 0},
+		{"taken back", cancelled, 0, 0, false, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := &Base{}
+			b.force.Store(&table.Table{Rows: []table.Row{{Kind: "gust", Floor: 0.2, Ceiling: 0.8}}})
+			for range c.before {
+				b.Burn.Begin("gust")
+			}
+			x := b.Arrived("gust")
+			for range c.during {
+				b.Burn.Begin("gust")
+			}
+			if c.start {
+				x.Started(load)()
+			} else {
+				x.Refused(c.ctx, load)
+			}
+			g.Expect(b.Burn.Running("gust")).To(Equal(c.before + c.during))
+			s := b.Burn.Snapshot(time.Now(), burn.Query{Windows: []time.Duration{time.Minute}, Step: burn.Width})
+			w := s.Kinds[0].Windows[0]
+			g.Expect(w.FloorAsked).To(Equal(c.asked))
+			g.Expect(w.FloorRefused).To(Equal(c.refused))
+		})
+	}
+}
