--- a/internal/burn/page/page.go
+++ b/internal/burn/page/page.go
@@ -57,6 +57,8 @@
 	Sections []section
 	// Firing has a line for each kind and alert.
 	Firing []string
+	// Empty tells that nothing was counted.
+	Empty bool
 }
 
 // A section is the part of one kind.
@@ -69,7 +71,7 @@
 
 // Write writes the page.
 func Write(w io.Writer, r burn.Report) error {
-	v := view{Report: r}
+	v := view{Report: r, Empty: true}
 	for _, k := range r.Kinds {
 		s := section{KindReport: k, Charts: charts(r, k)}
 		for _, a := range r.Alerts {
@@ -78,6 +80,9 @@
 				v.Firing = append(v.Firing, fmt.Sprintf("%s, %s: %s", k.Kind, a.Name, strings.Join(names, ", ")))
 			}
 		}
+		for _, w := range k.Windows {
+			v.Empty = v.Empty && w.Told() == 0 && w.FloorAsked == 0
+		}
 		v.Sections = append(v.Sections, s)
 	}
 	return errors.Wrap(page.Execute(w, v), "page")
--- a/internal/burn/page/page_test.go
+++ b/internal/burn/page/page_test.go
@@ -5,6 +5,7 @@
 	"encoding/xml"
 	"io"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -49,6 +50,12 @@
 	idle := out[strings.Index(out, `<section id="idle">`):strings.Index(out, "<h2>Processes</h2>")]
 	g.Expect(strings.Count(idle, ">no data</text>")).To(Equal(4))
 	g.Expect(idle).NotTo(Or(ContainSubstring("0.00"), ContainSubstring("quiet")))
+
+	p.Kinds = p.Kinds[slices.IndexFunc(p.Kinds, func(k burn.KindReport) bool { return k.Kind == "idle" }):]
+	b.Reset()
+	g.Expect(Write(&b, p)).To(Succeed())
+	g.Expect(b.String()).To(ContainSubstring("Nothing was counted"))
+	g.Expect(b.String()).NotTo(ContainSubstring("No alert fires"))
 	for _, svg := range regexp.MustCompile(`(?s)<svg.*?</svg>`).FindAllString(out, -1) {
 		d := xml.NewDecoder(strings.NewReader(svg))
 		for err = error(nil); err == nil; {
