Call a report partial while a data centre's summary has not come

A report six seconds after the start of a deployment of eight asked five processes and was not called partial. Whether a data centre known by contacts alone was the cause was not seen: a repeat asked one process after a second and all eight from two seconds on. Such a data centre now counts as unseen.

--- a/internal/base/burn.go
+++ b/internal/base/burn.go
@@ -113,10 +113,15 @@
 	return peer.Call[burn.Query, burn.Snapshot](ctx, b.Node, m.Address, message.OperationBurn, q)
 }
 
-// unseen counts the processes of other data centres whose addresses are not known here.
+// unseen returns how many processes of other data centres have no address that
+// is known here, at least one for each whose summary has not come yet.
 func unseen(remotes []member.Remote) int {
 	n := 0
 	for _, r := range remotes {
+		if r.Seen.IsZero() {
+			n++
+			continue
+		}
 		n += max(0, int(r.Summary.Members)-len(r.Summary.Contacts))
 	}
 	return n
--- a/internal/burn/words/words.go
+++ b/internal/burn/words/words.go
@@ -131,7 +131,7 @@
 	}
 	s := fmt.Sprintf("%d of %d processes did not answer", n, len(r.Processes))
 	if r.Unseen > 0 {
-		s += fmt.Sprintf(", and %d in other data centres are not known by address here", r.Unseen)
+		s += fmt.Sprintf(", and at least %d in other data centres are not known by address here", r.Unseen)
 	}
 	return s
 }
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -28,7 +28,7 @@
 	// Partial tells that some process did not answer or is not known where
 	// the report was made, so that there may be more of everything.
 	Partial bool `json:"partial"`
-	// Unseen counts the processes that are heard of, but not known by address.
+	// Unseen is how many processes at least are heard of, but not known by address.
 	Unseen int `json:"unseen"`
 	// Age is how long the process that counted longest has counted: a longer
 	// window holds no more than this.
