--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -30,10 +30,13 @@
 	deadline := time.Now().Add(q.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	x := a.Base.Arrived(q.Kind)
 	p, v := a.gate.Enter(ctx, q.Kind, deadline)
 	if p == nil {
+		x.Refused(ctx, a.gate.LoadOf)
 		return a.refuse(s, q.Kind, v.Reason.String(), v.RetryAfter)
 	}
+	defer x.Started(a.gate.LoadOf)()
 	t, err := a.targets.Take(time.Now(), q.Kind)
 	if err != nil {
 		p.Cancel()
--- /dev/null
+++ b/internal/base/burn_test.go
@@ -0,0 +1,125 @@
+package base
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/pkg/burn"
+	"github.com/sesamestream/sesamestream/pkg/decide/admit"
+	"github.com/sesamestream/sesamestream/pkg/decide/member"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+// TestCollection checks that a report waits no longer than its bound for
+// processes that do not answer, names them, and sums up the others.
+func TestCollection(t *testing.T) {
+	q, err := burn.NewQuery(burn.Defaults(), time.Hour)
+	answer := func(_ context.Context, _ fleet.Member, q burn.Query) (burn.Snapshot, error) {
+		r := burn.Recorder{Since: time.Now()}
+		r.Told(time.Now(), "gust", fleet.Answered, time.Millisecond, time.Second)
+		return r.Snapshot(time.Now(), q), nil
+	}
+	silent := func(ctx context.Context, _ fleet.Member, _ burn.Query) (burn.Snapshot, error) {
+		<-ctx.Done()
+		return burn.Snapshot{}, errors.WithStack(ctx.Err())
+	}
+	other := func(ctx context.Context, m fleet.Member, q burn.Query) (burn.Snapshot, error) {
+		q.Windows = q.Windows[1:]
+		return answer(ctx, m, q)
+	}
+	for _, c := range []struct {
+		name    string
+		bad     func(context.Context, fleet.Member, burn.Query) (burn.Snapshot, error)
+		partial bool
+	}{
+		{"all answer", answer, false},
+		{"some silent", silent, true},
+		{"some answer something else", other, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				g.Expect(err).NotTo(HaveOccurred())
+				ctx, cancel := context.WithTimeout(t.Context(), burnTimeout)
+				defer cancel()
+				var all []fleet.Member
+				for i := range 3 * burnCalls {
+					all = append(all, fleet.Member{Life: fleet.Life{ID: fleet.ID(fmt.Sprint("process-", i))}})
+				}
+				bad := all[7].ID
+				x := collection{query: q, ask: func(ctx context.Context, m fleet.Member, q burn.Query) (burn.Snapshot, error) {
+					if m.ID == bad {
+						return c.bad(ctx, m, q)
+					}
+					return answer(ctx, m, q)
+				}}
+				began := time.Now()
+				x.run(ctx, all)
+				g.Expect(time.Since(began)).To(BeNumerically("<=", burnCallTimeout))
+				g.Expect(x.silent).To(Equal(c.partial))
+				want := len(all)
+				if c.partial {
+					want--
+				}
+				g.Expect(x.sum.Kinds[0].Windows[0].Answered).To(BeEquivalentTo(want))
+				for i, p := range x.processes {
+					g.Expect(p.ID).To(Equal(all[i].ID))
+					g.Expect(p.Error != "").To(Equal(c.partial && p.ID == bad), string(p.ID))
+				}
+			})
+		})
+	}
+	g := NewWithT(t)
+	remote := member.Summary{Members: 20, Contacts: make([]member.Contact, 15)}
+	g.Expect(unseen([]member.Remote{{Summary: remote, Seen: time.Now()}, {Summary: remote}})).To(Equal(5 + 1))
+}
+
+// TestArrival checks which requests count as under the floor of their kind.
+func TestArrival(t *testing.T) {
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	load := func(fleet.Kind) admit.Load { return admit.Load{Limit: 8} }
+	for _, c := range []struct {
+		name           string
+		ctx            context.Context
+		before, during int
+		start          bool
+		asked, refused uint64
+	}{
+		{"started", t.Context(), 1, 0, true, 1, 0},
+		{"refused", t.Context(), 1, 0, false, 1, 1},
+		{"the floor is in use", t.Context(), 2, 0, false, 0, 0},
+		{"the floor came into use", t.Context(), 1, 1, false, 0, 0},
+		{"taken back", cancelled, 0, 0, false, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := &Base{}
+			b.force.Store(&table.Table{Rows: []table.Row{{Kind: "gust", Floor: 0.2, Ceiling: 0.8}}})
+			for range c.before {
+				b.Burn.Begin("gust")
+			}
+			x := b.Arrived("gust")
+			for range c.during {
+				b.Burn.Begin("gust")
+			}
+			if c.start {
+				x.Started(load)()
+			} else {
+				x.Refused(c.ctx, load)
+			}
+			g.Expect(b.Burn.Running("gust")).To(Equal(c.before + c.during))
+			s := b.Burn.Snapshot(time.Now(), burn.Query{Windows: []time.Duration{time.Minute}, Step: burn.Width})
+			w := s.Kinds[0].Windows[0]
+			g.Expect(w.FloorAsked).To(Equal(c.asked))
+			g.Expect(w.FloorRefused).To(Equal(c.refused))
+		})
+	}
+}
