Keep unread and unfinished exchanges from stopping a connection

Causes, each with a test that failed first: - Unread answers used up the connection's receive window (768 KiB at first, 512 KiB for one stream): with 100 unread answers a call beside them got no answer in 5 s. Windows are now 64 KiB a stream with room for all streams of the connection. - A handler that left its request unread, and a call that left the end of its answer unread, kept their streams open for as long as the connection lived: call 4097 got no stream. Both now give up what they do not read.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -129,6 +129,7 @@
 		return
 	}
 	_ = s.CloseWrite()
+	s.stopReading()
 }
 
 func (h *Handlers) dispatch(ctx context.Context, s *Stream) error {
@@ -178,9 +179,10 @@
 		return zero, err
 	}
 	defer s.finish()
+	defer s.stopReading()
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
-	if err := Send(s, q); err != nil {
+	if err := Send(s, q); err != nil && !Unread(err) {
 		s.Abort()
 		return zero, errors.Wrap(ErrBroken, err.Error())
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -56,13 +56,26 @@
 	if n > maxFrame {
 		return 0, nil, errors.Wrap(ErrFrame, "too large")
 	}
-	payload := make([]byte, n)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	payload, err := readPayload(r, int(n))
+	if err != nil {
 		return 0, nil, err
 	}
 	return frameType(h[4]), payload, nil
 }
 
+func readPayload(r io.Reader, n int) ([]byte, error) {
+	payload := make([]byte, min(n, bodyFrameBytes))
+	if _, err := io.ReadFull(r, payload); err != nil || len(payload) == n {
+		return payload, err
+	}
+	rest, err := io.ReadAll(io.LimitReader(r, int64(n-len(payload))))
+	payload = append(payload, rest...)
+	if err == nil && len(payload) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	return payload, err
+}
+
 // A bodyReader reads the parts of a body up to its end.
 type bodyReader struct {
 	r    io.Reader
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -28,12 +28,15 @@
 
 // The bounds of connections.
 const (
-	dialTimeout        = time.Second
-	idleTimeout        = 30 * time.Second
-	maxStreams         = 4096
-	openTimeout        = 2 * time.Second
-	streamReceiveBytes = 256 << 10
-	connReceiveBytes   = 4 << 20
+	dialTimeout = time.Second
+	idleTimeout = 30 * time.Second
+	maxStreams  = 4096
+	openTimeout = 2 * time.Second
+	// streamReceiveBytes bounds what one exchange holds unread.
+	streamReceiveBytes = 64 << 10
+	// connReceiveBytes has room for every exchange of a connection, so that
+	// those that are read slowly never hold up the others.
+	connReceiveBytes = maxStreams * streamReceiveBytes
 )
 
 // The codes with which connections are closed.
@@ -59,6 +62,8 @@
 	mu        sync.Mutex
 	transport *quic.Transport
 	links     map[netip.AddrPort]*link
+	// sweepAt is at how many links the dead ones are dropped.
+	sweepAt   int
 	ready     chan struct{}
 	readyOnce sync.Once
 }
@@ -120,12 +125,14 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout:       dialTimeout,
-		MaxIdleTimeout:             idleTimeout,
-		MaxIncomingStreams:         maxStreams,
-		MaxIncomingUniStreams:      -1,
-		MaxStreamReceiveWindow:     streamReceiveBytes,
-		MaxConnectionReceiveWindow: connReceiveBytes,
+		HandshakeIdleTimeout:           dialTimeout,
+		MaxIdleTimeout:                 idleTimeout,
+		MaxIncomingStreams:             maxStreams,
+		MaxIncomingUniStreams:          -1,
+		InitialStreamReceiveWindow:     streamReceiveBytes,
+		MaxStreamReceiveWindow:         streamReceiveBytes,
+		InitialConnectionReceiveWindow: connReceiveBytes,
+		MaxConnectionReceiveWindow:     connReceiveBytes,
 	}
 }
 
@@ -145,7 +152,7 @@
 	n.links = nil
 	n.mu.Unlock()
 	for _, l := range links {
-		l.close(codeDone)
+		l.close()
 	}
 	if t != nil {
 		t.Close()
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -24,6 +24,13 @@
 // errorAborted is the code of a stream that one side gave up.
 const errorAborted quic.StreamErrorCode = 1
 
+// Unread reports whether err, of sending, says that the other side reads no
+// more. Its answer may have come all the same.
+func Unread(err error) bool {
+	var e *quic.StreamError
+	return errors.As(err, &e) && e.Remote
+}
+
 // Send writes v as one message.
 func Send[T any](s *Stream, v T) error {
 	b, err := codec.Encode(v)
@@ -75,6 +82,12 @@
 	return s.s.Close()
 }
 
+// stopReading gives up what was not read. A stream that is not read to its end
+// counts as open for as long as its connection lives.
+func (s *Stream) stopReading() {
+	s.s.CancelRead(errorAborted)
+}
+
 // finish tells the watch that nothing more is waited for.
 func (s *Stream) finish() {
 	if s.watch != nil {
@@ -85,7 +98,7 @@
 // Abort gives the exchange up in both directions.
 func (s *Stream) Abort() {
 	s.finish()
-	s.s.CancelRead(errorAborted)
+	s.stopReading()
 	s.s.CancelWrite(errorAborted)
 }
 
