Find connections that are dead in one direction

The watch took any packet for a sign of life. A second connection that finds its place taken is closed, and the watch of a closed connection ends.

--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -22,10 +22,11 @@
 
 	mu      sync.Mutex
 	machine liveness.Machine
-	heard   uint64
-	timer   *time.Timer
-	second  *quic.Conn
-	over    bool
+	// heard is the last time of the way there and back that was seen.
+	heard  time.Duration
+	timer  *time.Timer
+	second *quic.Conn
+	over   bool
 }
 
 // step applies e and carries out what follows.
@@ -39,6 +40,9 @@
 	if w.over {
 		return
 	}
+	if _, watched := w.machine.Wake(); !watched {
+		w.heard = w.conn.ConnectionStats().LatestRTT
+	}
 	for _, a := range w.machine.Step(time.Now(), e, nil) {
 		w.carry(a)
 	}
@@ -62,12 +66,20 @@
 	w.timer.Reset(d)
 }
 
-// tick looks whether anything came since the last look before it lets time pass.
+// tick looks whether the peer has acknowledged anything since the last look
+// before it lets time pass. Only what is acknowledged is timed (RFC 9002,
+// section 5.1), so that a new time of the way there and back tells that both
+// directions work; packets that come in tell it of one only.
 func (w *watch) tick() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if n := w.conn.ConnectionStats().PacketsReceived; n > w.heard {
-		w.heard = n
+	if w.conn.Context().Err() != nil {
+		w.over = true
+		w.dropSecond()
+		return
+	}
+	if rtt := w.conn.ConnectionStats().LatestRTT; rtt != w.heard {
+		w.heard = rtt
 		w.stepLocked(liveness.Received)
 		return
 	}
@@ -85,7 +97,9 @@
 		w.dropSecond()
 	case liveness.Replace:
 		w.over = true
-		w.link.replace(w.conn, w.second)
+		if !w.link.replace(w.conn, w.second) {
+			w.dropSecond()
+		}
 		go func() { _ = w.conn.CloseWithError(codeReplaced, "silent") }()
 		w.node.count(metricReplaced)
 	case liveness.Suspect:
