Read an agent's answer while the request is still sent

Causes, each with a test that failed first: - An entry sent the whole request before it read: an agent that refused or answered a body of 4 MiB without reading it left the caller with unknown. - A caller that left an unrepeatable request made its flight spin until the deadline. - A status that cannot be written (42 in the test) made the entry panic, and a head without a verdict counted as an answer. Both are broken attempts now. - A caller that did not read its answer held its flight for good: the write now ends a moment after the deadline. An unrepeatable answer is then read to its end, so that the claim learns the outcome. - Addresses of members that died were kept. Paths with dot segments in any escape are refused, and reserved headers are also found with underscores.

--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"net/url"
 	"strings"
 	"time"
 
@@ -90,7 +91,7 @@
 // splitPath takes the kind from the first segment; the rest goes to the target.
 func splitPath(r *http.Request) (fleet.Kind, string, error) {
 	p := r.URL.EscapedPath()
-	if len(p)+len(r.URL.RawQuery) > maxPath || !strings.HasPrefix(p, "/") || strings.Contains(p, "/../") {
+	if len(p)+len(r.URL.RawQuery) > maxPath || !strings.HasPrefix(p, "/") || climbs(p) || strings.Contains(r.URL.RawQuery, "#") {
 		return "", "", ErrBadPath
 	}
 	kind, rest, ok := strings.Cut(p[1:], "/")
@@ -110,6 +111,21 @@
 	return fleet.Kind(kind), path, nil
 }
 
+// climbs reports whether a path has a segment of one or two dots, escaped or
+// not, by either separator that targets may know.
+func climbs(escaped string) bool {
+	p, err := url.PathUnescape(escaped)
+	if err != nil {
+		return true
+	}
+	for s := range strings.FieldsFuncSeq(p, func(x rune) bool { return x == '/' || x == '\\' }) {
+		if s == "." || s == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 func parseKey(h http.Header) (string, error) {
 	values := h.Values(HeaderKey)
 	if len(values) == 0 {
@@ -139,13 +155,20 @@
 		out.Del(name)
 	}
 	for name := range out {
-		if strings.HasPrefix(http.CanonicalHeaderKey(name), reservedPrefix) {
-			out.Del(name)
+		if reserved(name) {
+			delete(out, name)
 		}
 	}
 	return out
 }
 
+// reserved reports whether only the system sets a header. Programs behind CGI
+// cannot tell an underscore from a hyphen (RFC 3875, section 4.1.18).
+func reserved(name string) bool {
+	n := len(reservedPrefix)
+	return len(name) >= n && strings.EqualFold(strings.ReplaceAll(name[:n], "_", "-"), reservedPrefix)
+}
+
 // parse reads the whole request within the server's bounds.
 func (s *Server) parse(w http.ResponseWriter, r *http.Request) (*Request, error) {
 	q, err := Parse(r)
--- a/internal/caller/responder.go
+++ b/internal/caller/responder.go
@@ -2,10 +2,10 @@
 
 import (
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,12 +19,17 @@
 	Refuse(status int, reason string, retryAfter time.Duration)
 	// Unknown tells that the request may have run.
 	Unknown(status int, reason string)
-	// Answer passes a target's answer on. Errors are ErrGone where the caller
+	// Answer passes a target's answer on, until a moment after the deadline at
+	// most, also to a caller that reads slowly or not at all. Errors are ErrGone where the caller
 	// takes no more, or that of body; the handler must then break the connection
 	// by panicking with http.ErrAbortHandler, so that a cut answer never looks whole.
-	Answer(status int, header http.Header, body io.Reader) error
+	Answer(deadline time.Time, status int, header http.Header, body io.Reader) error
 }
 
+// writeGrace is how long a caller may take for a short answer, and for the last
+// bytes of an answer after the request's deadline.
+const writeGrace = 2 * time.Second
+
 // ErrGone is returned where the caller takes no more of the answer.
 var ErrGone = errors.New("caller: gone")
 
@@ -71,6 +76,7 @@
 }
 
 func (p *responder) plain(status int, o fleet.Outcome, reason string) {
+	_ = http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(writeGrace))
 	h := p.w.Header()
 	h.Set(HeaderOutcome, string(o))
 	h.Set(HeaderReason, reason)
@@ -79,13 +85,10 @@
 	_, _ = io.WriteString(p.w, string(o)+": "+reason+"\n")
 }
 
-func (p *responder) Answer(status int, header http.Header, body io.Reader) error {
+func (p *responder) Answer(deadline time.Time, status int, header http.Header, body io.Reader) error {
+	_ = http.NewResponseController(p.w).SetWriteDeadline(deadline.Add(writeGrace))
 	h := p.w.Header()
-	for name, values := range endToEnd(header) {
-		if !strings.HasPrefix(name, reservedPrefix) {
-			h[name] = values
-		}
-	}
+	maps.Copy(h, endToEnd(header))
 	h.Set(HeaderOutcome, string(fleet.Answered))
 	p.w.WriteHeader(status)
 	_, err := io.Copy(flusher{p.w}, body)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -64,9 +64,8 @@
 	if err != nil {
 		return errors.Wrap(err, "caller: listen")
 	}
-	s.buffered = semaphore.NewWeighted(maxBuffered)
 	h := &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
+		Handler:           s.HTTPHandler(),
 		ReadHeaderTimeout: s.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    int(s.MaxHeader),
@@ -84,6 +83,12 @@
 	return errors.Wrap(<-done, "caller: shutdown")
 }
 
+// HTTPHandler returns what serves callers; it is called once.
+func (s *Server) HTTPHandler() http.Handler {
+	s.buffered = semaphore.NewWeighted(maxBuffered)
+	return http.HandlerFunc(s.serve)
+}
+
 func (s *Server) ready(w http.ResponseWriter) {
 	if s.leaving.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,7 +169,11 @@
 		return
 	}
 	e.mu.Lock()
-	e.addresses[i.Life] = i.Address
+	if s > member.Suspect {
+		delete(e.addresses, i.Life)
+	} else {
+		e.addresses[i.Life] = i.Address
+	}
 	e.mu.Unlock()
 	e.router.Post(func(x *route.Router) {
 		if s > member.Suspect {
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,340 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/sesamestream/sesamestream/internal/base"
+	"github.com/sesamestream/sesamestream/internal/caller"
+	"github.com/sesamestream/sesamestream/internal/message"
+	"github.com/sesamestream/sesamestream/internal/operator"
+	"github.com/sesamestream/sesamestream/internal/ownership"
+	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/internal/runner"
+	"github.com/sesamestream/sesamestream/internal/store"
+	"github.com/sesamestream/sesamestream/internal/store/door"
+	"github.com/sesamestream/sesamestream/pkg/decide/attempt"
+	"github.com/sesamestream/sesamestream/pkg/decide/route"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+const kind fleet.Kind = "gust"
+
+var errFault = errors.New("test: fault")
+
+// emptyStore holds nothing.
+type emptyStore struct{ store.Store }
+
+func (emptyStore) Get(context.Context, string) (store.Pair, error) {
+	return store.Pair{}, store.ErrNotFound
+}
+
+// An agent serves requests by a script and records those that ran.
+type agent struct {
+	node  *peer.Node
+	serve func(a *agent, s *peer.Stream) error
+
+	mu   sync.Mutex
+	runs int
+}
+
+func (a *agent) ran() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runs++
+}
+
+// A bench is one entry, its caller's port and the agents it knows.
+type bench struct {
+	*Entry
+	row  table.Row
+	http *httptest.Server
+	base *base.Base
+	keys func() *peer.KeyRing
+	// served counts the requests whose Serve has returned.
+	served sync.WaitGroup
+}
+
+func newBench(t testing.TB) *bench {
+	g := NewWithT(t)
+	a, err := peer.NewAuthority(time.Now(), time.Hour)
+	g.Expect(err).NotTo(HaveOccurred())
+	quiet := &log.Logger{Level: log.PanicLevel}
+	b := &bench{row: table.Row{Kind: kind, Class: table.ClassRequest, Weight: 1, Deadline: 3 * time.Second}}
+	b.keys = func() *peer.KeyRing {
+		c, err := a.Issue(peer.PeerName, time.Now(), time.Hour)
+		g.Expect(err).NotTo(HaveOccurred())
+		return peer.NewKeyRing(&peer.Keys{Certificate: c, Authority: a.Pool()})
+	}
+	system := actor.NewActorSystem()
+	b.base = &base.Base{
+		Shards: 1, Keys: b.keys(), Metrics: metrics.NewRegistry(), Log: quiet, System: system, Operator: &operator.Server{},
+		Store: &door.Door{Store: emptyStore{}, Timeout: time.Second, Budget: door.Budget{Writes: 100, Reads: 100, Leases: 100}},
+		Self:  fleet.Member{Address: netip.MustParseAddrPort("127.0.0.1:0")},
+	}
+	b.base.Prepare()
+	runNode(t, b.base.Node)
+	b.Entry = &Entry{Base: b.base, budgets: make(map[fleet.Kind]*budget), addresses: make(map[fleet.Life]netip.AddrPort)}
+	b.router = &runner.Holder[*route.Router]{System: system, Value: &route.Router{Rand: rand.New(rand.NewPCG(1, 1))}}
+	b.router.Start()
+	b.router.Post(func(r *route.Router) { r.SetTable([]table.Row{b.row}) })
+	s := &caller.Server{MaxBody: 8 << 20, MaxHeader: 32 << 10, BodyTimeout: time.Second, HeaderTimeout: time.Second, Handler: b}
+	b.http = httptest.NewServer(s.HTTPHandler())
+	t.Cleanup(func() {
+		b.http.CloseClientConnections()
+		b.http.Close()
+		b.served.Wait()
+		b.router.Stop()
+		system.Shutdown()
+	})
+	return b
+}
+
+func runNode(t testing.TB, n *peer.Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = n.Run(ctx) }()
+	<-n.Ready()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// Serve runs one flight by the bench's row.
+func (b *bench) Serve(ctx context.Context, r *caller.Request, w caller.Responder) {
+	b.served.Add(1)
+	defer b.served.Done()
+	f := &flight{entry: b.Entry, request: r, row: b.row, w: w, budget: b.budgetOf(kind)}
+	f.run(ctx)
+}
+
+// agent adds an agent that serves by f; ports are told by the first.
+func (b *bench) agent(t testing.TB, n int, f func(a *agent, s *peer.Stream) error) *agent {
+	at := netip.MustParseAddrPort(freeUDP(t))
+	a := &agent{serve: f, node: &peer.Node{Listen: at, Handlers: &peer.Handlers{}, Keys: b.keys(), Log: b.base.Log}}
+	a.node.Handlers.Register(message.OperationRequest, func(_ context.Context, s *peer.Stream) error { return a.serve(a, s) })
+	runNode(t, a.node)
+	b.know(n, at)
+	return a
+}
+
+func (b *bench) know(n int, at netip.AddrPort) fleet.Life {
+	v := fleet.Life{ID: fleet.ID(fmt.Sprint("agent-", n)), Incarnation: 1}
+	b.mu.Lock()
+	b.addresses[v] = at
+	b.mu.Unlock()
+	b.router.Post(func(r *route.Router) { r.Observe(time.Now(), route.Report{Life: v, Kind: kind, Limit: 100}) })
+	return v
+}
+
+func freeUDP(t testing.TB) string {
+	l := httptest.NewUnstartedServer(nil).Listener
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// claims makes a node the owner of the only shard.
+func (b *bench) claims(a *agent, f func(message.Claim) (message.ClaimAnswer, error)) {
+	peer.Handle(a.node.Handlers, message.OperationClaim, func(_ context.Context, q message.Claim) (message.ClaimAnswer, error) { return f(q) })
+	peer.Handle(a.node.Handlers, message.OperationClaimEnd, func(context.Context, message.ClaimEnd) (message.None, error) { return message.None{}, nil })
+	b.base.LearnOwner(0, ownership.Owner{Life: fleet.Life{ID: "owner"}, Address: a.node.Listen})
+}
+
+func grant(message.Claim) (message.ClaimAnswer, error) {
+	return message.ClaimAnswer{Result: message.ClaimGranted, Grant: 1}, nil
+}
+
+// post sends one request and returns what its caller sees.
+func (b *bench) post(body []byte) (o fleet.Outcome, answer string, err error) {
+	r, _ := http.NewRequest(http.MethodPost, b.http.URL+"/gust/x", bytes.NewReader(body))
+	r.Header.Set(caller.HeaderKey, "key")
+	w, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return "", "", err
+	}
+	defer w.Body.Close()
+	x, err := io.ReadAll(w.Body)
+	return fleet.Outcome(w.Header.Get(caller.HeaderOutcome)), string(x), err
+}
+
+const whole = "the whole answer"
+
+func answer(s *peer.Stream, part string) error {
+	if err := peer.Send(s, message.AnswerHead{Verdict: message.Answered, Status: http.StatusOK}); err != nil {
+		return err
+	}
+	_, err := io.WriteString(s, part)
+	return err
+}
+
+func read(s *peer.Stream) error {
+	if _, err := peer.Receive[message.RequestHead](s); err != nil {
+		return err
+	}
+	_, err := io.Copy(io.Discard, s.Body())
+	return err
+}
+
+// steps are where an agent breaks an exchange; those that run have it at a target by then.
+var steps = []struct {
+	name string
+	runs bool
+	// told is the outcome where no other agent may be tried; "" stands for a broken answer.
+	told  fleet.Outcome
+	serve func(s *peer.Stream) error
+}{
+	{"refused unread", false, fleet.NotRun, func(s *peer.Stream) error {
+		_, _ = peer.Receive[message.RequestHead](s)
+		return peer.Send(s, message.AnswerHead{Verdict: message.Refused, Reason: "full"})
+	}},
+	{"before head", false, fleet.Unknown, func(*peer.Stream) error { return errFault }},
+	{"after head", true, fleet.Unknown, func(s *peer.Stream) error {
+		_, _ = peer.Receive[message.RequestHead](s)
+		return errFault
+	}},
+	{"after body", true, fleet.Unknown, func(s *peer.Stream) error { return errors.Wrap(errFault, fmt.Sprint(read(s))) }},
+	{"failed", true, fleet.Unknown, func(s *peer.Stream) error {
+		_ = read(s)
+		return peer.Send(s, message.AnswerHead{Verdict: message.Failed, Reason: "lost"})
+	}},
+	{"mid-answer", true, "", func(s *peer.Stream) error {
+		_ = read(s)
+		_ = answer(s, strings.Repeat(whole, 1<<16))
+		return errFault
+	}},
+	{"without end", true, "", func(s *peer.Stream) error {
+		_ = read(s)
+		return answer(s, whole)
+	}},
+	{"impossible status", true, fleet.Unknown, func(s *peer.Stream) error {
+		_ = read(s)
+		return peer.Send(s, message.AnswerHead{Verdict: message.Answered, Status: 42})
+	}},
+	{"answered unread", true, fleet.Answered, func(s *peer.Stream) error {
+		_, _ = peer.Receive[message.RequestHead](s)
+		_ = answer(s, whole)
+		return s.End()
+	}},
+}
+
+// TestEveryCutIsToldTruly breaks the exchange with the first agent at each step
+// while a second agent works, with a small and with a large body.
+func TestEveryCutIsToldTruly(t *testing.T) {
+	for _, size := range []int{0, 100, 4 << 20} {
+		for _, c := range steps {
+			for _, unrepeatable := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%d/unrepeatable=%v", c.name, size, unrepeatable), func(t *testing.T) {
+					g := NewWithT(t)
+					b := newBench(t)
+					b.row.Unrepeatable = unrepeatable
+					var mu sync.Mutex
+					broken := false
+					serve := func(a *agent, s *peer.Stream) error {
+						mu.Lock()
+						breaks := !broken
+						broken = true
+						mu.Unlock()
+						if breaks {
+							if c.runs {
+								a.ran()
+							}
+							return c.serve(s)
+						}
+						a.ran()
+						if err := read(s); err != nil {
+							return err
+						}
+						_ = answer(s, whole)
+						return s.End()
+					}
+					x, y := b.agent(t, 1, serve), b.agent(t, 2, serve)
+					b.claims(x, grant)
+					o, body, err := b.post(make([]byte, size))
+					runs := x.runs + y.runs
+					retried := !unrepeatable && c.told != "" || c.told == fleet.NotRun
+					switch {
+					case c.told == "":
+						g.Expect(err).To(HaveOccurred())
+						g.Expect(runs).To(Equal(1))
+					case retried || c.told == fleet.Answered:
+						g.Expect(err).NotTo(HaveOccurred())
+						g.Expect(o).To(Equal(fleet.Answered))
+						g.Expect(body).To(Equal(whole))
+					default:
+						g.Expect(err).NotTo(HaveOccurred())
+						g.Expect(o).To(Equal(c.told))
+					}
+					if unrepeatable {
+						g.Expect(runs).To(BeNumerically("<=", 1))
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestClaimsThatFailAreToldTruly answers claims in every way there is.
+func TestClaimsThatFailAreToldTruly(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer message.ClaimAnswer
+		err    error
+		told   fleet.Outcome
+	}{
+		{"granted", message.ClaimAnswer{Result: message.ClaimGranted, Grant: 1}, nil, fleet.Answered},
+		{"not committed", message.ClaimAnswer{Result: message.ClaimNotCommitted}, nil, fleet.NotRun},
+		{"denied after answer", message.ClaimAnswer{Result: message.ClaimDenied, Earlier: fleet.Answered}, nil, fleet.Unknown},
+		{"denied after no run", message.ClaimAnswer{Result: message.ClaimDenied, Earlier: fleet.NotRun}, nil, fleet.NotRun},
+		{"denied while running", message.ClaimAnswer{Result: message.ClaimDenied}, nil, fleet.Unknown},
+		{"unknown", message.ClaimAnswer{Result: message.ClaimUnknown}, nil, fleet.Unknown},
+		{"no result", message.ClaimAnswer{}, nil, fleet.Unknown},
+		{"failed", message.ClaimAnswer{}, errFault, fleet.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newBench(t)
+			b.row.Unrepeatable = true
+			x := b.agent(t, 1, func(a *agent, s *peer.Stream) error {
+				a.ran()
+				_ = read(s)
+				_ = answer(s, whole)
+				return s.End()
+			})
+			b.claims(x, func(message.Claim) (message.ClaimAnswer, error) { return c.answer, c.err })
+			o, _, err := b.post(nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(o).To(Equal(c.told))
+			g.Expect(x.runs == 1).To(Equal(c.told == fleet.Answered))
+		})
+	}
+}
+
+// TestACallerThatLeftIsToldOfOnce waits for an unrepeatable request whose caller has gone.
+func TestACallerThatLeftIsToldOfOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		f := &flight{deadline: time.Now().Add(time.Minute), machine: &attempt.Machine{}, events: make(chan attempt.Event, 1)}
+		g.Expect(f.next(ctx).Type).To(Equal(attempt.CallerGone))
+		began := time.Now()
+		g.Expect(f.next(ctx).Type).NotTo(Equal(attempt.CallerGone))
+		g.Expect(time.Since(began)).To(Equal(time.Minute))
+	})
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamestream/sesamestream/internal/message"
 	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/internal/target"
 	"github.com/sesamestream/sesamestream/pkg/decide/attempt"
 	"github.com/sesamestream/sesamestream/pkg/decide/route"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
@@ -35,15 +36,17 @@
 // run sends the request and tells the flight what became of it.
 func (x *exchange) run() {
 	began := time.Now()
-	err := x.send()
+	err := x.open()
 	if err == nil {
+		// An agent may answer before it has read all, or without reading it.
+		go x.send()
 		err = x.receive()
 	}
 	x.tell(began, err)
 }
 
-// send opens a stream and writes the whole request.
-func (x *exchange) send() error {
+// open opens a stream to the agent.
+func (x *exchange) open() error {
 	to, ok := x.flight.entry.address(x.choice.Life)
 	if !ok {
 		return errors.Wrap(peer.ErrNotSent, "the agent has gone")
@@ -55,16 +58,28 @@
 	x.stream = s
 	context.AfterFunc(x.ctx, s.Abort)
 	x.flight.events <- attempt.Event{Type: attempt.Dispatched, Attempt: x.number}
-	if err := peer.Send(s, x.requestHead()); err != nil {
-		return errors.Wrap(peer.ErrBroken, err.Error())
+	return nil
+}
+
+// send writes the whole request. Where that fails, no answer is waited for,
+// unless the agent reads no more: its answer comes all the same.
+func (x *exchange) send() {
+	if err := x.write(); err != nil && !peer.Unread(err) {
+		x.stream.Abort()
 	}
-	if _, err := s.Write(x.flight.request.Body); err != nil {
-		return errors.Wrap(peer.ErrBroken, err.Error())
+}
+
+func (x *exchange) write() error {
+	if err := peer.Send(x.stream, x.requestHead()); err != nil {
+		return err
 	}
-	if err := s.End(); err != nil {
-		return errors.Wrap(peer.ErrBroken, err.Error())
+	if _, err := x.stream.Write(x.flight.request.Body); err != nil {
+		return err
 	}
-	return errors.Wrap(s.CloseWrite(), peer.ErrBroken.Error())
+	if err := x.stream.End(); err != nil {
+		return err
+	}
+	return x.stream.CloseWrite()
 }
 
 func (x *exchange) requestHead() message.RequestHead {
@@ -87,6 +102,9 @@
 	if err != nil {
 		return errors.Wrap(peer.ErrBroken, err.Error())
 	}
+	if h.Verdict == message.Answered && !target.ValidStatus(h.Status) {
+		return errors.Wrap(peer.ErrBroken, "impossible status")
+	}
 	x.head = h
 	return nil
 }
@@ -99,18 +117,18 @@
 	case errors.Is(err, peer.ErrNotSent):
 		e.Type = attempt.ConnectFailed
 		r.Status = route.StatusFailed
-	case err != nil || x.head.Verdict == message.Failed:
-		e.Type = attempt.Broken
-		r.Status = route.StatusFailed
-	case x.head.Verdict == message.Refused:
+	case err == nil && x.head.Verdict == message.Refused:
 		e.Type = attempt.Refused
 		e.Reason = attempt.Reason(x.head.Reason)
 		r.Status = route.StatusRefused
 		r.RetryAfter = x.head.RetryAfter
-	default:
+	case err == nil && x.head.Verdict == message.Answered:
 		e.Type = attempt.AnswerHead
 		r.Status = route.StatusAnswered
 		r.LinkBytes = fleet.Bytes(len(x.flight.request.Body)) + x.head.Length
+	default:
+		e.Type = attempt.Broken
+		r.Status = route.StatusFailed
 	}
 	if errors.Is(x.ctx.Err(), context.Canceled) && e.Type == attempt.Broken {
 		r.Status = route.StatusCancelled
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -39,6 +40,8 @@
 	retryAfter time.Duration
 	claim      *claim
 	aborted    bool
+	// gone is set once the machine was told that the caller has gone.
+	gone bool
 }
 
 // run drives the request to its end.
@@ -64,12 +67,17 @@
 	}
 	t := time.NewTimer(time.Until(at))
 	defer t.Stop()
+	left := ctx.Done()
+	if f.gone {
+		left = nil
+	}
 	select {
 	case e := <-f.events:
 		return e
 	case <-t.C:
 		return f.machine.Waits()
-	case <-ctx.Done():
+	case <-left:
+		f.gone = true
 		return attempt.Event{Type: attempt.CallerGone}
 	}
 }
@@ -171,16 +179,26 @@
 	go x.run()
 }
 
-// passBody streams the answer to the caller.
+// passBody streams the answer to the caller. The answer to an unrepeatable
+// request is read to its end also for a caller that has gone, so that its
+// claim learns the outcome.
 func (f *flight) passBody(ctx context.Context, x *exchange) {
-	stop := context.AfterFunc(ctx, x.cancel)
-	defer stop()
-	err := f.w.Answer(x.head.Status, x.head.Header, x.stream.Body())
+	if !f.row.Unrepeatable {
+		stop := context.AfterFunc(ctx, x.cancel)
+		defer stop()
+	}
+	body := x.stream.Body()
+	err := f.w.Answer(f.deadline, x.head.Status, x.head.Header, body)
+	if errors.Is(err, caller.ErrGone) {
+		f.gone = true
+		f.events <- attempt.Event{Type: attempt.CallerGone}
+		if !f.row.Unrepeatable {
+			return
+		}
+		_, err = io.Copy(io.Discard, body)
+	}
 	e := attempt.Event{Type: attempt.AnswerComplete, Attempt: x.number}
-	switch {
-	case errors.Is(err, caller.ErrGone):
-		e = attempt.Event{Type: attempt.CallerGone}
-	case err != nil:
+	if err != nil {
 		e.Type = attempt.AnswerCut
 	}
 	f.events <- e
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -74,15 +74,31 @@
 	r.Body = once{q.Body}
 	r.ContentLength = q.Length
 	a, err := c.transport.RoundTrip(r)
-	if err == nil {
+	if err == nil && ValidStatus(a.StatusCode) {
 		return a, nil
 	}
+	if err == nil {
+		a.Body.Close()
+		err = errors.Errorf("status %d is no answer", a.StatusCode)
+	}
 	if !connected {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
 	return nil, errors.Wrap(ErrBroken, err.Error())
 }
 
+// The bounds of the statuses that end a request (RFC 9110, section 15).
+const (
+	lowestStatus  = 200
+	highestStatus = 599
+)
+
+// ValidStatus reports whether a target may answer a request with status. An
+// interim status, such as a switch of protocols that nobody asked for, is none.
+func ValidStatus(status int) bool {
+	return status >= lowestStatus && status <= highestStatus
+}
+
 // once is a body that cannot be rewound. net/http sends a request a second
 // time by itself where its body is empty or can be rewound and an
 // Idempotency-Key is set; with this body it never does.
