Move the end-to-end tests' ports to free ones

Cause: two runs at once (and any other program on the examples' ports) made the test fail: 127.0.0.1:8500 in use, seen three times by two people. Each rig now rewrites the examples' ports to free ones below the ephemeral range.

--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +24,57 @@
 	t      *testing.T
 	binary string
 	dir    string
+	// ports are the free ports in the place of those of the examples.
+	ports map[string]string
+}
+
+// examplePorts are the ports that the examples name.
+var examplePorts = []string{"7000", "7001", "7002", "7100", "7101", "7102", "7110", "7111", "7112", "8500"}
+
+// The ports that are tried lie below those of outgoing connections.
+const (
+	lowestPort = 12_000
+	portCount  = 18_000
+)
+
+// freePort finds a port that is free for TCP and UDP.
+func freePort() string {
+	for {
+		at := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount))
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", at)
+		l.Close()
+		if err == nil {
+			u.Close()
+			return strings.TrimPrefix(at, "127.0.0.1:")
+		}
+	}
+}
+
+// at returns the address in the place of an example's port.
+func (r *rig) at(port string) string { return "127.0.0.1:" + r.ports[port] }
+
+// movePorts rewrites the examples' ports.
+func (r *rig) movePorts() {
+	g := NewWithT(r.t)
+	r.ports = make(map[string]string)
+	for _, p := range examplePorts {
+		r.ports[p] = freePort()
+	}
+	files, err := filepath.Glob(filepath.Join(r.dir, "trial", "*.yaml"))
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		g.Expect(err).NotTo(HaveOccurred())
+		s := string(b)
+		for _, p := range examplePorts {
+			s = strings.ReplaceAll(s, "127.0.0.1:"+p, "127.0.0.1:moved"+r.ports[p])
+		}
+		g.Expect(os.WriteFile(f, []byte(strings.ReplaceAll(s, ":moved", ":")), 0o600)).To(Succeed())
+	}
 }
 
 func newRig(t *testing.T) *rig {
@@ -31,6 +84,7 @@
 	out, err := exec.Command("go", "build", "-o", r.binary, "../../cmd/sesamestream").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
 	g.Expect(os.CopyFS(filepath.Join(r.dir, "trial"), os.DirFS("../../examples/trial"))).To(Succeed())
+	r.movePorts()
 	r.command("keys", "--dir", filepath.Join(r.dir, "trial", "keys"))
 	return r
 }
@@ -70,9 +124,9 @@
 	Body    string
 }
 
-func get(path string) (answer, error) {
+func (r *rig) get(path string) (answer, error) {
 	c := &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	w, err := c.Get("http://127.0.0.1:7002" + path)
+	w, err := c.Get("http://" + r.at("7002") + path)
 	if err != nil {
 		return answer{}, err
 	}
@@ -85,7 +139,7 @@
 func (r *rig) operate(args ...string) (string, error) {
 	keys := filepath.Join(r.dir, "trial", "keys")
 	c := exec.Command(r.binary, args...)
-	c.Env = append(os.Environ(), "SESAMESTREAM_AT=127.0.0.1:7001", "SESAMESTREAM_KEYS="+keys)
+	c.Env = append(os.Environ(), "SESAMESTREAM_AT="+r.at("7001"), "SESAMESTREAM_KEYS="+keys)
 	out, err := c.CombinedOutput()
 	return string(out), err
 }
@@ -93,19 +147,19 @@
 func TestWorkSurvivesTheKillOfAnAgent(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(t)
-	r.start("store", "--listen", "127.0.0.1:8500")
+	r.start("store", "--listen", r.at("8500"))
 	a1 := r.process("agent", "agent-1")
 	r.process("agent", "agent-2")
 	e := r.process("entry", "entry-1")
-	r.start("target", "--id", "t1", "--agent", "127.0.0.1:7102", "--kind", "gust")
-	r.start("target", "--id", "t2", "--agent", "127.0.0.1:7112", "--kind", "gust")
-	r.start("worker", "--id", "w1", "--agent", "127.0.0.1:7102")
-	r.start("worker", "--id", "w2", "--agent", "127.0.0.1:7112")
+	r.start("target", "--id", "t1", "--agent", r.at("7102"), "--kind", "gust")
+	r.start("target", "--id", "t2", "--agent", r.at("7112"), "--kind", "gust")
+	r.start("worker", "--id", "w1", "--agent", r.at("7102"))
+	r.start("worker", "--id", "w2", "--agent", r.at("7112"))
 
 	g.Eventually(func() (string, error) {
 		return r.operate("table", "set", filepath.Join(r.dir, "trial", "table.yaml"))
 	}, "20s", "200ms").Should(ContainSubstring("accepted as revision 1"))
-	g.Eventually(func() (answer, error) { return get("/gust/beach?b=1") }, "20s", "100ms").Should(
+	g.Eventually(func() (answer, error) { return r.get("/gust/beach?b=1") }, "20s", "100ms").Should(
 		HaveField("Outcome", "answered"))
 	done := func(id string) func() (string, error) {
 		return func() (string, error) { return r.operate("job", "get", id) }
@@ -116,9 +170,9 @@
 	g.Eventually(done("first"), "20s", "100ms").Should(ContainSubstring(`"phase": "done"`))
 
 	g.Expect(a1.Process.Kill()).To(Succeed())
-	g.Eventually(func() (answer, error) { return get("/gust/beach?b=2") }, "20s", "100ms").Should(Equal(
+	g.Eventually(func() (answer, error) { return r.get("/gust/beach?b=2") }, "20s", "100ms").Should(Equal(
 		answer{200, "answered", "t2 GET /beach?b=2 "}))
-	a, err := get("/nothing/x")
+	a, err := r.get("/nothing/x")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(a.Outcome).To(Equal("notRun"))
 	g.Eventually(func() (string, error) {
@@ -134,10 +188,10 @@
 func TestOperatorsTools(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(t)
-	r.start("store", "--listen", "127.0.0.1:8500")
+	r.start("store", "--listen", r.at("8500"))
 	a := r.process("agent", "agent-1")
 	r.process("entry", "entry-1")
-	r.start("worker", "--id", "w1", "--agent", "127.0.0.1:7102")
+	r.start("worker", "--id", "w1", "--agent", r.at("7102"))
 	set := func() (string, error) {
 		return r.operate("table", "set", filepath.Join(r.dir, "trial", "table.yaml"))
 	}
@@ -177,10 +231,10 @@
 	g := NewWithT(t)
 	r := newRig(t)
 	e := r.process("entry", "entry-1")
-	g.Eventually(func() error { _, err := get("/gust/x"); return err }, "20s", "50ms").Should(Succeed())
+	g.Eventually(func() error { _, err := r.get("/gust/x"); return err }, "20s", "50ms").Should(Succeed())
 	g.Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
 	g.Eventually(func() int {
-		w, err := http.Get("http://127.0.0.1:7002/ready")
+		w, err := http.Get("http://" + r.at("7002") + "/ready")
 		if err != nil {
 			return 0
 		}
