Tell callers no addresses; count a target's latency to its answer's head

Causes: the reasons that reach callers held the addresses of targets (seen in the new test for a target that is away and for one that is too late); a permit's latency went on while a slow caller read, and an answer that its entry gave up counted as the target's failure, so that callers could narrow a target's limit. The test has a target fail in each way and finds the host free again after it.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -34,6 +34,8 @@
 	gate    *Gate
 	ticket  admit.Ticket
 	started time.Time
+	// latency is the time to the answer's head, 0 before it.
+	latency time.Duration
 }
 
 // machine feeds events to an admitter and notes who waits.
@@ -95,9 +97,18 @@
 	}
 }
 
+// Answered notes that the answer began: how long its receiver takes to read it
+// says nothing of the target.
+func (p *Permit) Answered() {
+	p.latency = time.Since(p.started)
+}
+
 // Done ends a permit after an answer, whole or not.
 func (p *Permit) Done(ok bool) {
-	p.gate.runner.Tell(done{ticket: p.ticket, latency: time.Since(p.started), ok: ok})
+	if p.latency == 0 {
+		p.Answered()
+	}
+	p.gate.runner.Tell(done{ticket: p.ticket, latency: p.latency, ok: ok})
 }
 
 // Cancel ends a permit whose request was cut off at the target.
--- a/internal/agent/request.go
+++ b/internal/agent/request.go
@@ -18,6 +18,12 @@
 // busyRetryAfter is when a request that found no free target may come again.
 const busyRetryAfter = 50 * time.Millisecond
 
+// The reasons that callers are told; addresses and details stay in the log.
+const (
+	reasonUnreachable = "targetUnreachable"
+	reasonNoAnswer    = "noWholeAnswer"
+)
+
 // request serves one request of an entry: it waits at the gate, goes to one
 // target, and its answer is streamed back.
 func (a *Agent) request(ctx context.Context, s *peer.Stream) error {
@@ -67,8 +73,14 @@
 		return a.failed(ctx, s, q.Kind, p, err)
 	}
 	defer r.Body.Close()
+	p.Answered()
 	err = a.answer(s, q.Kind, r)
-	p.Done(err == nil)
+	if err == nil || errors.Is(err, errTargetCut) && ctx.Err() == nil {
+		p.Done(err == nil)
+		return err
+	}
+	// The entry or the deadline ended it, which says nothing of the target.
+	p.Cancel()
 	return err
 }
 
@@ -79,10 +91,11 @@
 	} else {
 		p.Done(false)
 	}
+	a.Base.Log.Debug().Str("event", "targetFailed").Str("kind", string(k)).Err(err).Msg("")
 	if errors.Is(err, target.ErrNotSent) {
-		return a.refuse(s, k, err.Error(), busyRetryAfter)
+		return a.refuse(s, k, reasonUnreachable, busyRetryAfter)
 	}
-	return peer.Send(s, message.AnswerHead{Verdict: message.Failed, Reason: err.Error(), Load: a.load(k)})
+	return peer.Send(s, message.AnswerHead{Verdict: message.Failed, Reason: reasonNoAnswer, Load: a.load(k)})
 }
 
 // answer streams a target's answer; without the end mark the entry knows it is cut.
@@ -97,12 +110,26 @@
 	if err := peer.Send(s, h); err != nil {
 		return err
 	}
-	if _, err := io.Copy(s, r.Body); err != nil {
-		return errors.Wrap(err, "agent: answer cut")
+	if _, err := io.Copy(s, targetBody{r.Body}); err != nil {
+		return err
 	}
 	return s.End()
 }
 
+// errTargetCut is returned where a target did not give its whole answer.
+var errTargetCut = errors.New("agent: answer cut")
+
+// A targetBody marks the errors of reading, which are the target's.
+type targetBody struct{ io.Reader }
+
+func (b targetBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return n, errors.Wrap(errTargetCut, err.Error())
+	}
+	return n, err
+}
+
 // load returns the host's load of one kind for the entry's router.
 func (a *Agent) load(k fleet.Kind) message.Load {
 	l := a.gate.LoadOf(k)
