--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -351,3 +352,48 @@
 		g.Expect(time.Since(began)).To(Equal(time.Minute))
 	})
 }
+
+// BenchmarkSlowCallers has callers that read nothing of a large answer and
+// reports what they hold at the entry and at the agent's end of the peer
+// protocol, both of which are in this process.
+func BenchmarkSlowCallers(b *testing.B) {
+	const callers = 1000
+	x := newBench(b)
+	x.row.Deadline = time.Minute
+	sent := make(chan struct{}, callers)
+	flood := make([]byte, 32<<20)
+	x.agent(b, 1, func(_ *agent, s *peer.Stream) error {
+		_ = read(s)
+		_ = answer(s, strings.Repeat(whole, 1<<10))
+		sent <- struct{}{}
+		_, err := s.Write(flood)
+		return err
+	})
+	held := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse + m.StackInuse
+	}
+	for b.Loop() {
+		before := held()
+		var open []net.Conn
+		for range callers {
+			c, err := net.Dial("tcp", x.http.Listener.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			open = append(open, c)
+			_, _ = io.WriteString(c, "GET /gust/x HTTP/1.1\r\nHost: a\r\n\r\n")
+		}
+		for range callers {
+			<-sent
+		}
+		// The kernel's buffers fill before the process holds the rest.
+		time.Sleep(2 * time.Second)
+		b.ReportMetric(float64(held()-before)/callers/(1<<10), "KiB/caller")
+		for _, c := range open {
+			c.Close()
+		}
+	}
+}
