Prove that what was not sent ran nowhere, under faults

Connections go silent in either direction and the peer comes and goes while 8 callers call: what ended in ErrNotSent is held to the handler's record. Seen to fail with a lost answer told as not sent. A peer 240 ms away is not replaced.

--- a/internal/peer/relay_test.go
+++ b/internal/peer/relay_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -21,6 +22,8 @@
 	// cutThere and cutBack drop what goes to the node and what comes from it.
 	cutThere atomic.Bool
 	cutBack  atomic.Bool
+	// delay is added in each direction.
+	delay time.Duration
 	// deaf and mute are the flows of which one direction is dropped for good,
 	// flow is the newest.
 	mu   sync.Mutex
@@ -29,10 +32,10 @@
 	flow *net.UDPConn
 }
 
-func newRelay(t testing.TB, back netip.AddrPort) *relay {
+func newRelay(t testing.TB, back netip.AddrPort, delay time.Duration) *relay {
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
-	r := &relay{front: c, back: back, deaf: make(map[*net.UDPConn]bool), mute: make(map[*net.UDPConn]bool)}
+	r := &relay{front: c, back: back, delay: delay, deaf: make(map[*net.UDPConn]bool), mute: make(map[*net.UDPConn]bool)}
 	t.Cleanup(func() { c.Close() })
 	go r.run()
 	return r
@@ -76,7 +79,7 @@
 		}
 		mu.Unlock()
 		if f != nil && !r.cutThere.Load() && !r.in(r.deaf, f) {
-			_, _ = f.Write(b[:n])
+			r.later(b[:n], func(p []byte) { _, _ = f.Write(p) })
 		}
 	}
 }
@@ -95,12 +98,19 @@
 		if r.cutBack.Load() || r.in(r.mute, f) {
 			continue
 		}
-		if _, err := r.front.WriteToUDPAddrPort(b[:n], to); err != nil {
-			return
-		}
+		r.later(b[:n], func(p []byte) { _, _ = r.front.WriteToUDPAddrPort(p, to) })
 	}
 }
 
+func (r *relay) later(b []byte, send func([]byte)) {
+	if r.delay == 0 {
+		send(b)
+		return
+	}
+	p := append([]byte{}, b...)
+	time.AfterFunc(r.delay, func() { send(p) })
+}
+
 // shortID is the length of the connection IDs that a node chooses.
 const shortID = 4
 
@@ -151,7 +161,7 @@
 			y, _ := run(t, a, PeerName, loopback())
 			x, _ := run(t, a, PeerName, loopback())
 			x.Metrics = metrics.NewRegistry()
-			r := newRelay(t, y.Listen)
+			r := newRelay(t, y.Listen, 0)
 			g.Expect(echo(x, r.at(), bound)).To(gomega.Succeed())
 			hung := make(chan error, 1)
 			go func() {
@@ -171,3 +181,108 @@
 		})
 	}
 }
+
+// TestADistantPeerIsNotSilent waits long for an answer over a slow way.
+func TestADistantPeerIsNotSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := authority(t)
+	y, _ := run(t, a, PeerName, loopback())
+	x, _ := run(t, a, PeerName, loopback())
+	x.Metrics = metrics.NewRegistry()
+	r := newRelay(t, y.Listen, 120*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_, err := Call[string, string](ctx, x, r.at(), operationHang, "wind")
+	g.Expect(err).To(gomega.MatchError(ErrBroken))
+	g.Expect(ctx.Err()).To(gomega.HaveOccurred())
+	g.Expect(metrics.GetOrRegisterCounter(metricReplaced, x.Metrics).Count()).To(gomega.BeZero())
+	g.Expect(metrics.GetOrRegisterCounter(metricSilent, x.Metrics).Count()).To(gomega.BeZero())
+	g.Expect(echo(x, r.at(), bound)).To(gomega.Succeed())
+}
+
+// TestNotSentIsProved calls while connections go silent and the peer comes and
+// goes: what was told not to be sent has reached no handler.
+func TestNotSentIsProved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := authority(t)
+	x, _ := run(t, a, PeerName, loopback())
+	y, stop := run(t, a, PeerName, loopback())
+	r := newRelay(t, y.Listen, 0)
+	var mu sync.Mutex
+	ran := map[string]int{}
+	note := func(_ context.Context, id string) (string, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		ran[id]++
+		return id, nil
+	}
+	const operationNote Operation = "test.note"
+	Handle(y.Handlers, operationNote, note)
+	notSent := map[string]bool{}
+	right, broken := 0, 0
+	var calls sync.WaitGroup
+	over := make(chan struct{})
+	for k := range 8 {
+		calls.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				id := string(rune('a'+k)) + time.Duration(i).String()
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				got, err := Call[string, string](ctx, x, r.at(), operationNote, id)
+				cancel()
+				mu.Lock()
+				switch {
+				case err == nil && got == id:
+					right++
+				case errors.Is(err, ErrNotSent):
+					notSent[id] = true
+				default:
+					broken++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	reached := func(n int) func() bool {
+		return func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return right >= n
+		}
+	}
+	for i := range 4 {
+		mu.Lock()
+		n := right + 100
+		mu.Unlock()
+		g.Eventually(reached(n), bound).Should(gomega.BeTrue())
+		if i%2 == 0 {
+			r.kill(i == 2, i == 0)
+			continue
+		}
+		stop()
+		y, stop = run(t, a, PeerName, y.Listen)
+		Handle(y.Handlers, operationNote, note)
+	}
+	r.cutThere.Store(true)
+	g.Eventually(func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(notSent)
+	}, bound).Should(gomega.BeNumerically(">", 10))
+	r.cutThere.Store(false)
+	close(over)
+	calls.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	for id := range notSent {
+		g.Expect(ran[id]).To(gomega.BeZero(), id)
+	}
+	for id, n := range ran {
+		g.Expect(n).To(gomega.Equal(1), id)
+	}
+	t.Logf("%d right, %d broken, %d not sent", right, broken, len(notSent))
+}
