--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -95,7 +97,8 @@
 	b.Entry = &Entry{Base: b.base, budgets: make(map[fleet.Kind]*budget), addresses: make(map[fleet.Life]netip.AddrPort)}
 	b.router = &runner.Holder[*route.Router]{System: system, Value: &route.Router{Rand: rand.New(rand.NewPCG(1, 1))}}
 	b.router.Start()
-	b.router.Post(func(r *route.Router) { r.SetTable([]table.Row{b.row}) })
+	row := b.row
+	b.router.Post(func(r *route.Router) { r.SetTable([]table.Row{row}) })
 	s := &caller.Server{MaxBody: 8 << 20, MaxHeader: 32 << 10, BodyTimeout: time.Second, HeaderTimeout: time.Second, Handler: b}
 	b.http = httptest.NewServer(s.HTTPHandler())
 	t.Cleanup(func() {
@@ -108,12 +111,22 @@
 	return b
 }
 
+func (a *agent) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runs
+}
+
 func runNode(t testing.TB, n *peer.Node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = n.Run(ctx) }()
-	<-n.Ready()
 	t.Cleanup(func() { cancel(); <-done })
+	select {
+	case <-n.Ready():
+	case <-done:
+		t.Fatal("the node does not run")
+	}
 }
 
 // Serve runs one flight by the bench's row.
@@ -124,9 +137,9 @@
 	f.run(ctx)
 }
 
-// agent adds an agent that serves by f; ports are told by the first.
+// agent adds an agent that serves by f.
 func (b *bench) agent(t testing.TB, n int, f func(a *agent, s *peer.Stream) error) *agent {
-	at := netip.MustParseAddrPort(freeUDP(t))
+	at := freeUDP(t)
 	a := &agent{serve: f, node: &peer.Node{Listen: at, Handlers: &peer.Handlers{}, Keys: b.keys(), Log: b.base.Log}}
 	a.node.Handlers.Register(message.OperationRequest, func(_ context.Context, s *peer.Stream) error { return a.serve(a, s) })
 	runNode(t, a.node)
@@ -143,10 +156,11 @@
 	return v
 }
 
-func freeUDP(t testing.TB) string {
-	l := httptest.NewUnstartedServer(nil).Listener
-	defer l.Close()
-	return l.Addr().String()
+func freeUDP(t testing.TB) netip.AddrPort {
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
 // claims makes a node the owner of the only shard.
@@ -266,7 +280,7 @@
 					x, y := b.agent(t, 1, serve), b.agent(t, 2, serve)
 					b.claims(x, grant)
 					o, body, err := b.post(make([]byte, size))
-					runs := x.runs + y.runs
+					runs := x.count() + y.count()
 					retried := !unrepeatable && c.told != "" || c.told == fleet.NotRun
 					switch {
 					case c.told == "":
@@ -320,7 +334,7 @@
 			o, _, err := b.post(nil)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(o).To(Equal(c.told))
-			g.Expect(x.runs == 1).To(Equal(c.told == fleet.Answered))
+			g.Expect(x.count() == 1).To(Equal(c.told == fleet.Answered))
 		})
 	}
 }
@@ -338,3 +352,48 @@
 		g.Expect(time.Since(began)).To(Equal(time.Minute))
 	})
 }
+
+// BenchmarkSlowCallers has callers that read nothing of a large answer and
+// reports what they hold at the entry and at the agent's end of the peer
+// protocol, both of which are in this process.
+func BenchmarkSlowCallers(b *testing.B) {
+	const callers = 1000
+	x := newBench(b)
+	x.row.Deadline = time.Minute
+	sent := make(chan struct{}, callers)
+	flood := make([]byte, 32<<20)
+	x.agent(b, 1, func(_ *agent, s *peer.Stream) error {
+		_ = read(s)
+		_ = answer(s, strings.Repeat(whole, 1<<10))
+		sent <- struct{}{}
+		_, err := s.Write(flood)
+		return err
+	})
+	held := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse + m.StackInuse
+	}
+	for b.Loop() {
+		before := held()
+		var open []net.Conn
+		for range callers {
+			c, err := net.Dial("tcp", x.http.Listener.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			open = append(open, c)
+			_, _ = io.WriteString(c, "GET /gust/x HTTP/1.1\r\nHost: a\r\n\r\n")
+		}
+		for range callers {
+			<-sent
+		}
+		// The kernel's buffers fill before the process holds the rest.
+		time.Sleep(2 * time.Second)
+		b.ReportMetric(float64(held()-before)/callers/(1<<10), "KiB/caller")
+		for _, c := range open {
+			c.Close()
+		}
+	}
+}
