--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -19,7 +19,7 @@
 	if err := a.Check(); err != nil {
 		return worker.Answer{}, err
 	}
-	e := host.WorkerSeen{Worker: a.Incarnation, Bound: a.Bound, Total: a.Resources}
+	e := host.WorkerSeen{Worker: a.Incarnation, Sequence: a.Sequence, Bound: a.Bound, Total: a.Resources}
 	for _, r := range a.Attempts {
 		if x, ok := reportOf(r); ok {
 			e.Reports = append(e.Reports, x)
@@ -45,9 +45,8 @@
 	if w == nil {
 		return out
 	}
-	now := time.Now()
 	for _, r := range w.Rights {
-		out.Leases = append(out.Leases, worker.Lease{Attempt: attemptOf(r.Key), Remaining: r.Until.Sub(now)})
+		out.Leases = append(out.Leases, worker.Lease{Attempt: attemptOf(r.Key), Remaining: r.Remaining})
 	}
 	for _, k := range w.Ended {
 		out.Acknowledged = append(out.Acknowledged, attemptOf(k))
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -167,7 +167,11 @@
 	case host.StartIt:
 		err = t.client.Start(ctx, to, t.startOf(c))
 	case host.StopIt:
-		err = t.client.Stop(ctx, to, attemptOf(c.Key))
+		var s worker.StopResult
+		s, err = t.client.Stop(ctx, to, attemptOf(c.Key))
+		r.State = states[s.State]
+		r.Saved = task.Checkpoint(s.Checkpoint)
+		r.Reason = s.Reason
 	case host.SaveIt:
 		var saved string
 		saved, err = t.client.Checkpoint(ctx, to, attemptOf(c.Key))
@@ -181,16 +185,16 @@
 }
 
 func (t *tasks) startOf(c host.Command) worker.Start {
-	now := time.Now()
 	return worker.Start{
 		Attempt:    attemptOf(c.Key),
 		Kind:       c.Spec.Kind,
 		Command:    string(c.Spec.Payload),
 		Checkpoint: string(c.Saved),
 		Resources:  host.Needs(c.Spec.Need),
-		Lease:      c.Until.Sub(now),
-		Sent:       now,
+		Lease:      c.Lease,
+		Sent:       c.Sent,
 		Agent:      t.life.Incarnation,
+		Worker:     c.Worker,
 	}
 }
 
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -37,9 +37,12 @@
 	return c.post(ctx, to, PathTasks, s, nil)
 }
 
-// Stop ends an attempt; it is proved not to run once the call returns nil.
-func (c *Client) Stop(ctx context.Context, to netip.AddrPort, a Attempt) error {
-	return c.post(ctx, to, PathStop, a, nil)
+// Stop ends an attempt; it is proved not to run, and to start no more, once
+// the call returns without an error.
+func (c *Client) Stop(ctx context.Context, to netip.AddrPort, a Attempt) (StopResult, error) {
+	var r StopResult
+	err := c.post(ctx, to, PathStop, a, &r)
+	return r, err
 }
 
 // SetThrottle sets the share of its processors that an attempt may use.
@@ -90,5 +93,8 @@
 	if a == nil {
 		return nil
 	}
-	return errors.Wrap(json.Unmarshal(b, a), ErrBroken.Error())
+	if err := json.Unmarshal(b, a); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	return nil
 }
--- a/internal/worker/protocol.go
+++ b/internal/worker/protocol.go
@@ -76,6 +76,8 @@
 type Announcement struct {
 	ID          string            `json:"id"`
 	Incarnation fleet.Incarnation `json:"incarnation"`
+	// Sequence counts the announcements of this incarnation.
+	Sequence uint64 `json:"sequence"`
 	// Bound is the newest agent that has answered; the worker refuses the
 	// starts of older ones.
 	Bound     fleet.Incarnation `json:"bound"`
@@ -96,7 +98,8 @@
 	// Agent is the agent's incarnation, to which the worker is bound from now on.
 	Agent  fleet.Incarnation `json:"agent"`
 	Leases []Lease           `json:"leases"`
-	// Acknowledged are the attempts whose end the agent has taken.
+	// Acknowledged are the attempts that the worker may forget, those that were
+	// stopped before their start among them.
 	Acknowledged []Attempt `json:"acknowledged"`
 }
 
@@ -114,6 +117,23 @@
 	Sent  time.Time     `json:"sent"`
 	// Agent is the incarnation of the agent that asks.
 	Agent fleet.Incarnation `json:"agent"`
+	// Worker is the incarnation of the worker that is asked; others refuse.
+	Worker fleet.Incarnation `json:"worker"`
+}
+
+// Holds reports whether a lease that ends at until holds at now. It must hold
+// by the wall clock and by the monotonic clock, which stands still while the
+// host is suspended.
+func Holds(now, until time.Time) bool {
+	return now.Before(until) && now.Round(0).Before(until.Round(0))
+}
+
+// A StopResult is the answer to a stop: the attempt does not run, and it was
+// stopped or had ended by itself.
+type StopResult struct {
+	State      State  `json:"state"`
+	Reason     string `json:"reason,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // A Throttle sets the share of its processors that an attempt may use.
--- a/internal/worker/standin/worker.go
+++ b/internal/worker/standin/worker.go
@@ -100,6 +100,9 @@
 	mu       sync.Mutex
 	attempts map[worker.Attempt]*attempt
 	bound    fleet.Incarnation
+	// incarnation and sequence are those of the announcements.
+	incarnation fleet.Incarnation
+	sequence    uint64
 }
 
 // An attempt runs for a duration given as its command, such as "3s"; the
@@ -120,9 +123,10 @@
 		return errors.Wrap(err, "worker: listen")
 	}
 	w.attempts = make(map[worker.Attempt]*attempt)
+	w.incarnation = fleet.Incarnation(time.Now().UnixNano())
 	a := worker.Announcement{
 		ID:          w.ID,
-		Incarnation: fleet.Incarnation(time.Now().UnixNano()),
+		Incarnation: w.incarnation,
 		Address:     netip.MustParseAddrPort(l.Addr().String()),
 		Resources:   w.Resources,
 	}
@@ -160,6 +164,8 @@
 func (w *Worker) announce(a worker.Announcement) {
 	sent := time.Now()
 	w.mu.Lock()
+	w.sequence++
+	a.Sequence = w.sequence
 	a.Bound = w.bound
 	for _, t := range w.attempts {
 		a.Attempts = append(a.Attempts, t.report)
@@ -178,7 +184,7 @@
 	var answer worker.Answer
 	if r.StatusCode == http.StatusOK && json.NewDecoder(r.Body).Decode(&answer) == nil {
 		w.take(sent, answer)
-		if a.Bound != answer.Agent {
+		if a.Bound < answer.Agent {
 			a.Attempts = nil
 			w.announce(a)
 		}
@@ -188,7 +194,10 @@
 func (w *Worker) take(sent time.Time, a worker.Answer) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.bound = max(w.bound, a.Agent)
+	if a.Agent < w.bound {
+		return
+	}
+	w.bound = a.Agent
 	for _, l := range a.Leases {
 		if t := w.attempts[l.Attempt]; t != nil {
 			t.until = sent.Add(l.Remaining)
@@ -211,7 +220,7 @@
 		}
 		t.progress += time.Duration(float64(Step) * t.share)
 		switch {
-		case now.After(t.until):
+		case !worker.Holds(now, t.until):
 			w.end(t, worker.Stopped, "lease lapsed")
 		case t.start.Command == "fail":
 			w.end(t, worker.Failed, "told to fail")
@@ -277,8 +286,11 @@
 	if s.Agent < w.bound {
 		return nil, errors.New("the agent has been replaced")
 	}
+	if s.Worker != w.incarnation {
+		return nil, errors.New("the start is for another life of this worker")
+	}
 	until := s.Sent.Add(s.Lease)
-	if !time.Now().Before(until) {
+	if !worker.Holds(time.Now(), until) {
 		return nil, errors.New("the lease has lapsed on the way")
 	}
 	done, _ := strconv.ParseInt(s.Checkpoint, 10, 64)
@@ -298,14 +310,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := w.attempts[a]
-	switch {
-	case t == nil:
+	if t == nil {
 		// A start that is still on its way must find the stop.
-		w.attempts[a] = &attempt{report: worker.Report{Attempt: a, State: worker.Stopped, Reason: "told to stop"}}
-	case t.report.State == worker.Running:
+		t = &attempt{report: worker.Report{Attempt: a, State: worker.Stopped, Reason: "told to stop"}}
+		w.attempts[a] = t
+	}
+	if t.report.State == worker.Running {
 		w.end(t, worker.Stopped, "told to stop")
 	}
-	return struct{}{}, nil
+	return worker.StopResult{State: t.report.State, Reason: t.report.Reason, Checkpoint: t.report.Checkpoint}, nil
 }
 
 func (w *Worker) throttle(q worker.Throttle) (any, error) {
--- a/pkg/decide/host/host.go
+++ b/pkg/decide/host/host.go
@@ -60,6 +60,8 @@
 // the worker runs or has not been told to forget.
 type WorkerSeen struct {
 	Worker fleet.Incarnation
+	// Sequence counts the announcements of one life of the worker.
+	Sequence uint64
 	// Bound is the life of the agent from which alone the worker takes starts.
 	Bound   fleet.Incarnation
 	Total   fleet.Resources
@@ -88,8 +90,10 @@
 type Commanded struct {
 	Command Command
 	Result  Result
-	Saved   task.Checkpoint
-	Reason  string
+	// State is the attempt's after a stop, zero for Stopped.
+	State  State
+	Saved  task.Checkpoint
+	Reason string
 }
 
 // Tick lets time pass.
@@ -137,22 +141,26 @@
 type Command struct {
 	Key
 	Verb Verb
-	// Until is the end of the lease of a start.
-	Until time.Time
+	// Worker is the life of the worker that the command is for; others refuse a start.
+	Worker fleet.Incarnation
+	// Lease is the lease of a start; it counts from Sent, the time of the Step.
+	Lease time.Duration
+	Sent  time.Time
 	Spec  *task.Spec
 	Saved task.Checkpoint
 }
 
-// A Right is how long an attempt may go on.
+// A Right is how long an attempt may go on from the Step on.
 type Right struct {
 	Key
-	Until time.Time
+	Remaining time.Duration
 }
 
 // An AnswerWorker answers the announcement that was just seen.
 type AnswerWorker struct {
 	Rights []Right
-	// Ended are the attempts that the worker may forget.
+	// Ended are the attempts that the worker may forget: their owner has taken
+	// their end, and no start of them can still be on its way.
 	Ended []Key
 }
 
--- a/pkg/decide/host/machine.go
+++ b/pkg/decide/host/machine.go
@@ -23,7 +23,10 @@
 	// Lease is how long the owners' leases last.
 	Lease time.Duration
 
+	clock    leaseClock
 	now      time.Time
+	asked    []time.Time
+	sequence uint64
 	worker   fleet.Incarnation
 	alive    bool
 	draining bool
@@ -59,6 +62,16 @@
 	until time.Time
 	// handed is the end of the longest lease that the worker was handed.
 	handed time.Time
+	// since is when the attempt was reserved or adopted.
+	since time.Time
+	// ran is when the worker last reported it running.
+	ran time.Time
+	// granted is set once this life of the agent was granted a lease.
+	granted bool
+	// listed is set while the worker reports the attempt.
+	listed bool
+	// acked is set once the owner has taken the final answer.
+	acked  bool
 	worker fleet.Incarnation
 	answer task.AnswerKind
 	// onStop is the answer once the worker has stopped it.
@@ -71,7 +84,7 @@
 
 // Step applies e at now, appends the actions that follow to out and returns it.
 func (m *Machine) Step(now time.Time, e Event, out []Action) []Action {
-	m.now = now
+	m.now = m.clock.read(now)
 	if m.attempts == nil {
 		m.attempts = make(map[Key]*attempt)
 		m.epochs = make(map[Shard]task.Epoch)
@@ -113,7 +126,7 @@
 	case task.Evict:
 		return m.evict(Key{o.Shard, a.Task, a.Attempt}, out)
 	case task.Ack:
-		m.forget(Key{o.Shard, a.Task, a.Attempt})
+		m.acked(Key{o.Shard, a.Task, a.Attempt})
 	case task.Ask:
 		return m.renew(o.Shard, out)
 	}
@@ -121,16 +134,15 @@
 }
 
 func (m *Machine) sender(s Shard) task.Sender {
+	m.noteAsked()
 	return task.Sender{Agent: m.Life, Worker: m.worker, Epoch: m.epochs[s], Asked: m.now}
 }
 
 // say answers the owner about one attempt.
 func (m *Machine) say(k Key, kind task.AnswerKind, a *attempt, out []Action) []Action {
 	x := task.Answer{Sender: m.sender(k.Shard), Kind: kind, Task: k.Task, Attempt: k.Attempt}
-	if a != nil {
-		x.Saved = a.saved
-		x.Reason = a.reason
-	}
+	x.Saved = a.saved
+	x.Reason = a.reason
 	return append(out, Say{Shard: k.Shard, Answer: x})
 }
 
@@ -148,18 +160,36 @@
 	return m.say(k, kind, a, out)
 }
 
-func (m *Machine) forget(k Key) {
-	if a := m.attempts[k]; a != nil && a.phase == final {
+// acked notes that the owner has taken a final answer, and forgets the
+// attempt once it cannot come up again.
+func (m *Machine) acked(k Key) {
+	a := m.attempts[k]
+	if a == nil || a.phase != final {
+		return
+	}
+	a.acked = true
+	m.forget(k, a)
+}
+
+// forget drops an attempt of which no start can reach its worker and which
+// the worker does not list.
+func (m *Machine) forget(k Key, a *attempt) {
+	gone := a.handed.IsZero() || a.worker != m.worker
+	if a.acked && (gone || !a.listed && m.past(a)) {
 		delete(m.attempts, k)
 	}
 }
 
+// past reports whether a worker that keeps to its leases has surely stopped a
+// and refuses a start of it.
+func (m *Machine) past(a *attempt) bool { return m.now.After(a.handed.Add(lapseMargin)) }
+
 // renew lists all that this host holds of a shard.
 func (m *Machine) renew(s Shard, out []Action) []Action {
 	e := task.LeaseAsked{Sender: m.sender(s)}
 	for _, k := range m.keys() {
 		a := m.attempts[k]
-		if k.Shard != s {
+		if k.Shard != s || a.acked {
 			continue
 		}
 		h := task.Held{Task: k.Task, Attempt: k.Attempt, Saved: a.saved, Reason: a.reason}
--- a/pkg/decide/host/order.go
+++ b/pkg/decide/host/order.go
@@ -15,7 +15,7 @@
 		return m.again(k, a, out)
 	}
 	need := Needs(o.Spec.Need)
-	a := &attempt{phase: reserved, spec: o.Spec, need: need, worker: m.worker, saved: o.Saved}
+	a := &attempt{phase: reserved, spec: o.Spec, need: need, worker: m.worker, saved: o.Saved, since: m.now}
 	if why := m.refusal(need); why != "" {
 		a.reason = why
 		a.need = fleet.Resources{}
@@ -50,7 +50,7 @@
 func (m *Machine) again(k Key, a *attempt, out []Action) []Action {
 	switch a.phase {
 	case final:
-		return m.say(k, a.answer, a, out)
+		return m.repeat(k, a, out)
 	case reserved:
 		return m.say(k, task.Reserved, a, out)
 	default:
@@ -58,16 +58,28 @@
 	}
 }
 
+// repeat tells a final answer again unless the owner has taken it.
+func (m *Machine) repeat(k Key, a *attempt, out []Action) []Action {
+	if a.acked {
+		return out
+	}
+	return m.say(k, a.answer, a, out)
+}
+
 // granted starts what waited for its lease and prolongs what runs.
 func (m *Machine) granted(s Shard, g task.GrantLease, out []Action) []Action {
+	if !m.hasAsked(g.Asked) {
+		return out
+	}
 	until := g.Asked.Add(g.Duration)
 	for _, h := range g.Held {
 		k := Key{s, h.Task, h.Attempt}
 		a := m.attempts[k]
-		if a == nil || a.phase == final || !until.After(a.until) {
+		if a == nil || a.phase == final || g.Asked.Before(a.since) || a.granted && !until.After(a.until) {
 			continue
 		}
 		a.until = until
+		a.granted = true
 		if a.phase == reserved && m.now.Before(until) {
 			a.phase = starting
 			out = m.command(k, a, StartIt, out)
@@ -78,10 +90,12 @@
 
 func (m *Machine) command(k Key, a *attempt, v Verb, out []Action) []Action {
 	a.sent = m.now
+	c := Command{Key: k, Verb: v, Worker: a.worker, Sent: m.clock.last, Spec: a.spec, Saved: a.saved}
 	if v == StartIt {
 		a.handed = a.until
+		c.Lease = a.until.Sub(m.now)
 	}
-	return append(out, Command{Key: k, Verb: v, Until: a.until, Spec: a.spec, Saved: a.saved})
+	return append(out, c)
 }
 
 // stop ends an attempt with the answer kind once the worker has stopped it.
@@ -89,10 +103,12 @@
 	a := m.attempts[k]
 	switch {
 	case a == nil:
-		// Whatever start is still on its way gets no lease.
-		return m.say(k, kind, nil, out)
+		// A start that is still on its way finds this answer.
+		a = &attempt{worker: m.worker}
+		m.attempts[k] = a
+		return m.end(k, a, kind, "not held", out)
 	case a.phase == final:
-		return m.say(k, a.answer, a, out)
+		return m.repeat(k, a, out)
 	case a.phase == reserved:
 		return m.end(k, a, task.Refused, "stopped before its start", out)
 	case a.phase == stopping:
@@ -106,6 +122,9 @@
 // evict checkpoints an attempt and then stops it.
 func (m *Machine) evict(k Key, out []Action) []Action {
 	a := m.attempts[k]
+	if a != nil && (a.phase == saving || a.phase == stopping) {
+		return out
+	}
 	if a == nil || a.phase != running {
 		return m.stop(k, task.Stopped, out)
 	}
--- a/pkg/decide/host/tick.go
+++ b/pkg/decide/host/tick.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,6 +23,7 @@
 	for _, k := range m.keys() {
 		out = m.look(k, m.attempts[k], out)
 	}
+	m.dropAsked()
 	if m.now.Sub(m.renewed) >= m.Lease/renewals {
 		m.renewed = m.now
 		out = m.renewAll(out)
@@ -30,10 +32,12 @@
 }
 
 func (m *Machine) look(k Key, a *attempt, out []Action) []Action {
-	if a.phase != final && a.phase != reserved && m.now.After(a.handed.Add(lapseMargin)) {
-		return m.end(k, a, task.Stopped, "lease lapsed at the worker", out)
+	if a.phase != final && a.phase != reserved && m.lapsed(a) {
+		return m.end(k, a, cmp.Or(a.onStop, task.Stopped), "lease lapsed at the worker", out)
 	}
 	switch a.phase {
+	case final:
+		m.forget(k, a)
 	case reserved:
 		if a.sent.IsZero() {
 			a.sent = m.now
@@ -57,6 +61,12 @@
 	return out
 }
 
+// lapsed reports whether the worker has stopped a by itself. One that reports
+// it running past its lease does not keep to leases, and its room stays taken.
+func (m *Machine) lapsed(a *attempt) bool {
+	return m.past(a) && (!m.alive || !a.ran.After(a.handed.Add(lapseMargin)))
+}
+
 func (m *Machine) renewAll(out []Action) []Action {
 	for _, s := range m.shards() {
 		out = m.renew(s, out)
--- a/pkg/decide/host/worker.go
+++ b/pkg/decide/host/worker.go
@@ -1,14 +1,16 @@
 package host
 
 import (
+	"cmp"
+
 	"github.com/sesamestream/sesamestream/pkg/decide/task"
 )
 
 // workerSeen takes an announcement: it ends what ended and what an earlier
 // life of the worker ran, and adopts what an earlier life of the agent started.
 func (m *Machine) workerSeen(e WorkerSeen, out []Action) []Action {
-	if e.Worker < m.worker {
-		return out
+	if e.Worker < m.worker || e.Worker == m.worker && e.Sequence < m.sequence {
+		return append(out, AnswerWorker{})
 	}
 	if e.Bound != m.Life.Incarnation {
 		// A start of an earlier life of this agent may still reach the worker.
@@ -16,11 +18,15 @@
 	}
 	fresh := e.Worker != m.worker
 	m.worker = e.Worker
+	m.sequence = e.Sequence
 	m.total = e.Total
 	m.alive = true
 	if fresh {
 		out = m.freed(out)
 	}
+	for _, a := range m.attempts {
+		a.listed = false
+	}
 	for _, r := range e.Reports {
 		out = m.reported(r, out)
 	}
@@ -37,10 +43,15 @@
 		a := m.attempts[k]
 		switch a.phase {
 		case final:
-			w.Ended = append(w.Ended, k)
+			if a.acked && m.past(a) {
+				w.Ended = append(w.Ended, k)
+			}
 		case starting, running, saving:
-			a.handed = a.until
-			w.Rights = append(w.Rights, Right{Key: k, Until: a.until})
+			if !a.granted {
+				continue
+			}
+			a.handed = later(a.handed, a.until)
+			w.Rights = append(w.Rights, Right{Key: k, Remaining: a.until.Sub(m.now)})
 		}
 	}
 	return append(out, w)
@@ -50,6 +61,7 @@
 func (m *Machine) freed(out []Action) []Action {
 	for _, k := range m.keys() {
 		a := m.attempts[k]
+		m.forget(k, a)
 		if a.phase == reserved {
 			out = m.end(k, a, task.Refused, "worker restarted", out)
 			continue
@@ -65,6 +77,13 @@
 	if a == nil {
 		a = m.adopt(r)
 	}
+	a.listed = true
+	if r.State == Running {
+		a.ran = m.now
+	}
+	if a.phase == final && r.State == Running && m.past(a) {
+		return m.command(r.Key, a, StopIt, out)
+	}
 	if a.phase == final {
 		return out
 	}
@@ -83,19 +102,18 @@
 	case Failed:
 		out = m.end(r.Key, a, task.EndedFailed, r.Reason, out)
 	case Stopped:
-		kind := a.onStop
-		if kind == 0 {
-			kind = task.Stopped
-		}
-		out = m.end(r.Key, a, kind, r.Reason, out)
+		out = m.end(r.Key, a, cmp.Or(a.onStop, task.Stopped), r.Reason, out)
 	}
 	return out
 }
 
 // adopt takes up an attempt that an earlier life of this agent started. It
-// holds its room; its lease is the worker's until the owner grants another.
+// holds its room. The worker goes by the lease it has, which ends within one
+// lease's length from now, and is handed none before the owner grants one.
 func (m *Machine) adopt(r Report) *attempt {
-	a := &attempt{phase: running, worker: m.worker, need: Needs(r.Need), saved: r.Saved, until: m.now.Add(m.Lease), handed: m.now.Add(m.Lease)}
+	a := &attempt{phase: running, worker: m.worker, need: Needs(r.Need), saved: r.Saved, since: m.now}
+	a.until = m.now.Add(m.Lease)
+	a.handed = a.until
 	a.spec = &task.Spec{Kind: r.Kind, Need: r.Need}
 	m.attempts[r.Key] = a
 	m.reserved = m.reserved.Plus(a.need)
@@ -114,9 +132,7 @@
 	case SaveIt:
 		return m.saveCommanded(c, a, out)
 	case StopIt:
-		if c.Result == Carried && a.phase == stopping {
-			return m.end(c.Command.Key, a, a.onStop, "", out)
-		}
+		return m.stopCommanded(c, a, out)
 	}
 	return out
 }
@@ -138,14 +154,35 @@
 	}
 }
 
+// stopCommanded ends an attempt that the worker proved to have stopped, or
+// that ended by itself before.
+func (m *Machine) stopCommanded(c Commanded, a *attempt, out []Action) []Action {
+	if c.Result != Carried || a.phase != stopping {
+		return out
+	}
+	kind := a.onStop
+	switch c.State {
+	case Done:
+		kind = task.EndedOK
+	case Failed:
+		kind = task.EndedFailed
+	}
+	if c.Saved != "" {
+		a.saved = c.Saved
+	}
+	return m.end(c.Command.Key, a, kind, c.Reason, out)
+}
+
 // saveCommanded goes on to stop the attempt, evicted where it was saved.
 func (m *Machine) saveCommanded(c Commanded, a *attempt, out []Action) []Action {
+	if c.Result == Carried {
+		a.saved = c.Saved
+	}
 	if a.phase != saving {
 		return out
 	}
 	kind := task.Stopped
 	if c.Result == Carried {
-		a.saved = c.Saved
 		kind = task.Evicted
 	}
 	return m.stop(c.Command.Key, kind, out)
