--- a/pkg/decide/host/clock.go
+++ b/pkg/decide/host/clock.go
@@ -8,7 +8,8 @@
 // A leaseClock advances by the larger of what the wall clock and the
 // monotonic clock show, so that a lease holds only while both are inside it:
 // the monotonic clock stands still while the whole host is suspended, and the
-// wall clock may be set back.
+// wall clock may be set back. No two reads are equal, so that a lease asked for
+// before an attempt was reserved again is told from one asked for since.
 type leaseClock struct {
 	last time.Time
 	now  time.Time
@@ -19,7 +20,7 @@
 	if c.last.IsZero() {
 		c.now = now.Round(0)
 	} else {
-		c.now = c.now.Add(max(now.Sub(c.last), now.Round(0).Sub(c.last.Round(0)), 0))
+		c.now = c.now.Add(max(now.Sub(c.last), now.Round(0).Sub(c.last.Round(0)), 1))
 	}
 	c.last = now
 	return c.now
