--- a/pkg/decide/host/machine_test.go
+++ b/pkg/decide/host/machine_test.go
@@ -17,13 +17,15 @@
 // are late, doubled, reordered and lost, while each of the three restarts.
 func TestAttempts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
-		w.calm()
-		w.calm()
-		for range 250 {
-			w.act(w.r.IntN(24))
+		for range 20 {
+			w := newWorld(t)
+			w.calm()
+			w.calm()
+			for range 250 {
+				w.act(w.r.IntN(24))
+			}
+			w.settle()
 		}
-		w.settle()
 	})
 }
 
@@ -63,6 +65,39 @@
 	}
 }
 
+// TestLateMessages delivers what was meant for an attempt before it ended.
+func TestLateMessages(t *testing.T) {
+	m := &Machine{Life: fleet.Life{ID: "h", Incarnation: 1}, Lease: testLease}
+	now := time.Unix(1e6, 0)
+	seen := WorkerSeen{Worker: 1, Bound: 1, Total: fleet.Resources{Slots: 1}}
+	order := func(a task.Action) []Action { return m.Step(now, Order{Shard: 1, Action: a}, nil) }
+	asked := func(a []Action) time.Time { return a[0].(Say).Answer.Asked }
+	grant := func(t time.Time) []Action {
+		return order(task.GrantLease{Held: []task.Held{{Attempt: 1}}, Asked: t, Duration: testLease})
+	}
+	start := task.Start{Agent: m.Life, Worker: 1, Attempt: 1, Spec: &task.Spec{}}
+	m.Step(now, seen, nil)
+	first := asked(order(start))
+	order(task.Stop{Attempt: 1})
+	order(task.Ack{Attempt: 1})
+	second := asked(order(start))
+	if len(grant(first))+len(grant(second.Add(time.Nanosecond))) > 0 {
+		t.Fatal("a lease started an attempt that had not asked for it")
+	}
+	c := grant(second)[0].(Command)
+	stop := m.Step(now, Commanded{Command: c, Result: Broken}, nil)[0].(Command)
+	m.Step(now, Commanded{Command: stop, Result: Carried}, nil)
+	order(task.Ack{Attempt: 1})
+	seen.Reports = []Report{{Key: c.Key, State: Stopped}}
+	for range 20 {
+		ended := len(m.Step(now, seen, nil)[0].(AnswerWorker).Ended) > 0
+		if ended != now.After(c.Sent.Add(c.Lease+lapseMargin)) {
+			t.Fatalf("the worker may forget it while its start may come: %v", ended)
+		}
+		now = now.Add(time.Second)
+	}
+}
+
 func (w *world) act(op int) {
 	i := w.r.IntN(len(w.tasks))
 	o := w.tasks[i]
