Reserve by the usage that was learned per kind

Cause: declared sizes are far off, so a host was either half empty or overfilled. An expectile per kind (quick up, slow down, with hysteresis) is reserved; memory falls slower and makes room at once by one eviction each 10 s, processors only after 20 s. Reservations never sum to more than the host. TestLearnedNeeds: no second over the host after 300 s and at most 6 changes of direction, with declarations off by a factor of 1/4 to 4 and reports 1 to 10 s late. Breaking the learning, the hysteresis down, the eviction or the cap on growth is seen.

--- a/pkg/decide/host/machine.go
+++ b/pkg/decide/host/machine.go
@@ -32,6 +32,13 @@
 	draining bool
 	total    fleet.Resources
 	reserved fleet.Resources
+	learner  Learner
+	// short is what reservations lack to be what was learned.
+	short fleet.Resources
+	// processorsFull is when processors were last not short.
+	processorsFull time.Time
+	// shedAt is when an attempt was last evicted for room.
+	shedAt   time.Time
 	attempts map[Key]*attempt
 	epochs   map[Shard]task.Epoch
 	renewed  time.Time
@@ -58,8 +65,15 @@
 type attempt struct {
 	phase phase
 	spec  *task.Spec
-	need  fleet.Resources
-	until time.Time
+	// need is what is reserved, declared what the task asked for.
+	need     fleet.Resources
+	declared fleet.Resources
+	// used is what the worker last reported.
+	used     fleet.Resources
+	reported bool
+	// adopted was reserved by an earlier life of the agent.
+	adopted bool
+	until   time.Time
 	// handed is the end of the longest lease that the worker was handed.
 	handed time.Time
 	// since is when the attempt was reserved or adopted.
--- a/pkg/decide/host/order.go
+++ b/pkg/decide/host/order.go
@@ -14,8 +14,9 @@
 	if a := m.attempts[k]; a != nil {
 		return m.again(k, a, out)
 	}
-	need := Needs(o.Spec.Need)
-	a := &attempt{phase: reserved, spec: o.Spec, need: need, worker: m.worker, saved: o.Saved, since: m.now}
+	declared := Needs(o.Spec.Need)
+	need := m.learner.Need(o.Spec.Kind, declared, m.total)
+	a := &attempt{phase: reserved, spec: o.Spec, need: need, declared: declared, worker: m.worker, saved: o.Saved, since: m.now}
 	if why := m.refusal(need); why != "" {
 		a.reason = why
 		a.need = fleet.Resources{}
@@ -40,7 +41,7 @@
 		return "draining"
 	case !m.alive:
 		return "no worker"
-	case !m.reserved.Plus(need).Fits(m.total):
+	case !m.reserved.Plus(need).Plus(m.short).Fits(m.total):
 		return "no room"
 	}
 	return ""
--- a/pkg/decide/host/worker.go
+++ b/pkg/decide/host/worker.go
@@ -4,6 +4,7 @@
 	"cmp"
 
 	"github.com/sesamestream/sesamestream/pkg/decide/task"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
 // workerSeen takes an announcement: it ends what ended and what an earlier
@@ -33,6 +34,7 @@
 	if fresh {
 		out = m.renewAll(out)
 	}
+	out = m.resize(out)
 	return m.answerWorker(out)
 }
 
@@ -87,6 +89,7 @@
 	if a.phase == final {
 		return out
 	}
+	m.learn(a, r)
 	if r.Saved != "" && r.Saved != a.saved {
 		a.saved = r.Saved
 		out = m.say(r.Key, task.Progress, a, out)
@@ -107,11 +110,29 @@
 	return out
 }
 
+// learn takes the usage of a running attempt; none reported tells nothing.
+func (m *Machine) learn(a *attempt, r Report) {
+	if r.State != Running || r.Usage == (fleet.Resources{}) {
+		return
+	}
+	a.used = r.Usage
+	a.reported = true
+	prior := a.declared
+	if a.adopted {
+		prior = r.Usage
+	}
+	m.learner.Learn(m.now, a.spec.Kind, prior, r.Usage)
+}
+
 // adopt takes up an attempt that an earlier life of this agent started. It
 // holds its room. The worker goes by the lease it has, which ends within one
 // lease's length from now, and is handed none before the owner grants one.
 func (m *Machine) adopt(r Report) *attempt {
-	a := &attempt{phase: running, worker: m.worker, need: Needs(r.Need), saved: r.Saved, since: m.now}
+	a := &attempt{phase: running, worker: m.worker, declared: Needs(r.Need), saved: r.Saved, since: m.now, adopted: true}
+	// Its processors and memory are reserved by resize, out of what is left.
+	a.need = a.declared
+	a.need.Processors = 0
+	a.need.Memory = 0
 	a.until = m.now.Add(m.Lease)
 	a.handed = a.until
 	a.spec = &task.Spec{Kind: r.Kind, Need: r.Need}
