Divide ceilings, floors and quotas between shards by demand

Cause: each shard had 1/Shards of every kind's share, so a job in one shard was held to that part while other shards were idle, and with as many shards as slots nothing started. Owners now tell each other every second what they use, want and claim; a claim is used once the others took it and never beyond what their claims leave, so that ceilings and quotas hold fleet-wide. The table's rows are also refreshed at the placer when a new table comes into force: SetTable set the field only.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -98,6 +98,7 @@
 	peer.Handle(h, message.OperationOrder, a.tasks.order)
 	peer.Handle(h, message.OperationTell, a.shards.tell)
 	peer.Handle(h, message.OperationOwner, a.shards.isOwner)
+	peer.Handle(h, message.OperationShare, a.shards.hearShare)
 	peer.Handle(h, message.OperationJob, a.shards.job)
 	peer.Handle(h, message.OperationClaim, a.shards.claim)
 	peer.Handle(h, message.OperationClaimEnd, a.shards.claimEnd)
--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -128,7 +128,10 @@
 		s.mu.Lock()
 		o.owner = x
 		s.mu.Unlock()
+		run, stop := context.WithCancel(ctx)
+		go s.share(run, x)
 		err := x.Run(ctx)
+		stop()
 		if ctx.Err() != nil {
 			return
 		}
--- /dev/null
+++ b/internal/agent/shares.go
@@ -0,0 +1,88 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/message"
+	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/internal/shard"
+	"github.com/sesamestream/sesamestream/pkg/decide/place"
+)
+
+// The times of the shares' rounds.
+const (
+	shareEvery   = time.Second
+	shareTimeout = 900 * time.Millisecond
+)
+
+// share lets an owner exchange its shares with the other owners until ctx ends.
+func (s *shards) share(ctx context.Context, o *shard.Owner) {
+	select {
+	case <-o.Ready():
+	case <-ctx.Done():
+		return
+	}
+	t := time.NewTicker(shareEvery)
+	defer t.Stop()
+	for {
+		s.shareRound(ctx, o)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// shareRound tells every other owner once.
+func (s *shards) shareRound(ctx context.Context, o *shard.Owner) {
+	q, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	r, ok := o.ShareRound(q)
+	if !ok {
+		return
+	}
+	for n := range s.count {
+		if n != o.Shard {
+			go s.tellShare(ctx, o, n, r)
+		}
+	}
+}
+
+func (s *shards) tellShare(ctx context.Context, o *shard.Owner, to int, r place.ShareReport) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	a, err := s.callShare(ctx, message.ShareTell{To: to, Report: r})
+	if err != nil {
+		s.base.Log.Debug().Str("event", "shareFailed").Int("shard", to).Err(err).Msg("")
+		return
+	}
+	_ = o.ShareTaken(ctx, to, a.Epoch, r.Round)
+}
+
+// callShare tells the owner of a shard, here or at another agent.
+func (s *shards) callShare(ctx context.Context, t message.ShareTell) (message.ShareAnswer, error) {
+	if a, err := s.hearShare(ctx, t); err == nil {
+		return a, nil
+	}
+	at, err := s.base.OwnerOf(ctx, t.To)
+	if err != nil {
+		return message.ShareAnswer{}, err
+	}
+	a, err := peer.Call[message.ShareTell, message.ShareAnswer](ctx, s.base.Node, at, message.OperationShare, t)
+	if err != nil {
+		s.base.ForgetOwner(t.To)
+	}
+	return a, err
+}
+
+// hearShare takes what the owner of another shard tells.
+func (s *shards) hearShare(ctx context.Context, t message.ShareTell) (message.ShareAnswer, error) {
+	o, err := s.get(t.To)
+	if err != nil {
+		return message.ShareAnswer{}, err
+	}
+	e, err := o.HearShare(ctx, t.Report)
+	return message.ShareAnswer{Epoch: e}, err
+}
--- /dev/null
+++ b/internal/message/share.go
@@ -0,0 +1,20 @@
+package message
+
+import (
+	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/pkg/decide/place"
+)
+
+// OperationShare tells a shard's owner what another shard's owner uses and wants.
+const OperationShare peer.Operation = "shard.share"
+
+// A ShareTell carries one shard's report to the owner of another.
+type ShareTell struct {
+	To     int               `cbor:"1,keyasint"`
+	Report place.ShareReport `cbor:"2,keyasint"`
+}
+
+// A ShareAnswer tells the epoch of the owner that took a report.
+type ShareAnswer struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+}
--- a/internal/shard/command.go
+++ b/internal/shard/command.go
@@ -74,5 +74,5 @@
 
 // SetTable puts a table in force.
 func (o *Owner) SetTable(ctx context.Context, t *table.Table) error {
-	return o.runner.Query(ctx, func() { o.placer.Table = t })
+	return o.runner.Query(ctx, func() { o.placer.Rules(t) })
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -72,6 +72,7 @@
 	runner  *runner.Runner[task.Event, task.Action]
 	machine *task.Machine
 	placer  *place.Placer[task.ID]
+	shares  *place.Shares
 	claims  *claims
 
 	// The fields below are touched by the actor alone.
@@ -148,6 +149,10 @@
 		Table:  o.Table,
 		Shards: o.Shards,
 	}
+	if o.Shards > 1 {
+		o.shares = &place.Shares{Shard: o.Shard, Shards: o.Shards, Epoch: uint64(r.Epoch)}
+		o.placer.Shares = o.shares
+	}
 	o.machine = &task.Machine{
 		State: live.tasks, Placer: o.placer, Lease: o.Lease, Ride: o.Ride, Drift: drift,
 		StartTimeout: startTimeout, Retain: retain, HopelessAfter: hopelessAfter,
--- a/pkg/decide/place/place.go
+++ b/pkg/decide/place/place.go
@@ -48,14 +48,6 @@
 	Penalty(k fleet.Kind, on fleet.ID) float64
 }
 
-// Parts tells how much of a kind's or a team's fleet-wide share is this shard's.
-type Parts interface {
-	// Kind returns a part between 0 and 1; over all shards the parts of one kind sum to at most 1.
-	Kind(k fleet.Kind) float64
-	// Team returns the same for a team's quota.
-	Team(t fleet.Team) float64
-}
-
 // The parameters of a Placer.
 const (
 	// probes bounds the hosts looked at for one task.
--- a/pkg/decide/place/placer.go
+++ b/pkg/decide/place/placer.go
@@ -19,18 +19,20 @@
 	Table *table.Table
 	// Shards is how many shards divide the shares; zero stands for 1.
 	Shards int
-	// Parts divides the shares unevenly; without it each shard has one part of Shards.
-	Parts Parts
+	// Shares divides the shares by demand; without it each shard has one part of Shards.
+	Shares *Shares
 	// Interference is asked for each compared host; nil knows of none.
 	Interference Interference
 
-	hosts  map[fleet.ID]*node[K]
-	all    []*node[K]
-	index  index[K]
-	items  map[K]*item[K]
-	kinds  map[fleet.Kind]*kind[K]
-	order  []*kind[K]
-	teams  map[fleet.Team]int
+	hosts map[fleet.ID]*node[K]
+	all   []*node[K]
+	index index[K]
+	items map[K]*item[K]
+	kinds map[fleet.Kind]*kind[K]
+	order []*kind[K]
+	teams map[fleet.Team]int
+	// waits are the slots that a team's queued tasks ask for.
+	waits  map[fleet.Team]int
 	groups map[rackKey]int
 	slots  int
 	keeps  int
@@ -84,6 +86,7 @@
 	p.items = map[K]*item[K]{}
 	p.kinds = map[fleet.Kind]*kind[K]{}
 	p.teams = map[fleet.Team]int{}
+	p.waits = map[fleet.Team]int{}
 	p.groups = map[rackKey]int{}
 	p.index.regions = map[string]*region[K]{}
 }
@@ -146,7 +149,7 @@
 	i := &item[K]{key: k, want: w, since: now, queued: true}
 	p.items[k] = i
 	p.kind(w.Kind).push(i)
-	p.queued++
+	p.wait(i, 1)
 }
 
 // Occupy notes a task that is placed already, as after a replay.
@@ -175,8 +178,7 @@
 	p.unkeep(i)
 	i.gone = true
 	i.queued = false
-	p.kinds[i.want.Kind].queued--
-	p.queued--
+	p.wait(i, -1)
 	delete(p.items, k)
 }
 
@@ -218,11 +220,19 @@
 	n.free = n.free.Minus(i.want.Need)
 	n.pending = n.pending.Plus(i.want.Need)
 	p.index.insert(n)
-	p.kinds[i.want.Kind].queued--
-	p.queued--
+	p.wait(i, -1)
 	p.count(i, n, 1)
 }
 
+// wait adds d to what waits.
+func (p *Placer[K]) wait(i *item[K], d int) {
+	k := p.kinds[i.want.Kind]
+	k.queued += d
+	k.waiting += d * slots(i.want)
+	p.waits[i.want.Team] += d * slots(i.want)
+	p.queued += d
+}
+
 // count adds d to what i uses.
 func (p *Placer[K]) count(i *item[K], n *node[K], d int) {
 	i.host = n
--- a/pkg/decide/place/queue.go
+++ b/pkg/decide/place/queue.go
@@ -16,10 +16,12 @@
 	row    table.Row
 	used   int
 	queued int
-	urgent fifo[K]
-	teams  map[fleet.Team]*fifo[K]
-	order  []*fifo[K]
-	retry  time.Time
+	// waiting are the slots that the queued tasks ask for.
+	waiting int
+	urgent  fifo[K]
+	teams   map[fleet.Team]*fifo[K]
+	order   []*fifo[K]
+	retry   time.Time
 }
 
 // A fifo is the queue of one team within a kind.
@@ -38,7 +40,6 @@
 }
 
 func (k *kind[K]) push(i *item[K]) {
-	k.queued++
 	k.retry = time.Time{}
 	if i.want.Urgent {
 		k.urgent.items = append(k.urgent.items, i)
@@ -90,14 +91,6 @@
 	}
 }
 
-// part returns which part of the fleet's slots the shard holds of a kind.
-func (p *Placer[K]) part(k fleet.Kind) float64 {
-	if p.Parts != nil {
-		return p.Parts.Kind(k)
-	}
-	return 1 / float64(max(1, p.Shards))
-}
-
 // quota returns the slots that a team's tasks of this shard never exceed.
 func (p *Placer[K]) quota(t fleet.Team) float64 {
 	if p.Table == nil {
@@ -107,10 +100,11 @@
 		if r.Team != t {
 			continue
 		}
-		if p.Parts != nil {
-			return float64(r.Quota) * float64(p.slots) * p.Parts.Team(t)
+		whole := float64(r.Quota) * float64(p.slots)
+		if p.Shares != nil {
+			return min(whole, float64(p.Shares.Quota(t)))
 		}
-		return float64(r.Quota) * float64(p.slots) / float64(max(1, p.Shards))
+		return whole / float64(max(1, p.Shards))
 	}
 	return float64(p.slots)
 }
@@ -128,12 +122,20 @@
 
 // below reports whether k uses less than its floor in this shard.
 func (p *Placer[K]) below(k *kind[K]) bool {
-	return float64(k.used) < float64(k.row.Floor)*float64(p.slots)*p.part(k.name)
+	whole := float64(k.row.Floor) * float64(p.slots)
+	if p.Shares != nil {
+		return float64(k.used) < min(whole, float64(p.Shares.Floor(k.name)))
+	}
+	return float64(k.used) < whole/float64(max(1, p.Shards))
 }
 
 // room returns how many slots k may still take under its ceiling.
 func (p *Placer[K]) room(k *kind[K]) float64 {
-	return float64(k.row.Ceiling)*float64(p.slots)*p.part(k.name) - float64(k.used)
+	whole := float64(k.row.Ceiling) * float64(p.slots)
+	if p.Shares != nil {
+		return min(whole, float64(p.Shares.Ceiling(k.name))) - float64(k.used)
+	}
+	return whole/float64(max(1, p.Shards)) - float64(k.used)
 }
 
 // rank orders kinds that wait: urgent first, then floors, then weight.
