--- a/internal/agent/shares.go
+++ b/internal/agent/shares.go
@@ -51,14 +51,17 @@
 }
 
 func (s *shards) tellShare(ctx context.Context, o *shard.Owner, to int, r place.ShareReport) {
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	q, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	a, err := s.callShare(ctx, message.ShareTell{To: to, Report: r})
+	a, err := s.callShare(q, message.ShareTell{To: to, Report: r})
 	if err != nil {
 		s.base.Log.Debug().Str("event", "shareFailed").Int("shard", to).Err(err).Msg("")
 		return
 	}
-	_ = o.ShareTaken(ctx, to, a.Epoch, r.Round)
+	if err := o.ShareTaken(q, to, a, r.Round); err == nil && len(a.Cleared) > 0 {
+		// The other owners hear at once which hosts are kept.
+		s.shareRound(ctx, o)
+	}
 }
 
 // callShare tells the owner of a shard, here or at another agent.
@@ -83,6 +86,5 @@
 	if err != nil {
 		return message.ShareAnswer{}, err
 	}
-	e, err := o.HearShare(ctx, t.Report)
-	return message.ShareAnswer{Epoch: e}, err
+	return o.HearShare(ctx, t.Report)
 }
--- /dev/null
+++ b/internal/local/tasks_test.go
@@ -0,0 +1,114 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"github.com/sesamestream/sesamestream/internal/operator"
+	"github.com/sesamestream/sesamestream/internal/settings"
+	"github.com/sesamestream/sesamestream/pkg/decide/task"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+	"github.com/sesamestream/sesamestream/pkg/table"
+)
+
+// A taskWorld is a cluster that runs tasks until its test ends.
+type taskWorld struct {
+	*Cluster
+	t testing.TB
+	g Gomega
+}
+
+func startTasks(t testing.TB, shards int) *taskWorld {
+	c := &Cluster{
+		Tasks: settings.Tasks{Lease: 6 * time.Second, RideThrough: time.Minute, Shards: shards},
+		Dir:   t.TempDir(),
+		Log:   &log.Logger{Level: log.ErrorLevel},
+	}
+	w := &taskWorld{Cluster: c, t: t, g: NewWithT(t)}
+	w.g.Expect(c.Prepare()).To(Succeed())
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		w.g.Expect(<-ended).To(Succeed())
+	})
+	w.g.Expect(c.SetTable(ctx, DemoTable())).To(Succeed())
+	return w
+}
+
+// submit submits a job and repeats it until it is accepted.
+func (w *taskWorld) submit(j operator.Job) {
+	j.Kind = kindForecast
+	j.Class = max(j.Class, table.ClassBatch)
+	j.Resources = fleet.Resources{Processors: 1000, Memory: 1 << 30, Slots: 1}
+	w.g.Eventually(func() error {
+		return w.Client().Call(w.t.Context(), http.MethodPost, operator.PathJobs, j, nil)
+	}, "20s", "20ms").Should(Succeed())
+}
+
+func (w *taskWorld) job(id task.JobID) operator.JobState {
+	var s operator.JobState
+	if err := w.Client().Call(w.t.Context(), http.MethodGet, operator.PathJobs+"/"+string(id), nil, &s); err != nil {
+		return operator.JobState{}
+	}
+	return s
+}
+
+// assigned returns how many tasks of a job have a host.
+func (w *taskWorld) assigned(id task.JobID) func() int {
+	return func() int { return w.job(id).Tasks[task.Assigned.String()] }
+}
+
+// startTime submits a job of one short task and returns how long it takes to run it.
+func (w *taskWorld) startTime(id task.JobID, urgent bool) time.Duration {
+	began := time.Now()
+	w.submit(operator.Job{ID: id, Tasks: 1, Urgent: urgent, Command: "1ms"})
+	w.g.Eventually(func() int { return w.Runs.DoneRuns(taskName(id, 0, w.Tasks.Shards)) }, "30s", "5ms").Should(Equal(1))
+	return time.Since(began)
+}
+
+// startTimes returns the start times of n jobs one after the other, in order of length.
+func (w *taskWorld) startTimes(name string, n int, urgent bool) []time.Duration {
+	var all []time.Duration
+	for i := range n {
+		all = append(all, w.startTime(task.JobID(fmt.Sprintf("%s-%d", name, i)), urgent))
+	}
+	slices.Sort(all)
+	w.t.Logf("%s: p50 %s p99 %s of %d", name, all[n/2], all[n*99/100], n)
+	return all
+}
+
+// fleetSlots are the slots of all workers.
+var fleetSlots = len(places) * agentsEach * slots
+
+// urgentBound is within what urgent work starts.
+const urgentBound = 7400 * time.Millisecond
+
+// TestUrgentWorkStartsOnAFullFleet lets one job of one shard fill the whole
+// fleet. Urgent jobs of any shard start within their bound by evictions, and
+// each evicted task resumes once from its checkpoint.
+func TestUrgentWorkStartsOnAFullFleet(t *testing.T) {
+	w := startTasks(t, 4)
+	w.startTimes("first", 1, false)
+	w.startTimes("plain", 30, false)
+	w.submit(operator.Job{ID: "long", Tasks: uint32(fleetSlots), Command: "1h"})
+	began := time.Now()
+	w.g.Eventually(w.assigned("long"), "30s", "50ms").Should(Equal(fleetSlots))
+	t.Logf("one shard filled %d slots after %s", fleetSlots, time.Since(began))
+	all := w.startTimes("urgent", 30, true)
+	w.g.Expect(all[len(all)-1]).To(BeNumerically("<", urgentBound))
+	w.g.Eventually(w.assigned("long"), "30s", "50ms").Should(Equal(fleetSlots))
+	r := w.Runs.Record()
+	t.Logf("%+v, %+v", r, w.job("long"))
+	w.g.Expect(r.Twice).To(BeZero())
+	w.g.Expect(r.Resumed).To(BeNumerically(">", 0))
+	w.g.Expect(r.Resumed).To(Equal(w.job("long").Attempts - fleetSlots))
+}
--- a/internal/message/share.go
+++ b/internal/message/share.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sesamestream/sesamestream/internal/peer"
 	"github.com/sesamestream/sesamestream/pkg/decide/place"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
 // OperationShare tells a shard's owner what another shard's owner uses and wants.
@@ -17,4 +18,6 @@
 // A ShareAnswer tells the epoch of the owner that took a report.
 type ShareAnswer struct {
 	Epoch uint64 `cbor:"1,keyasint"`
+	// Cleared are the hosts that are being cleared for the report's calls.
+	Cleared []fleet.ID `cbor:"2,keyasint,omitempty"`
 }
--- a/pkg/decide/place/keep.go
+++ b/pkg/decide/place/keep.go
@@ -9,6 +9,9 @@
 	"github.com/sesamestream/sesamestream/pkg/table"
 )
 
+// chaseEvery is how long an eviction for one task may take before others follow.
+const chaseEvery = 5 * time.Second
+
 // maxKeeps bounds the hosts kept for waiting tasks.
 const maxKeeps = 4
 
@@ -43,8 +46,14 @@
 	if best == nil {
 		return
 	}
-	best.kept = i
-	i.kept = best
+	p.keepOn(i, best)
+}
+
+// keepOn keeps n for i alone.
+func (p *Placer[K]) keepOn(i *item[K], n *node[K]) {
+	p.unkeep(i)
+	n.kept = i
+	i.kept = n
 	p.keeps++
 }
 
@@ -79,7 +88,7 @@
 			continue
 		}
 		i := p.pressing(k)
-		if i == nil || now.Sub(i.since) < urgentAfter || now.Sub(i.chased) < ageLimit || !p.allowed(k, i) {
+		if i == nil || now.Sub(i.since) < urgentAfter || now.Sub(i.chased) < chaseEvery || !p.allowed(k, i) {
 			continue
 		}
 		i.chased = now
@@ -105,6 +114,16 @@
 
 // chase chooses the cheapest host to clear for i, keeps it and returns its victims.
 func (p *Placer[K]) chase(i *item[K]) []K {
+	on, victims := p.cheapest(i)
+	if on == nil {
+		return nil
+	}
+	p.keepOn(i, on)
+	return keys(victims)
+}
+
+// cheapest returns the host of a sample that costs least to clear for i, and its victims.
+func (p *Placer[K]) cheapest(i *item[K]) (*node[K], []*item[K]) {
 	var on *node[K]
 	var least []*item[K]
 	for _, n := range p.some() {
@@ -117,15 +136,12 @@
 			least = v
 		}
 	}
-	if on == nil {
-		return nil
-	}
-	p.unkeep(i)
-	on.kept = i
-	i.kept = on
-	p.keeps++
+	return on, least
+}
+
+func keys[K comparable](items []*item[K]) []K {
 	var out []K
-	for _, v := range least {
+	for _, v := range items {
 		out = append(out, v.key)
 	}
 	return out
--- a/pkg/decide/place/next.go
+++ b/pkg/decide/place/next.go
@@ -31,7 +31,7 @@
 	var best *kind[K]
 	least := 0.0
 	for _, k := range p.order {
-		if k.queued == 0 || now.Before(k.retry) || p.room(k) < 1 {
+		if k.queued == 0 || now.Before(k.retry) || !p.open(k) {
 			continue
 		}
 		if r := p.rank(k); best == nil || r < least {
@@ -42,6 +42,15 @@
 	return best
 }
 
+// open reports whether the ceiling has room for anything that waits of k.
+func (p *Placer[K]) open(k *kind[K]) bool {
+	if p.room(k) >= 1 {
+		return true
+	}
+	k.urgent.trim()
+	return len(k.urgent.items) > 0 && p.urgentRoom(k) >= 1
+}
+
 // pick returns a task of k and a host that it fits on.
 func (p *Placer[K]) pick(now time.Time, k *kind[K]) (*item[K], *node[K]) {
 	if i, n := p.scan(now, k, &k.urgent); n != nil {
@@ -88,7 +97,11 @@
 // allowed reports whether the ceiling and the quota have room for i.
 func (p *Placer[K]) allowed(k *kind[K], i *item[K]) bool {
 	s := float64(slots(i.want))
-	return s <= p.room(k) && float64(p.teams[i.want.Team])+s <= p.quota(i.want.Team)
+	room := p.room(k)
+	if i.want.Urgent {
+		room = max(room, p.urgentRoom(k))
+	}
+	return s <= room && float64(p.teams[i.want.Team])+s <= p.quota(i.want.Team)
 }
 
 // find returns the best of a sample of hosts that i fits on, or nil.
@@ -160,6 +173,8 @@
 		return false
 	case n.reserve && !i.want.Urgent && len(p.hosts) >= reserveEvery:
 		return false
+	case !i.want.Urgent && now.Before(n.closed):
+		return false
 	case now.Sub(n.refused) < refusedFor:
 		return false
 	}
--- a/pkg/decide/place/placer.go
+++ b/pkg/decide/place/placer.go
@@ -50,6 +50,8 @@
 	bucket   int
 	at       int
 	refused  time.Time
+	// closed is until when the host is left to another shard's urgent work.
+	closed time.Time
 	// kept is the waiting task that the host is kept for.
 	kept *item[K]
 	// items are the tasks placed here.
@@ -71,6 +73,9 @@
 	tried int
 	// chased is when others were last evicted for the task.
 	chased time.Time
+	// called is when another shard was last asked, calls how often one was.
+	called time.Time
+	calls  int
 }
 
 type rackKey struct {
@@ -241,6 +246,9 @@
 	}
 	k := p.kind(i.want.Kind)
 	k.used += d * slots(i.want)
+	if i.want.Urgent {
+		k.urgentUsed += d * slots(i.want)
+	}
 	p.teams[i.want.Team] += d * slots(i.want)
 	if i.want.Group == "" {
 		return
--- a/pkg/decide/place/queue.go
+++ b/pkg/decide/place/queue.go
@@ -12,10 +12,12 @@
 
 // A kind is what waits and runs of one row of the table.
 type kind[K comparable] struct {
-	name   fleet.Kind
-	row    table.Row
-	used   int
-	queued int
+	name fleet.Kind
+	row  table.Row
+	used int
+	// urgentUsed are the slots of the urgent tasks among them.
+	urgentUsed int
+	queued     int
 	// waiting are the slots that the queued tasks ask for.
 	waiting int
 	urgent  fifo[K]
--- a/pkg/decide/place/shares.go
+++ b/pkg/decide/place/shares.go
@@ -41,6 +41,9 @@
 	Epoch  uint64  `cbor:"2,keyasint"`
 	Round  uint64  `cbor:"3,keyasint"`
 	Shares []Share `cbor:"4,keyasint,omitempty"`
+	// Calls ask other shards to make room, Kept are hosts to leave to urgent work.
+	Calls []Call     `cbor:"5,keyasint,omitempty"`
+	Kept  []fleet.ID `cbor:"6,keyasint,omitempty"`
 }
 
 // A Use is what a shard itself uses and wants of one name, in slots.
