--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -136,7 +136,10 @@
 			return
 		}
 		s.base.Log.Warn().Str("event", "ownerStopped").Int("shard", n).Err(err).Msg("")
-		store.Pause(ctx, ownerBackoff)
+		// Only a holder opens the journal again: opening it fences whoever has it now.
+		for store.Pause(ctx, ownerBackoff) && !s.manager.Holds(n, time.Now()) {
+			continue
+		}
 	}
 }
 
--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -55,6 +55,16 @@
 	return l.grown
 }
 
+// Pending returns the bytes of records that wait to be written.
+func (l *Log) Pending() fleet.Bytes {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.machine == nil {
+		return 0
+	}
+	return l.machine.Pending()
+}
+
 // run does the machine's I/O, one action at a time.
 func (l *Log) run(ctx context.Context, m *journal.Machine, asks <-chan journal.Action) {
 	b := store.NewBackOff()
--- a/internal/local/tasks_test.go
+++ b/internal/local/tasks_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/phuslu/log"
 
+	storestandin "github.com/sesamestream/sesamestream/internal/consul/standin"
 	"github.com/sesamestream/sesamestream/internal/operator"
 	"github.com/sesamestream/sesamestream/internal/settings"
 	"github.com/sesamestream/sesamestream/pkg/decide/task"
@@ -106,9 +107,42 @@
 	all := w.startTimes("urgent", 30, true)
 	w.g.Expect(all[len(all)-1]).To(BeNumerically("<", urgentBound))
 	w.g.Eventually(w.assigned("long"), "30s", "50ms").Should(Equal(fleetSlots))
+	// Each attempt after a task's first is a resumption.
+	w.g.Eventually(func() int {
+		return w.job("long").Attempts - fleetSlots - w.Runs.Record().Resumed
+	}, "10s", "50ms").Should(BeZero())
 	r := w.Runs.Record()
 	t.Logf("%+v, %+v", r, w.job("long"))
-	w.g.Expect(r.Twice).To(BeZero())
 	w.g.Expect(r.Resumed).To(BeNumerically(">", 0))
-	w.g.Expect(r.Resumed).To(Equal(w.job("long").Attempts - fleetSlots))
+	w.g.Expect(r.Twice).To(BeZero())
+}
+
+// TestTasksOutliveAStoreOutage cuts the store off for longer than the owners'
+// leases: what runs goes on, and what is submitted is not called accepted.
+func TestTasksOutliveAStoreOutage(t *testing.T) {
+	w := startTasks(t, 2)
+	n := fleetSlots / 2
+	for i := range 2 {
+		w.submit(operator.Job{ID: task.JobID(fmt.Sprint("long-", i)), Tasks: uint32(n / 2), Command: "1h"})
+		w.g.Eventually(w.assigned(task.JobID(fmt.Sprint("long-", i))), "20s", "50ms").Should(Equal(n / 2))
+	}
+	w.g.Expect(w.Store.Set(storestandin.Fault{Mode: storestandin.Down})).To(Succeed())
+	down := time.Now()
+	j := operator.Job{ID: "late", Kind: kindForecast, Class: table.ClassBatch, Tasks: 1, Command: "1ms"}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	err := w.Client().Call(ctx, http.MethodPost, operator.PathJobs, j, nil)
+	t.Logf("submitted in the outage: %v", err)
+	w.g.Expect(err).To(HaveOccurred())
+	time.Sleep(25*time.Second - time.Since(down))
+	w.g.Expect(w.Store.Set(storestandin.Fault{Mode: storestandin.Up})).To(Succeed())
+	up := time.Now()
+	w.startTime("after", false)
+	t.Logf("a job ran %s after the outage", time.Since(up))
+	for i := range 2 {
+		s := w.job(task.JobID(fmt.Sprint("long-", i)))
+		t.Logf("%+v %+v", s, w.Runs.Record())
+		w.g.Expect(s.Attempts).To(Equal(n / 2))
+	}
+	w.g.Expect(w.Runs.Record().Twice).To(BeZero())
 }
--- a/internal/shard/claim.go
+++ b/internal/shard/claim.go
@@ -73,6 +73,9 @@
 // Claim asks for a key and returns what became of it. A claim whose commit
 // takes too long is given up; its record is released once it can be.
 func (o *Owner) Claim(ctx context.Context, q message.Claim) message.ClaimAnswer {
+	if !o.hasRoom(claimPart) {
+		return message.ClaimAnswer{Result: message.ClaimNotCommitted}
+	}
 	c := o.claims
 	reply := make(chan claim.Reply, 1)
 	err := c.runner.Query(ctx, func() {
--- a/internal/shard/old.go
+++ b/internal/shard/old.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sesamestream/sesamestream/internal/codec"
 	"github.com/sesamestream/sesamestream/internal/journal"
 	decidejournal "github.com/sesamestream/sesamestream/pkg/decide/journal"
@@ -49,22 +51,29 @@
 			o.OldEnded()
 		}
 		if ended || time.Since(taken) > span {
-			o.settle()
+			o.settle(ctx)
 			return
 		}
 	}
 }
 
 // settle records that no owner before this one grants leases.
-func (o *Owner) settle() {
+func (o *Owner) settle(ctx context.Context) {
 	b, err := codec.Encode(o.epoch)
 	if err != nil {
 		return
 	}
 	record := append([]byte{byte(sortSettled)}, b...)
 	o.Log.Submit(func(m decidejournal.Mark, err error) {
-		if err == nil {
+		switch {
+		case err == nil:
 			_ = o.apply(m, [][]byte{record})
+		case errors.Is(err, journal.ErrFull):
+			time.AfterFunc(askOldEvery, func() {
+				if ctx.Err() == nil {
+					o.settle(ctx)
+				}
+			})
 		}
 	}, record)
 }
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -122,7 +122,7 @@
 	o.runner.Tell(task.Takeover{Epoch: o.epoch, Old: old, Sent: sent})
 	close(o.ready)
 	if old == task.OldCeded {
-		o.settle()
+		o.settle(ctx)
 	} else {
 		go o.watchOld(ctx, time.Now())
 	}
@@ -173,6 +173,8 @@
 		case <-snap.C:
 			o.snapshot(ctx)
 		case <-o.lost:
+			// The machine grants nothing more, whatever it still hears.
+			o.runner.Tell(task.CommitLost{})
 			return ErrNotOwner
 		case <-ctx.Done():
 			return nil
--- a/pkg/decide/journal/journal.go
+++ b/pkg/decide/journal/journal.go
@@ -91,6 +91,9 @@
 	return out
 }
 
+// Pending returns the bytes of records that wait to be written.
+func (m *Machine) Pending() fleet.Bytes { return m.pending }
+
 // opened starts a takeover behind the last position found.
 func (m *Machine) opened(e Opened, out []Action) []Action {
 	if m.stage != closed {
