--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -128,12 +128,18 @@
 		s.mu.Lock()
 		o.owner = x
 		s.mu.Unlock()
+		run, stop := context.WithCancel(ctx)
+		go s.share(run, x)
 		err := x.Run(ctx)
+		stop()
 		if ctx.Err() != nil {
 			return
 		}
 		s.base.Log.Warn().Str("event", "ownerStopped").Int("shard", n).Err(err).Msg("")
-		store.Pause(ctx, ownerBackoff)
+		// Only a holder opens the journal again: opening it fences whoever has it now.
+		for store.Pause(ctx, ownerBackoff) && !s.manager.Holds(n, time.Now()) {
+			continue
+		}
 	}
 }
 
--- a/internal/shard/owner.go
+++ b/internal/shard/owner.go
@@ -72,6 +72,7 @@
 	runner  *runner.Runner[task.Event, task.Action]
 	machine *task.Machine
 	placer  *place.Placer[task.ID]
+	shares  *place.Shares
 	claims  *claims
 
 	// The fields below are touched by the actor alone.
@@ -121,7 +122,7 @@
 	o.runner.Tell(task.Takeover{Epoch: o.epoch, Old: old, Sent: sent})
 	close(o.ready)
 	if old == task.OldCeded {
-		o.settle()
+		o.settle(ctx)
 	} else {
 		go o.watchOld(ctx, time.Now())
 	}
@@ -148,6 +149,10 @@
 		Table:  o.Table,
 		Shards: o.Shards,
 	}
+	if o.Shards > 1 {
+		o.shares = &place.Shares{Shard: o.Shard, Shards: o.Shards, Epoch: uint64(r.Epoch)}
+		o.placer.Shares = o.shares
+	}
 	o.machine = &task.Machine{
 		State: live.tasks, Placer: o.placer, Lease: o.Lease, Ride: o.Ride, Drift: drift,
 		StartTimeout: startTimeout, Retain: retain, HopelessAfter: hopelessAfter,
@@ -168,6 +173,8 @@
 		case <-snap.C:
 			o.snapshot(ctx)
 		case <-o.lost:
+			// The machine grants nothing more, whatever it still hears.
+			o.runner.Tell(task.CommitLost{})
 			return ErrNotOwner
 		case <-ctx.Done():
 			return nil
