--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -145,7 +145,7 @@
 	case host.AnswerWorker:
 		for _, r := range a.Rights {
 			if p := h.attempts[r.Key]; p != nil {
-				p.until = r.Until
+				p.until = time.Now().Add(r.Remaining)
 			}
 		}
 		for _, k := range a.Ended {
@@ -199,7 +199,7 @@
 	p := h.attempts[c.Key]
 	switch c.Verb {
 	case host.StartIt:
-		if p == nil && time.Now().Before(c.Until) {
+		if p == nil && time.Now().Before(c.Sent.Add(c.Lease)) {
 			h.begin(c)
 		} else if p == nil {
 			r.Result = host.Refused
@@ -222,7 +222,7 @@
 }
 
 func (h *worker) begin(c host.Command) {
-	p := &pretended{left: testLength, until: c.Until, report: host.Report{Key: c.Key, State: host.Running, Need: c.Spec.Need, Kind: c.Spec.Kind, Saved: c.Saved}}
+	p := &pretended{left: testLength, until: c.Sent.Add(c.Lease), report: host.Report{Key: c.Key, State: host.Running, Need: c.Spec.Need, Kind: c.Spec.Kind, Saved: c.Saved}}
 	if d, err := time.ParseDuration(string(c.Saved)); err == nil {
 		p.left = d
 	}
