--- a/pkg/decide/host/learn_test.go
+++ b/pkg/decide/host/learn_test.go
@@ -18,6 +18,8 @@
 	settledFrom = 300
 	// maxTurns bounds how often a reservation changes its direction after settling.
 	maxTurns = 6
+	// maxChanges bounds how often it changes at all.
+	maxChanges = 8
 )
 
 // A tenant is a running attempt whose use the recorder knows; reports lag behind.
@@ -47,7 +49,7 @@
 		var running []*tenant
 		next, over := 0, 0
 		var last, direction [3]fleet.MilliProcessors
-		var turns [3]int
+		var turns, changes [3]int
 		var handle func(a []Action)
 		step := func(e Event) { handle(m.Step(now, e, nil)) }
 		handle = func(as []Action) {
@@ -122,10 +124,13 @@
 					turns[i]++
 				}
 				direction[i] = d
+				if s > settledFrom {
+					changes[i]++
+				}
 			}
 		}
-		if over > 0 || max(turns[0], turns[1], turns[2]) > maxTurns {
-			t.Fatalf("over the host for %d s after settling, turns %v", over, turns)
+		if over > 0 || max(turns[0], turns[1], turns[2]) > maxTurns || max(changes[0], changes[1], changes[2]) > maxChanges {
+			t.Fatalf("over the host for %d s after settling, turns %v, changes %v", over, turns, changes)
 		}
 	})
 }
