Throttle to 0.7 and 0.4, reserve exact declarations as they are, and note the side-by-side run

A host full of attempts that used just what they declared would have shed one for the margin; TestExactNeeds is seen to fail without the mend.

--- a/pkg/decide/host/learn.go
+++ b/pkg/decide/host/learn.go
@@ -85,7 +85,17 @@
 	if u == nil {
 		return declared
 	}
-	declared.Processors = min(fleet.MilliProcessors(u.processors.inUse), total.Processors)
-	declared.Memory = min(fleet.Bytes(u.memory.inUse), total.Memory)
+	declared.Processors = min(fleet.MilliProcessors(u.processors.need(int64(declared.Processors), processorMargin)), total.Processors)
+	declared.Memory = min(fleet.Bytes(u.memory.need(int64(declared.Memory), memoryMargin)), total.Memory)
 	return declared
 }
+
+// need returns what is in use, but no more than what was declared where the
+// margin alone is above it.
+func (e *estimate) need(declared int64, margin float64) float64 {
+	d := float64(declared)
+	if e.inUse > d && e.inUse <= d*margin {
+		return d
+	}
+	return e.inUse
+}
--- a/pkg/decide/host/learn_test.go
+++ b/pkg/decide/host/learn_test.go
@@ -41,7 +41,7 @@
 		var truth, declared [3]fleet.Resources
 		for i := range truth {
 			truth[i] = fleet.Resources{Processors: fleet.MilliProcessors(500 + r.IntN(4000)), Memory: fleet.Bytes(1000 + r.IntN(15_000))}
-			off := math.Exp2(float64(r.IntN(5) - 2))
+			off := math.Exp2(float64(r.IntN(5) - 2)) // 1/4 to 4, 1 among them
 			declared[i] = fleet.Resources{Processors: fleet.MilliProcessors(float64(truth[i].Processors) * off), Memory: fleet.Bytes(float64(truth[i].Memory) * off)}
 		}
 		m := &Machine{Life: fleet.Life{ID: "h", Incarnation: 1}, Lease: time.Hour}
@@ -134,3 +134,23 @@
 		}
 	})
 }
+
+// TestExactNeeds fills a host with attempts that use just what they declared.
+func TestExactNeeds(t *testing.T) {
+	m := &Machine{Life: fleet.Life{ID: "h", Incarnation: 1}, Lease: time.Hour}
+	now := time.Unix(1e6, 0)
+	one := fleet.Resources{Processors: 2000, Memory: 1000, Slots: 1}
+	seen := WorkerSeen{Worker: 1, Bound: 1}
+	for i := range 8 {
+		seen.Total = seen.Total.Plus(one)
+		seen.Reports = append(seen.Reports, Report{Key: Key{Shard: 1, Task: id(i), Attempt: 1}, State: Running, Need: one, Usage: one})
+	}
+	for range 120 {
+		now = now.Add(time.Second)
+		for _, a := range m.Step(now, seen, nil) {
+			if c, ok := a.(Command); ok {
+				t.Fatalf("an attempt within its size is commanded: %+v", c)
+			}
+		}
+	}
+}
--- a/pkg/decide/interfere/compare/compare_test.go
+++ b/pkg/decide/interfere/compare/compare_test.go
@@ -1,14 +1,19 @@
 package compare
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // BenchmarkPolicies reports each policy's tail, batch work and evictions.
 func BenchmarkPolicies(b *testing.B) {
-	for p, name := range []string{"default", "firstFit", "leastLoaded", "noLearning", "eager"} {
-		b.Run(name, func(b *testing.B) {
+	policies := []string{"default", "firstFit", "leastLoaded", "noLearning", "eager"}
+	for i := range len(policies) * 3 {
+		p, seed := i%len(policies), uint64(7+i/len(policies))
+		b.Run(fmt.Sprintf("%s/seed%d", policies[p], seed), func(b *testing.B) {
 			var r Result
 			for b.Loop() {
-				r = Run(Policy(p), 7, 3600)
+				r = Run(Policy(p), seed, 3600)
 			}
 			b.ReportMetric(float64(r.P99.Microseconds())/1000, "p99-ms")
 			b.ReportMetric(r.Work, "processor-s")
--- a/pkg/decide/interfere/controller.go
+++ b/pkg/decide/interfere/controller.go
@@ -22,8 +22,8 @@
 	// burning is how many windows in a row have to be over the budget.
 	burning = 2
 	// firstShare and lastShare are the throttles.
-	firstShare = 0.5
-	lastShare  = 0.25
+	firstShare = 0.7
+	lastShare  = 0.4
 )
 
 // An Event is what a Controller is told.
@@ -87,14 +87,14 @@
 // The measures, each with those before it.
 const (
 	None Measure = iota
-	Half
-	Quarter
+	Light
+	Strong
 	Closed
 	Evicting
 )
 
 // shares are the throttles of the measures.
-var shares = [...]float64{None: 1, Half: firstShare, Quarter: lastShare, Closed: lastShare, Evicting: lastShare}
+var shares = [...]float64{None: 1, Light: firstShare, Strong: lastShare, Closed: lastShare, Evicting: lastShare}
 
 // A Controller protects the latency budgets of one host. It implements
 // decide.Machine[Event, Action]. Its exported fields are set before the first Step.
@@ -190,7 +190,7 @@
 	c.calm = c.now
 	for _, k := range c.measured() {
 		c.measures[k]--
-		if c.measures[k] == Quarter {
+		if c.measures[k] == Strong {
 			out = append(out, OpenTo{Kind: k})
 		}
 		if c.measures[k] == None {
