--- a/pkg/decide/host/learn_test.go
+++ b/pkg/decide/host/learn_test.go
@@ -18,6 +18,8 @@
 	settledFrom = 300
 	// maxTurns bounds how often a reservation changes its direction after settling.
 	maxTurns = 6
+	// maxChanges bounds how often it changes at all.
+	maxChanges = 8
 )
 
 // A tenant is a running attempt whose use the recorder knows; reports lag behind.
@@ -39,7 +41,7 @@
 		var truth, declared [3]fleet.Resources
 		for i := range truth {
 			truth[i] = fleet.Resources{Processors: fleet.MilliProcessors(500 + r.IntN(4000)), Memory: fleet.Bytes(1000 + r.IntN(15_000))}
-			off := math.Exp2(float64(r.IntN(5) - 2))
+			off := math.Exp2(float64(r.IntN(5) - 2)) // 1/4 to 4, 1 among them
 			declared[i] = fleet.Resources{Processors: fleet.MilliProcessors(float64(truth[i].Processors) * off), Memory: fleet.Bytes(float64(truth[i].Memory) * off)}
 		}
 		m := &Machine{Life: fleet.Life{ID: "h", Incarnation: 1}, Lease: time.Hour}
@@ -47,7 +49,7 @@
 		var running []*tenant
 		next, over := 0, 0
 		var last, direction [3]fleet.MilliProcessors
-		var turns [3]int
+		var turns, changes [3]int
 		var handle func(a []Action)
 		step := func(e Event) { handle(m.Step(now, e, nil)) }
 		handle = func(as []Action) {
@@ -122,10 +124,33 @@
 					turns[i]++
 				}
 				direction[i] = d
+				if s > settledFrom {
+					changes[i]++
+				}
 			}
 		}
-		if over > 0 || max(turns[0], turns[1], turns[2]) > maxTurns {
-			t.Fatalf("over the host for %d s after settling, turns %v", over, turns)
+		if over > 0 || max(turns[0], turns[1], turns[2]) > maxTurns || max(changes[0], changes[1], changes[2]) > maxChanges {
+			t.Fatalf("over the host for %d s after settling, turns %v, changes %v", over, turns, changes)
 		}
 	})
 }
+
+// TestExactNeeds fills a host with attempts that use just what they declared.
+func TestExactNeeds(t *testing.T) {
+	m := &Machine{Life: fleet.Life{ID: "h", Incarnation: 1}, Lease: time.Hour}
+	now := time.Unix(1e6, 0)
+	one := fleet.Resources{Processors: 2000, Memory: 1000, Slots: 1}
+	seen := WorkerSeen{Worker: 1, Bound: 1}
+	for i := range 8 {
+		seen.Total = seen.Total.Plus(one)
+		seen.Reports = append(seen.Reports, Report{Key: Key{Shard: 1, Task: id(i), Attempt: 1}, State: Running, Need: one, Usage: one})
+	}
+	for range 120 {
+		now = now.Add(time.Second)
+		for _, a := range m.Step(now, seen, nil) {
+			if c, ok := a.(Command); ok {
+				t.Fatalf("an attempt within its size is commanded: %+v", c)
+			}
+		}
+	}
+}
