--- a/internal/local/table_test.go
+++ b/internal/local/table_test.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	storestandin "github.com/sesamestream/sesamestream/internal/consul/standin"
+	"github.com/sesamestream/sesamestream/internal/message"
 	"github.com/sesamestream/sesamestream/internal/operator"
 	"github.com/sesamestream/sesamestream/internal/process"
 	"github.com/sesamestream/sesamestream/internal/settings"
@@ -76,8 +77,8 @@
 	return len(b), nil
 }
 
-// crowd runs n members with no targets and no workers until the test ends.
-func crowd(b *testing.B, n int) (*Cluster, *applied) {
+// crowd runs n members in some places with no targets and no workers until the test ends.
+func crowd(b *testing.B, n int, places []fleet.Place) (*Cluster, *applied) {
 	c := &Cluster{Tasks: settings.Default().Tasks, Dir: b.TempDir()}
 	at, err := freeAddress()
 	if err != nil {
@@ -180,7 +181,7 @@
 		for _, mode := range []storestandin.Mode{storestandin.Up, storestandin.Down} {
 			b.Run(fmt.Sprintf("members=%d/store=%s", n, mode), func(b *testing.B) {
 				for b.Loop() {
-					c, a := crowd(b, n)
+					c, a := crowd(b, n, places)
 					_, r := c.edit(b, c.Entries[0], 0)
 					a.everywhere(b, r, n)
 					time.Sleep(settleTime)
@@ -219,3 +220,44 @@
 	}
 	return h
 }
+
+// BenchmarkLooks reports the store calls of a fleet at rest by its data
+// centres, and how many others an agent that is no bridge hears of.
+func BenchmarkLooks(b *testing.B) {
+	const each = 12
+	for _, n := range []int{1, 3, 9} {
+		b.Run(fmt.Sprint("dataCentres=", n), func(b *testing.B) {
+			var at []fleet.Place
+			for i := range n {
+				at = append(at, fleet.Place{Region: fmt.Sprint("region-", i/3), DataCentre: fmt.Sprint("dc-", i), Rack: "r1"})
+			}
+			for b.Loop() {
+				c, a := crowd(b, n*each, at)
+				_, r := c.edit(b, c.Entries[0], 0)
+				a.everywhere(b, r, n*each)
+				time.Sleep(2 * settleTime)
+				before := c.Store.Counts()
+				time.Sleep(observeTime)
+				after := c.Store.Counts()
+				b.ReportMetric(float64(after.Reads-before.Reads)/observeTime.Seconds(), "reads/s")
+				b.ReportMetric(float64(after.Writes-before.Writes)/observeTime.Seconds(), "writes/s")
+				b.ReportMetric(c.agentsThatHear(b), "agents-that-hear-of-others")
+			}
+		})
+	}
+}
+
+// agentsThatHear returns the share of agents that hear of other data centres.
+func (c *Cluster) agentsThatHear(b *testing.B) float64 {
+	hear := 0
+	for _, m := range c.Agents {
+		var s []message.Status
+		if err := c.ClientOf(m).Call(context.Background(), http.MethodGet, operator.PathStatus+"?only=self", nil, &s); err != nil {
+			b.Fatal(err)
+		}
+		if s[0].DataCentres > 0 {
+			hear++
+		}
+	}
+	return float64(hear) / float64(len(c.Agents))
+}
