--- a/internal/agent/shares.go
+++ b/internal/agent/shares.go
@@ -23,6 +23,10 @@
 	case <-ctx.Done():
 		return
 	}
+	// A table that came while the journal was read was told to no owner here.
+	if t := s.base.InForce(); t != nil {
+		s.setTable(t)
+	}
 	t := time.NewTicker(shareEvery)
 	defer t.Stop()
 	for {
--- a/internal/shard/command.go
+++ b/internal/shard/command.go
@@ -112,7 +112,11 @@
 	o.runner.Tell(task.Silent{Host: h})
 }
 
-// SetTable puts a table in force.
+// SetTable puts a table in force unless a later revision is.
 func (o *Owner) SetTable(ctx context.Context, t *table.Table) error {
-	return o.runner.Query(ctx, func() { o.placer.Rules(t) })
+	return o.runner.Query(ctx, func() {
+		if in := o.placer.Table; in == nil || in.Revision <= t.Revision {
+			o.placer.Rules(t)
+		}
+	})
 }
