Tell callers the agents' retry time; count cut answers; bound a host's kinds

Cause: (1) flight.retryAfter was never set, so Retry-After was always 1 s: the new test saw 1, now 7. (2) An answer cut midway was in no metric; it counts as unknown unless the caller left. (3) Offers beyond 16 kinds were cut off in silence; the announcement is refused with the reason.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -397,3 +397,18 @@
 		}
 	}
 }
+
+// TestRetryAfterIsTheAgents passes on when the agent that refused would take the request.
+func TestRetryAfterIsTheAgents(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(t)
+	b.agent(t, 1, func(_ *agent, s *peer.Stream) error {
+		_, _ = peer.Receive[message.RequestHead](s)
+		return peer.Send(s, message.AnswerHead{Verdict: message.Refused, Reason: "full", RetryAfter: 7 * time.Second})
+	})
+	w, err := http.Post(b.http.URL+"/gust/x", "text/plain", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer w.Body.Close()
+	g.Expect(w.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(w.Header.Get("Retry-After")).To(Equal("7"))
+}
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -83,6 +83,9 @@
 }
 
 func (f *flight) step(ctx context.Context, e attempt.Event) {
+	if e.Type == attempt.Refused {
+		f.refused(f.exchanges[e.Attempt].head.RetryAfter)
+	}
 	f.budget.mu.Lock()
 	actions := f.machine.Step(time.Now(), e, nil)
 	f.budget.mu.Unlock()
@@ -91,6 +94,13 @@
 	}
 }
 
+// refused keeps the shortest time after which an agent would take the request.
+func (f *flight) refused(after time.Duration) {
+	if after > 0 && (f.retryAfter == 0 || after < f.retryAfter) {
+		f.retryAfter = after
+	}
+}
+
 // drain gives back what a late grant or choice would leave behind and ends
 // the attempts that are still open.
 func (f *flight) drain() {
@@ -146,6 +156,9 @@
 		f.respond(a)
 	case attempt.AbortBody:
 		f.aborted = true
+		if !f.gone {
+			f.entry.outcome(f.request.Kind, fleet.Unknown, time.Since(f.request.Arrived))
+		}
 	}
 }
 
--- a/internal/target/announcement.go
+++ b/internal/target/announcement.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sesamestream/sesamestream/pkg/decide/member"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -23,7 +24,9 @@
 
 // The bounds of an announcement.
 const (
-	maxKinds       = 256
+	// MaxKinds is how many kinds the targets of one host serve together: as
+	// many as the host's agent can tell its peers.
+	MaxKinds       = member.MaxOffers
 	maxName        = 63
 	maxConnections = 1 << 16
 )
@@ -46,8 +49,8 @@
 	switch {
 	case !plain(a.ID):
 		return errors.Wrap(ErrBadAnnouncement, "id must be 1 to 63 visible ASCII characters")
-	case len(a.Kinds) == 0 || len(a.Kinds) > maxKinds || slices.ContainsFunc(a.Kinds, func(k fleet.Kind) bool { return !plain(string(k)) }):
-		return errors.Wrap(ErrBadAnnouncement, "kinds must be 1 to 256 names of 1 to 63 visible ASCII characters")
+	case len(a.Kinds) == 0 || len(a.Kinds) > MaxKinds || slices.ContainsFunc(a.Kinds, func(k fleet.Kind) bool { return !plain(string(k)) }):
+		return errors.Wrap(ErrBadAnnouncement, "kinds must be 1 to 16 names of 1 to 63 visible ASCII characters")
 	case !a.Address.IsValid() || a.Address.Port() == 0:
 		return errors.Wrap(ErrBadAnnouncement, "address must be IP:port")
 	case a.Connections <= 0 || a.Connections > maxConnections:
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -35,6 +35,9 @@
 	if r.targets == nil {
 		r.targets = make(map[string]*entry)
 	}
+	if r.kindsWith(now, a) > MaxKinds {
+		return errors.Wrap(ErrBadAnnouncement, "the host's targets would serve more than 16 kinds together")
+	}
 	e := r.targets[a.ID]
 	if e == nil {
 		e = &entry{}
@@ -45,6 +48,18 @@
 	return nil
 }
 
+// kindsWith counts the kinds of the host once a is taken.
+func (r *Registry) kindsWith(now time.Time, a Announcement) int {
+	kinds := slices.Clone(a.Kinds)
+	for id, e := range r.targets {
+		if id != a.ID && !now.After(e.until) {
+			kinds = append(kinds, e.Kinds...)
+		}
+	}
+	slices.Sort(kinds)
+	return len(slices.Compact(kinds))
+}
+
 // Expire drops the targets that have not announced themselves in time.
 func (r *Registry) Expire(now time.Time) {
 	r.mu.Lock()
