--- a/pkg/decide/host/learn_test.go
+++ b/pkg/decide/host/learn_test.go
@@ -153,4 +153,15 @@
 			}
 		}
 	}
+	m = &Machine{Life: m.Life, Lease: time.Hour}
+	first := now
+	for i := range seen.Reports {
+		seen.Reports[i].Usage.Processors *= 2
+	}
+	for now.Sub(first) < processorsShortFor-time.Second {
+		now = now.Add(time.Second)
+		if len(m.Step(now, seen, nil)) > 1 {
+			t.Fatal("an attempt is evicted for processors at once")
+		}
+	}
 }
--- a/pkg/decide/host/resize.go
+++ b/pkg/decide/host/resize.go
@@ -57,7 +57,7 @@
 // shed evicts one attempt where memory is short, or processors have been for
 // some time, and lets that take effect before the next.
 func (m *Machine) shed(out []Action) []Action {
-	if m.short.Processors == 0 {
+	if m.short.Processors == 0 || m.processorsFull.IsZero() {
 		m.processorsFull = m.now
 	}
 	wanted := m.short.Memory > 0 || m.now.Sub(m.processorsFull) >= processorsShortFor
