--- a/pkg/decide/host/machine_test.go
+++ b/pkg/decide/host/machine_test.go
@@ -81,6 +81,11 @@
 	order(task.Stop{Attempt: 1})
 	order(task.Ack{Attempt: 1})
 	second := asked(order(start))
+	order(task.Ack{Attempt: 1})
+	m.Step(now, WorkerSeen{Bound: 1}, nil)
+	if r := m.Room(); r.Attempts != 1 || r.Total != seen.Total {
+		t.Fatalf("an early Ack or an old worker changed the room: %+v", r)
+	}
 	if len(grant(first))+len(grant(second.Add(time.Nanosecond))) > 0 {
 		t.Fatal("a lease started an attempt that had not asked for it")
 	}
@@ -88,6 +93,9 @@
 	stop := m.Step(now, Commanded{Command: c, Result: Broken}, nil)[0].(Command)
 	m.Step(now, Commanded{Command: stop, Result: Carried}, nil)
 	order(task.Ack{Attempt: 1})
+	if held := order(task.Ask{})[0].(Renew).Asked.Held; len(held) > 0 {
+		t.Fatalf("what is acknowledged is told again: %v", held)
+	}
 	seen.Reports = []Report{{Key: c.Key, State: Stopped}}
 	for range 20 {
 		ended := len(m.Step(now, seen, nil)[0].(AnswerWorker).Ended) > 0
