--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -192,7 +192,7 @@
 		return errors.Errorf("%s was refused and is here", id)
 	case w.cancelled[id] && j.Phase != task.Cancelled:
 		return errors.Errorf("%s was cancelled and is %s", id, j.Phase)
-	case err == nil && j.Phase == task.Done && !(w.ranOnce(task.ID{Job: id}) && w.ranOnce(task.ID{Job: id, Index: 1})):
+	case err == nil && j.Phase == task.Done && (!w.ranOnce(task.ID{Job: id}) || !w.ranOnce(task.ID{Job: id, Index: 1})):
 		return errors.Errorf("%s ended %v", id, w.done)
 	}
 	return nil
--- a/pkg/decide/task/lease.go
+++ b/pkg/decide/task/lease.go
@@ -151,7 +151,8 @@
 }
 
 func (m *Machine) lapsed(r *run) bool {
-	return (r.granted || r.inherited) && m.now.After(r.until)
+	// An end told during a pause of the owner is heard before the lease counts as lapsed.
+	return (r.granted || r.inherited) && m.now.After(r.until) && m.now.Sub(m.woke) >= wakeGrace
 }
 
 func (m *Machine) unanswered(r *run) bool {
--- a/pkg/decide/task/machine.go
+++ b/pkg/decide/task/machine.go
@@ -22,6 +22,14 @@
 	defaultHopes  = time.Minute
 )
 
+// The bounds of a pause of the owner itself.
+const (
+	// pauseGap is a time without any step that tells of a pause, as ticks come more often.
+	pauseGap = 500 * time.Millisecond
+	// wakeGrace is how long what was told during a pause may take to be heard.
+	wakeGrace = 2 * time.Second
+)
+
 // A Machine decides for one shard. Set its exported fields before the first
 // Step; State is the restored and replayed state of the journal.
 type Machine struct {
@@ -44,6 +52,8 @@
 	epoch   Epoch
 	contact time.Time
 	now     time.Time
+	// woke is when the owner last went on after a pause of its own.
+	woke    time.Time
 	runs    map[ID]*run
 	moving  map[ID]moved
 	hosts   map[fleet.ID]*host
@@ -103,6 +113,9 @@
 // Step applies e at now, appends the actions that follow to out and returns it.
 func (m *Machine) Step(now time.Time, e Event, out []Action) []Action {
 	m.setUp()
+	if !m.now.IsZero() && now.Sub(m.now) > pauseGap {
+		m.woke = now
+	}
 	m.now = now
 	if t, ok := e.(Takeover); ok {
 		out = m.takeOver(t, out)
