--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -68,12 +68,13 @@
 	s.addresses = make(map[fleet.ID]netip.AddrPort)
 	s.pace = rate.NewLimiter(journalWrites, journalBurst)
 	s.mu.Unlock()
+	kept := crashable{Store: s.base.Store, killed: s.base.Killed}
 	s.manager = &ownership.Manager{
-		Store:   s.base.Store,
+		Store:   kept,
 		Life:    s.base.Self.Life,
 		Address: s.base.Self.Address,
 		Shards:  s.count,
-		Lease:   &store.Lease{Store: s.base.Store, TTL: ownerTTL},
+		Lease:   &store.Lease{Store: kept, TTL: ownerTTL},
 		Prefer:  s.base.PreferredOwners,
 		Dead:    s.base.Dead,
 		OnGain:  s.gain,
--- a/internal/local/tasks_test.go
+++ b/internal/local/tasks_test.go
@@ -11,7 +11,9 @@
 	. "github.com/onsi/gomega"
 	"github.com/phuslu/log"
 
+	"github.com/sesamestream/sesamestream/internal/base"
 	storestandin "github.com/sesamestream/sesamestream/internal/consul/standin"
+	"github.com/sesamestream/sesamestream/internal/message"
 	"github.com/sesamestream/sesamestream/internal/operator"
 	"github.com/sesamestream/sesamestream/internal/settings"
 	"github.com/sesamestream/sesamestream/pkg/decide/task"
@@ -144,3 +146,32 @@
 	}
 	w.g.Expect(w.Runs.Record().Twice).To(BeZero())
 }
+
+// TestJobsGoOnAfterAnOwnersDeath kills the host of an owner: accepted jobs end
+// and new ones are taken, and nothing runs twice at once.
+func TestJobsGoOnAfterAnOwnersDeath(t *testing.T) {
+	w := startTasks(t, 2)
+	w.submit(operator.Job{ID: "long", Tasks: uint32(fleetSlots / 2), Command: "8s"})
+	w.g.Eventually(w.assigned("long"), "20s", "50ms").Should(Equal(fleetSlots / 2))
+	owner := w.ownerOf(base.ShardOf("long", 2))
+	owner.Kill()
+	began := time.Now()
+	w.g.Eventually(func() bool { return w.job("long").ID != "" }, "60s", "100ms").Should(BeTrue())
+	t.Logf("the job is answered for again after %s", time.Since(began))
+	w.g.Eventually(func() string { return w.job("long").Phase }, "100s", "100ms").Should(Equal(task.Done.String()))
+	t.Logf("all its tasks have ended after %s", time.Since(began))
+	w.g.Expect(w.Runs.Record().Twice).To(BeZero())
+}
+
+// ownerOf returns the agent that owns a shard.
+func (w *taskWorld) ownerOf(shard int) *Member {
+	for _, m := range w.Agents {
+		var s []message.Status
+		err := w.ClientOf(m).Call(w.t.Context(), http.MethodGet, operator.PathStatus+"?only=self", nil, &s)
+		if err == nil && slices.Contains(s[0].Shards, shard) {
+			return m
+		}
+	}
+	w.t.Fatal("no owner")
+	return nil
+}
