--- a/internal/agent/shares.go
+++ b/internal/agent/shares.go
@@ -14,6 +14,9 @@
 const (
 	shareEvery   = time.Second
 	shareTimeout = 900 * time.Millisecond
+	// An owner that has just begun learns of hosts and other owners step by step.
+	shareFirst  = 250 * time.Millisecond
+	firstRounds = 40
 )
 
 // share lets an owner exchange its shares with the other owners until ctx ends.
@@ -23,10 +26,13 @@
 	case <-ctx.Done():
 		return
 	}
-	t := time.NewTicker(shareEvery)
+	t := time.NewTicker(shareFirst)
 	defer t.Stop()
-	for {
+	for n := 0; ; n++ {
 		s.shareRound(ctx, o)
+		if n == firstRounds {
+			t.Reset(shareEvery)
+		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
