--- a/internal/local/demo.go
+++ b/internal/local/demo.go
@@ -35,6 +35,7 @@
 
 // The course of the demonstration, from its start.
 const (
+	drainBy    = 3 * time.Second
 	floodAt    = 4 * time.Second
 	killAt     = 7 * time.Second
 	floodUntil = 11 * time.Second
@@ -56,7 +57,7 @@
 const (
 	demoJobs   = 4
 	demoTasks  = 6
-	demoLength = "2s"
+	demoLength = "3s"
 )
 
 // keptShare is the part of what a kind offers within its floor that it must keep.
@@ -291,17 +292,35 @@
 	d.printf("one target lost its answer (%d lost): the caller was told %s\n", d.lost.Load(), o)
 }
 
-// drain moves the tasks of one host away, which evicts them.
+// drain moves the tasks of one host away once it has some, which evicts them.
 func (d *Demo) drain(ctx context.Context) {
-	d.at(ctx, time.Second)
-	id := string(d.cluster.Agents[0].Settings.ID)
-	if err := d.client.Call(ctx, http.MethodPost, operator.PathWorkers+"/"+id+"/drain", nil, nil); err != nil {
+	id := d.cluster.Agents[0].Settings.ID
+	for time.Since(d.began) < drainBy && d.tasksOn(ctx, id) == 0 {
+		time.Sleep(readyPoll)
+	}
+	if err := d.client.Call(ctx, http.MethodPost, operator.PathWorkers+"/"+string(id)+"/drain", nil, nil); err != nil {
 		d.printf("drain failed: %v\n", err)
 	}
-	d.at(ctx, 3*time.Second)
+	for time.Since(d.began) < floodAt && d.cluster.Runs.Record().Resumed == 0 {
+		time.Sleep(readyPoll)
+	}
 	d.printf("drained the worker of %s: %d task(s) resumed from a checkpoint\n", id, d.cluster.Runs.Record().Resumed)
 }
 
+// tasksOn returns how many tasks a host has.
+func (d *Demo) tasksOn(ctx context.Context, id fleet.ID) int {
+	var all []operator.Worker
+	if err := d.client.Call(ctx, http.MethodGet, operator.PathWorkers, nil, &all); err != nil {
+		return 0
+	}
+	for _, w := range all {
+		if w.ID == id {
+			return w.Tasks
+		}
+	}
+	return 0
+}
+
 // finish waits until all jobs are done.
 func (d *Demo) finish() {
 	for time.Since(d.began) < doneBy && d.unfinished() > 0 {
