Ask all seeds while a process knows nobody

Cause: a process joined by one seed at a time, drawn at random; a seed of another data centre answers with summaries only, and the next was tried 2 s later. Ruled out: equal ports (the process served peers). Before: the new test (5 data centres, a seed in each, 20 seeds) fails within 2 s; after: passes, as do the package's other tests.

--- a/pkg/decide/member/member_test.go
+++ b/pkg/decide/member/member_test.go
@@ -258,3 +258,23 @@
 		g.Expect(after[:len(want)]).To(Equal(want))
 	})
 }
+
+// TestSeedsOfOtherDataCentresDelayNoJoin starts all processes at once with one
+// seed in each data centre: everybody knows the own data centre within 2 s.
+func TestSeedsOfOtherDataCentresDelayNoJoin(t *testing.T) {
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		w := newNetwork(seed, 3, 3, 3, 3, 3)
+		for i := 0; i < len(w.nodes); i += 3 {
+			w.seeds = append(w.seeds, w.nodes[i].self.Address)
+		}
+		w.q = nil
+		for _, n := range w.nodes {
+			w.boot(n)
+		}
+		w.run(2 * time.Second)
+		for _, n := range w.nodes {
+			g.Expect(n.Members()).To(HaveLen(2), "%s, seed %d", n.self.ID, seed)
+		}
+	}
+}
--- a/pkg/decide/member/net_test.go
+++ b/pkg/decide/member/net_test.go
@@ -71,6 +71,8 @@
 	// cut reports whether packets from a to b are lost.
 	cut func(a, b *node) bool
 	err error
+	// seeds are what processes that boot join by, two of all where it is nil.
+	seeds []netip.AddrPort
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -113,7 +115,10 @@
 func (w *network) boot(n *node) {
 	n.Machine = member.Machine{Random: rand.New(rand.NewPCG(w.rnd.Uint64(), 2))}
 	n.down, n.rev, n.states = false, 0, map[fleet.ID]member.State{}
-	seeds := []netip.AddrPort{w.nodes[0].self.Address, w.nodes[len(w.nodes)/2].self.Address}
+	seeds := w.seeds
+	if seeds == nil {
+		seeds = []netip.AddrPort{w.nodes[0].self.Address, w.nodes[len(w.nodes)/2].self.Address}
+	}
 	w.step(n, member.Start{Self: n.self, Seeds: seeds})
 	if n.self.Role == fleet.RoleAgent {
 		w.step(n, member.SetOffers{Offers: []member.Offer{{Kind: "gust", Limit: 64}, {Kind: "forecast", Limit: 8}}})
--- a/pkg/decide/member/sync.go
+++ b/pkg/decide/member/sync.go
@@ -12,6 +12,8 @@
 	pullTries   = 3
 	rejoinTime  = 2 * time.Second
 	maxWelcomes = 4
+	// maxAsked bounds the seeds that are asked at once by a process that knows nobody.
+	maxAsked = 8
 	// youth is how long a process repairs its view more often after it joined.
 	youth = 30 * time.Second
 )
@@ -24,13 +26,22 @@
 	deadline time.Time
 }
 
-// join pulls from a seed, or from a contact in the own data centre.
+// join pulls from a seed, or from a contact in the own data centre. The other
+// seeds are asked too: those of other data centres know no member of this one.
 func (m *Machine) join() {
 	if len(m.seeds) == 0 {
 		m.pullDue = m.now
 		return
 	}
-	m.startPull(m.seeds[m.Random.IntN(len(m.seeds))])
+	m.pulled = m.now
+	first := m.Random.IntN(len(m.seeds))
+	m.startPull(m.seeds[first])
+	for i := 1; i < min(len(m.seeds), maxAsked); i++ {
+		to := m.seeds[(first+i)%len(m.seeds)]
+		if to != m.me.detail.Address {
+			m.askMembers(to, "")
+		}
+	}
 }
 
 func (m *Machine) startPull(to netip.AddrPort) {
