--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,7 +16,6 @@
 	"github.com/sesamestream/sesamestream/pkg/decide/admit"
 	"github.com/sesamestream/sesamestream/pkg/decide/host"
 	"github.com/sesamestream/sesamestream/pkg/decide/member"
-	"github.com/sesamestream/sesamestream/pkg/fleet"
 	"github.com/sesamestream/sesamestream/pkg/table"
 )
 
@@ -160,31 +159,6 @@
 	return out
 }
 
-// hosts are the live hosts by which the fleet's shares are placed: those of
-// the data centre one by one, the others by their summaries.
-func (a *Agent) hosts(now time.Time) []admit.Host {
-	own := admit.Host{Connections: a.targets.Connections(now), Kinds: a.targets.Kinds(now)}
-	out := []admit.Host{own}
-	for _, m := range a.Base.Members() {
-		out = append(out, hostOf(m.Offers))
-	}
-	for _, r := range a.Base.Remotes() {
-		for _, k := range r.Summary.Kinds {
-			out = append(out, admit.Host{Connections: int(k.Capacity), Kinds: []fleet.Kind{k.Kind}})
-		}
-	}
-	return out
-}
-
-func hostOf(offers []member.Offer) admit.Host {
-	var h admit.Host
-	for _, o := range offers {
-		h.Connections = max(h.Connections, int(o.Limit))
-		h.Kinds = append(h.Kinds, o.Kind)
-	}
-	return h
-}
-
 // drain lets entries learn that the host leaves, then finishes what runs.
 func (a *Agent) drain(ctx context.Context) {
 	a.leaving.Store(true)
--- /dev/null
+++ b/internal/agent/hosts_test.go
@@ -0,0 +1,31 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/admit"
+	"github.com/sesamestream/sesamestream/pkg/decide/member"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// TestALostDataCentreTakesNoPartOfAShare loses one of two data centres that
+// serve a kind: the other then holds the whole of its share.
+func TestALostDataCentreTakesNoPartOfAShare(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	own := admit.Host{Connections: 10, Kinds: []fleet.Kind{"gust", "session"}}
+	far := member.Remote{Seen: now, Summary: member.Summary{Kinds: []member.KindSummary{{Kind: "session", Agents: 1, Capacity: 30}}}}
+	gust := func(at time.Time) float64 {
+		for _, s := range admit.Scales(hostsOf(at, own, nil, []member.Remote{far}), nil) {
+			if s.Kind == "gust" {
+				return s.Factor
+			}
+		}
+		return 0
+	}
+	g.Expect(gust(now)).To(Equal(4.0), "a quarter of the fleet serves the kind")
+	g.Expect(gust(now.Add(remoteAge+time.Second))).To(Equal(1.0), "what is left serves it whole")
+}
