--- a/internal/agent/hosts.go
+++ b/internal/agent/hosts.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/decide/admit"
@@ -25,10 +26,7 @@
 	for _, m := range members {
 		out = append(out, hostOf(m.Offers))
 	}
-	for _, r := range remotes {
-		if now.Sub(r.Seen) > remoteAge {
-			continue
-		}
+	for _, r := range fresh(now, remotes) {
 		for _, k := range r.Summary.Kinds {
 			out = append(out, admit.Host{Connections: int(k.Capacity), Kinds: []fleet.Kind{k.Kind}})
 		}
@@ -36,6 +34,11 @@
 	return out
 }
 
+// fresh returns the data centres that were heard of lately.
+func fresh(now time.Time, remotes []member.Remote) []member.Remote {
+	return slices.DeleteFunc(slices.Clone(remotes), func(r member.Remote) bool { return now.Sub(r.Seen) > remoteAge })
+}
+
 func hostOf(offers []member.Offer) admit.Host {
 	var h admit.Host
 	for _, o := range offers {
--- a/internal/agent/rooms.go
+++ b/internal/agent/rooms.go
@@ -41,7 +41,7 @@
 // roomOwners is how many owners hear from this host in one period.
 func (a *Agent) roomOwners() int {
 	hosts := 1 + len(a.Base.Members())
-	for _, r := range a.Base.Remotes() {
+	for _, r := range fresh(time.Now(), a.Base.Remotes()) {
 		hosts += int(r.Summary.Members)
 	}
 	return min(max(a.Base.Shards*roomHosts/hosts, 1), a.Base.Shards)
