--- a/internal/local/cluster.go
+++ b/internal/local/cluster.go
@@ -5,8 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
-	mathrand "math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -179,39 +177,6 @@
 	return nil
 }
 
-// The ports that are tried lie below those that systems give to outgoing
-// connections, so that none is taken between the choice and the use.
-const (
-	lowestPort = 12_000
-	ports      = 18_000
-)
-
-// freeAddress finds a port that is free for TCP and UDP.
-func freeAddress() (netip.AddrPort, error) {
-	for range ports {
-		p := uint16(lowestPort + mathrand.IntN(ports)) //nolint:gosec // A port needs no secret.
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), p)
-		if isFree(a) {
-			return a, nil
-		}
-	}
-	return netip.AddrPort{}, errors.New("local: no free port")
-}
-
-func isFree(a netip.AddrPort) bool {
-	l, err := net.Listen("tcp", a.String())
-	if err != nil {
-		return false
-	}
-	defer l.Close()
-	u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
-	if err != nil {
-		return false
-	}
-	u.Close()
-	return true
-}
-
 // Run runs the deployment until ctx ends.
 func (c *Cluster) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/local/table_test.go
+++ b/internal/local/table_test.go
@@ -97,7 +97,6 @@
 			b.Fatal(err)
 		}
 	}
-	distinct(b, append(append([]*Member{}, c.Entries...), c.Agents...))
 	a := &applied{at: make(map[table.Revision]map[fleet.ID]time.Time), newest: make(map[fleet.ID]table.Revision)}
 	ctx, stop := context.WithCancel(context.Background())
 	var w sync.WaitGroup
@@ -128,24 +127,6 @@
 	return c, a
 }
 
-// distinct draws again each address that two members share.
-func distinct(b *testing.B, all []*Member) {
-	taken := make(map[netip.AddrPort]bool)
-	for _, m := range all {
-		s := &m.Settings
-		for _, at := range []*netip.AddrPort{&s.Peer.Listen, &s.Operator.Listen, &s.Host.Listen, &s.Caller.Listen} {
-			for taken[*at] {
-				a, err := freeAddress()
-				if err != nil {
-					b.Fatal(err)
-				}
-				*at = a
-			}
-			taken[*at] = true
-		}
-	}
-}
-
 // edit makes one edit at a member and returns when it was sent and its revision.
 func (c *Cluster) edit(b *testing.B, m *Member, base table.Revision) (time.Time, table.Revision) {
 	t := DemoTable()
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -4,12 +4,14 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -37,8 +39,8 @@
 	portCount  = 18_000
 )
 
-// freePort finds a port that is free for TCP and UDP.
-func freePort() string {
+// freePort finds a port that is free for TCP and UDP and was not given before.
+func (r *rig) freePort() string {
 	for {
 		at := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount))
 		l, err := net.Listen("tcp", at)
@@ -47,9 +49,13 @@
 		}
 		u, err := net.ListenPacket("udp", at)
 		l.Close()
-		if err == nil {
-			u.Close()
-			return strings.TrimPrefix(at, "127.0.0.1:")
+		if err != nil {
+			continue
+		}
+		u.Close()
+		p := strings.TrimPrefix(at, "127.0.0.1:")
+		if !slices.Contains(slices.Collect(maps.Values(r.ports)), p) {
+			return p
 		}
 	}
 }
@@ -62,7 +68,7 @@
 	g := NewWithT(r.t)
 	r.ports = make(map[string]string)
 	for _, p := range examplePorts {
-		r.ports[p] = freePort()
+		r.ports[p] = r.freePort()
 	}
 	files, err := filepath.Glob(filepath.Join(r.dir, "trial", "*.yaml"))
 	g.Expect(err).NotTo(HaveOccurred())
