--- a/pkg/decide/claim/claim.go
+++ b/pkg/decide/claim/claim.go
@@ -6,9 +6,9 @@
 	"crypto/sha256"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/sesamestream/sesamestream/pkg/decide/record"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -66,29 +66,16 @@
 	Grant uint64 `cbor:"5,keyasint"`
 }
 
-var decoder = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden}.DecMode())
-
-func must[T any](v T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return v
-}
-
 // Encode returns r as the journal keeps it.
 func (r Record) Encode() ([]byte, error) {
-	b, err := cbor.Marshal(r)
-	return b, errors.WithStack(err)
+	return record.Encode(r)
 }
 
 // Decode returns the record in b, or ErrBadRecord.
 func Decode(b []byte) (Record, error) {
 	var r Record
-	if len(b) > MaxRecordBytes {
-		return r, errors.WithMessage(ErrBadRecord, "size")
-	}
-	if err := decoder.Unmarshal(b, &r); err != nil {
-		return r, errors.WithMessage(ErrBadRecord, err.Error())
+	if err := record.Decode(b, MaxRecordBytes, ErrBadRecord, &r); err != nil {
+		return r, err
 	}
 	if r.Version != Version || r.Op < OpGrant || r.Op > OpRelease || r.Grant == 0 {
 		return r, errors.WithMessage(ErrBadRecord, "fields")
--- a/pkg/decide/claim/snapshot.go
+++ b/pkg/decide/claim/snapshot.go
@@ -29,7 +29,16 @@
 }
 
 // snapshotDecoder reads snapshots, which are bounded by what their owner wrote.
-var snapshotDecoder = must(cbor.DecOptions{MaxArrayElements: 1 << 27}.DecMode())
+var snapshotDecoder = func() cbor.DecMode {
+	d, err := cbor.DecOptions{MaxArrayElements: maxSnapshotKeys}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return d
+}()
+
+// maxSnapshotKeys bounds the keys of one snapshot.
+const maxSnapshotKeys = 1 << 27
 
 // Snapshot returns what Restore takes, the same bytes for the same claims.
 func (m *Machine) Snapshot() ([]byte, error) {
--- a/pkg/decide/task/record.go
+++ b/pkg/decide/task/record.go
@@ -4,9 +4,9 @@
 	"crypto/sha256"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/sesamestream/sesamestream/pkg/decide/record"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -59,38 +59,16 @@
 	Spec    *Spec             `cbor:"10,keyasint,omitempty"`
 }
 
-var (
-	encoder = must(cbor.CoreDetEncOptions().EncMode())
-	decoder = must(cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		MaxNestedLevels:  8,
-		MaxArrayElements: 1 << 20,
-		MaxMapPairs:      1 << 20,
-		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode())
-)
-
-func must[T any](v T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return v
-}
-
 // Encode returns r as the journal keeps it.
 func (r Record) Encode() ([]byte, error) {
-	b, err := encoder.Marshal(r)
-	return b, errors.WithStack(err)
+	return record.Encode(r)
 }
 
 // Decode returns the record in b, or ErrBadRecord.
 func Decode(b []byte) (Record, error) {
 	var r Record
-	if len(b) > MaxRecordBytes {
-		return r, errors.WithMessage(ErrBadRecord, "size")
-	}
-	if err := decoder.Unmarshal(b, &r); err != nil {
-		return r, errors.WithMessage(ErrBadRecord, err.Error())
+	if err := record.Decode(b, MaxRecordBytes, ErrBadRecord, &r); err != nil {
+		return r, err
 	}
 	return r, r.check()
 }
@@ -115,7 +93,7 @@
 }
 
 func digest(s *Spec) Digest {
-	b, err := encoder.Marshal(s)
+	b, err := record.Encode(s)
 	if err != nil {
 		return Digest{}
 	}
--- a/pkg/decide/task/snapshot.go
+++ b/pkg/decide/task/snapshot.go
@@ -1,7 +1,11 @@
 package task
 
 import (
+	"math"
+
 	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/record"
 )
 
 // ErrBadSnapshot is returned for bytes that are no snapshot of a known version.
@@ -9,16 +13,15 @@
 
 // Snapshot returns the state as the store keeps it.
 func (s *State) Snapshot() ([]byte, error) {
-	b, err := encoder.Marshal(s)
-	return b, errors.WithStack(err)
+	return record.Encode(s)
 }
 
 // Restore returns the state of a snapshot, or ErrBadSnapshot.
 func Restore(b []byte) (*State, error) {
 	s := NewState()
 	s.Version = 0
-	if err := decoder.Unmarshal(b, s); err != nil {
-		return nil, errors.WithMessage(ErrBadSnapshot, err.Error())
+	if err := record.Decode(b, math.MaxInt, ErrBadSnapshot, s); err != nil {
+		return nil, err
 	}
 	if s.Version != Version {
 		return nil, errors.WithMessage(ErrBadSnapshot, "version")
