--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -17,13 +17,13 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 )
 
 // A rig is one deployment of separate processes on loopback.
 type rig struct {
-	t      *testing.T
 	binary string
 	dir    string
 	// ports are the free ports in the place of those of the examples.
@@ -65,56 +65,54 @@
 
 // movePorts rewrites the examples' ports.
 func (r *rig) movePorts() {
-	g := NewWithT(r.t)
 	r.ports = make(map[string]string)
 	for _, p := range examplePorts {
 		r.ports[p] = r.freePort()
 	}
 	files, err := filepath.Glob(filepath.Join(r.dir, "trial", "*.yaml"))
-	g.Expect(err).NotTo(HaveOccurred())
+	Expect(err).NotTo(HaveOccurred())
 	for _, f := range files {
 		b, err := os.ReadFile(f)
-		g.Expect(err).NotTo(HaveOccurred())
+		Expect(err).NotTo(HaveOccurred())
 		s := string(b)
 		for _, p := range examplePorts {
 			s = strings.ReplaceAll(s, "127.0.0.1:"+p, "127.0.0.1:moved"+r.ports[p])
 		}
-		g.Expect(os.WriteFile(f, []byte(strings.ReplaceAll(s, ":moved", ":")), 0o600)).To(Succeed())
+		Expect(os.WriteFile(f, []byte(strings.ReplaceAll(s, ":moved", ":")), 0o600)).To(Succeed())
 	}
 }
 
-func newRig(t *testing.T) *rig {
-	g := NewWithT(t)
-	r := &rig{t: t, dir: t.TempDir()}
+func newRig() *rig {
+	r := &rig{dir: GinkgoT().TempDir()}
 	r.binary = filepath.Join(r.dir, "sesamestream")
 	out, err := exec.Command("go", "build", "-o", r.binary, "../../cmd/sesamestream").CombinedOutput()
-	g.Expect(err).NotTo(HaveOccurred(), string(out))
-	g.Expect(os.CopyFS(filepath.Join(r.dir, "trial"), os.DirFS("../../examples/trial"))).To(Succeed())
+	Expect(err).NotTo(HaveOccurred(), string(out))
+	Expect(os.CopyFS(filepath.Join(r.dir, "trial"), os.DirFS("../../examples/trial"))).To(Succeed())
 	r.movePorts()
 	r.command("keys", "--dir", filepath.Join(r.dir, "trial", "keys"))
 	return r
 }
 
 func (r *rig) command(args ...string) string {
-	r.t.Helper()
+	GinkgoHelper()
 	out, err := exec.Command(r.binary, args...).CombinedOutput()
-	NewWithT(r.t).Expect(err).NotTo(HaveOccurred(), string(out))
+	Expect(err).NotTo(HaveOccurred(), string(out))
 	return string(out)
 }
 
 func (r *rig) start(args ...string) *exec.Cmd {
-	r.t.Helper()
+	GinkgoHelper()
 	c := exec.Command(r.binary, args...)
 	log, err := os.Create(filepath.Join(r.dir, fmt.Sprintf("log-%s-%d", args[0], time.Now().UnixNano())))
-	NewWithT(r.t).Expect(err).NotTo(HaveOccurred())
+	Expect(err).NotTo(HaveOccurred())
 	c.Stdout, c.Stderr = log, log
-	NewWithT(r.t).Expect(c.Start()).To(Succeed())
-	r.t.Cleanup(func() {
+	Expect(c.Start()).To(Succeed())
+	DeferCleanup(func() {
 		_ = c.Process.Kill()
 		_ = c.Wait()
 		b, _ := os.ReadFile(log.Name())
-		if r.t.Failed() {
-			r.t.Logf("%s:\n%s", strings.Join(args, " "), b)
+		if CurrentSpecReport().Failed() {
+			GinkgoWriter.Printf("%s:\n%s\n", strings.Join(args, " "), b)
 		}
 	})
 	return c
@@ -150,117 +148,117 @@
 	return string(out), err
 }
 
-func TestWorkSurvivesTheKillOfAnAgent(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t)
-	r.start("store", "--listen", r.at("8500"))
-	a1 := r.process("agent", "agent-1")
-	r.process("agent", "agent-2")
-	e := r.process("entry", "entry-1")
-	r.start("target", "--id", "t1", "--agent", r.at("7102"), "--kind", "gust")
-	r.start("target", "--id", "t2", "--agent", r.at("7112"), "--kind", "gust")
-	r.start("worker", "--id", "w1", "--agent", r.at("7102"))
-	r.start("worker", "--id", "w2", "--agent", r.at("7112"))
+func TestDeployment(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "deployment of separate processes")
+}
 
-	g.Eventually(func() (string, error) {
-		return r.operate("table", "set", filepath.Join(r.dir, "trial", "table.yaml"))
-	}, "20s", "200ms").Should(ContainSubstring("accepted as revision 1"))
-	g.Eventually(func() (answer, error) { return r.get("/gust/beach?b=1") }, "20s", "100ms").Should(
-		HaveField("Outcome", "answered"))
-	done := func(id string) func() (string, error) {
-		return func() (string, error) { return r.operate("job", "get", id) }
-	}
-	g.Eventually(func() (string, error) {
-		return r.operate("job", "submit", "--kind", "forecast", "--tasks", "4", "--command", "200ms", "first")
-	}, "30s", "200ms").Should(ContainSubstring(`"phase"`))
-	g.Eventually(done("first"), "20s", "100ms").Should(ContainSubstring(`"phase": "done"`))
+var _ = Describe("a deployment", func() {
+	It("serves requests and runs jobs after the kill of an agent", func() {
+		r := newRig()
+		r.start("store", "--listen", r.at("8500"))
+		a1 := r.process("agent", "agent-1")
+		r.process("agent", "agent-2")
+		e := r.process("entry", "entry-1")
+		r.start("target", "--id", "t1", "--agent", r.at("7102"), "--kind", "gust")
+		r.start("target", "--id", "t2", "--agent", r.at("7112"), "--kind", "gust")
+		r.start("worker", "--id", "w1", "--agent", r.at("7102"))
+		r.start("worker", "--id", "w2", "--agent", r.at("7112"))
 
-	g.Expect(a1.Process.Kill()).To(Succeed())
-	g.Eventually(func() (answer, error) { return r.get("/gust/beach?b=2") }, "20s", "100ms").Should(Equal(
-		answer{200, "answered", "t2 GET /beach?b=2 "}))
-	a, err := r.get("/nothing/x")
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(a.Outcome).To(Equal("notRun"))
-	g.Eventually(func() (string, error) {
-		return r.operate("job", "submit", "--kind", "forecast", "--tasks", "4", "--command", "200ms", "second")
-	}, "60s", "200ms").Should(ContainSubstring(`"phase"`))
-	g.Eventually(done("second"), "60s", "100ms").Should(ContainSubstring(`"phase": "done"`))
+		Eventually(func() (string, error) {
+			return r.operate("table", "set", filepath.Join(r.dir, "trial", "table.yaml"))
+		}, "20s", "200ms").Should(ContainSubstring("accepted as revision 1"))
+		Eventually(func() (answer, error) { return r.get("/gust/beach?b=1") }, "20s", "100ms").Should(
+			HaveField("Outcome", "answered"))
+		done := func(id string) func() (string, error) {
+			return func() (string, error) { return r.operate("job", "get", id) }
+		}
+		Eventually(func() (string, error) {
+			return r.operate("job", "submit", "--kind", "forecast", "--tasks", "4", "--command", "200ms", "first")
+		}, "30s", "200ms").Should(ContainSubstring(`"phase"`))
+		Eventually(done("first"), "20s", "100ms").Should(ContainSubstring(`"phase": "done"`))
 
-	g.Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
-	g.Expect(e.Wait()).To(Succeed())
-}
+		Expect(a1.Process.Kill()).To(Succeed())
+		Eventually(func() (answer, error) { return r.get("/gust/beach?b=2") }, "20s", "100ms").Should(Equal(
+			answer{200, "answered", "t2 GET /beach?b=2 "}))
+		a, err := r.get("/nothing/x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Outcome).To(Equal("notRun"))
+		Eventually(func() (string, error) {
+			return r.operate("job", "submit", "--kind", "forecast", "--tasks", "4", "--command", "200ms", "second")
+		}, "60s", "200ms").Should(ContainSubstring(`"phase"`))
+		Eventually(done("second"), "60s", "100ms").Should(ContainSubstring(`"phase": "done"`))
 
-// TestOperatorsTools edits the table from two sides, drains and stops.
-func TestOperatorsTools(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t)
-	r.start("store", "--listen", r.at("8500"))
-	a := r.process("agent", "agent-1")
-	r.process("entry", "entry-1")
-	r.start("worker", "--id", "w1", "--agent", r.at("7102"))
-	set := func() (string, error) {
-		return r.operate("table", "set", filepath.Join(r.dir, "trial", "table.yaml"))
-	}
-	g.Eventually(set, "20s", "200ms").Should(ContainSubstring("accepted as revision 1"))
+		Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(e.Wait()).To(Succeed())
+	})
 
-	out, err := r.operate("table", "edit", "--by", "an", "gust", "floor=0.35", "weight=9")
-	g.Expect(err).NotTo(HaveOccurred(), out)
-	out, err = r.operate("table", "edit", "--by", "binh", "--revision", "1", "gust", "floor=0.3")
-	g.Expect(err).To(HaveOccurred())
-	g.Expect(out).To(And(
-		ContainSubstring("revision 2 by an was accepted first"),
-		MatchRegexp(`accepted: class=request weight=9 floor=0.35`),
-		MatchRegexp(`yours: +class=request weight=9 floor=0.3 `)))
-	out, err = r.operate("table", "edit", "gust", "floor=0.9")
-	g.Expect(err).To(HaveOccurred())
-	g.Expect(out).To(ContainSubstring("add up to"))
-	g.Eventually(func() (string, error) { return r.operate("table", "get", "--format", "csv") }, "6s", "100ms").Should(
-		And(ContainSubstring("revision,2"), ContainSubstring("kind,gust,request,9,0.35")))
-	out, err = r.operate("table", "history")
-	g.Expect(err).NotTo(HaveOccurred(), out)
-	g.Expect(out).To(MatchRegexp(`revision 2 .* an\n +kind gust: .*weight=8 floor=0.4 .* -> .*weight=9 floor=0.35`))
+	It("edits the table from two sides, drains and stops", func() {
+		r := newRig()
+		r.start("store", "--listen", r.at("8500"))
+		a := r.process("agent", "agent-1")
+		r.process("entry", "entry-1")
+		r.start("worker", "--id", "w1", "--agent", r.at("7102"))
+		set := func() (string, error) {
+			return r.operate("table", "set", filepath.Join(r.dir, "trial", "table.yaml"))
+		}
+		Eventually(set, "20s", "200ms").Should(ContainSubstring("accepted as revision 1"))
 
-	g.Eventually(func() (string, error) { return r.operate("worker", "list") }, "20s", "200ms").Should(
-		MatchRegexp(`agent-1 .* 8/8 .* open`))
-	out, err = r.operate("worker", "drain", "agent-1")
-	g.Expect(err).NotTo(HaveOccurred(), out)
-	g.Eventually(func() (string, error) { return r.operate("worker", "list") }, "5s", "200ms").Should(ContainSubstring("draining"))
-	g.Eventually(func() (string, error) { return r.operate("status") }, "10s", "200ms").Should(And(
-		MatchRegexp(`entry-1 +entry +mui-ne .* 2 .* alive`), MatchRegexp(`agent-1 +agent +mui-ne .* 2 .* alive`)))
+		out, err := r.operate("table", "edit", "--by", "an", "gust", "floor=0.35", "weight=9")
+		Expect(err).NotTo(HaveOccurred(), out)
+		out, err = r.operate("table", "edit", "--by", "binh", "--revision", "1", "gust", "floor=0.3")
+		Expect(err).To(HaveOccurred())
+		Expect(out).To(And(
+			ContainSubstring("revision 2 by an was accepted first"),
+			MatchRegexp(`accepted: class=request weight=9 floor=0.35`),
+			MatchRegexp(`yours: +class=request weight=9 floor=0.3 `)))
+		out, err = r.operate("table", "edit", "gust", "floor=0.9")
+		Expect(err).To(HaveOccurred())
+		Expect(out).To(ContainSubstring("add up to"))
+		Eventually(func() (string, error) { return r.operate("table", "get", "--format", "csv") }, "6s", "100ms").Should(
+			And(ContainSubstring("revision,2"), ContainSubstring("kind,gust,request,9,0.35")))
+		out, err = r.operate("table", "history")
+		Expect(err).NotTo(HaveOccurred(), out)
+		Expect(out).To(MatchRegexp(`revision 2 .* an\n +kind gust: .*weight=8 floor=0.4 .* -> .*weight=9 floor=0.35`))
 
-	g.Expect(a.Process.Signal(syscall.SIGTERM)).To(Succeed())
-	g.Expect(a.Wait()).To(Succeed(), "the first signal drains and exits with 0")
-}
+		Eventually(func() (string, error) { return r.operate("worker", "list") }, "20s", "200ms").Should(
+			MatchRegexp(`agent-1 .* 8/8 .* open`))
+		out, err = r.operate("worker", "drain", "agent-1")
+		Expect(err).NotTo(HaveOccurred(), out)
+		Eventually(func() (string, error) { return r.operate("worker", "list") }, "5s", "200ms").Should(ContainSubstring("draining"))
+		Eventually(func() (string, error) { return r.operate("status") }, "10s", "200ms").Should(And(
+			MatchRegexp(`entry-1 +entry +mui-ne .* 2 .* alive`), MatchRegexp(`agent-1 +agent +mui-ne .* 2 .* alive`)))
 
-// TestSecondSignalEndsAtOnce kills a draining process by a second signal.
-func TestSecondSignalEndsAtOnce(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t)
-	e := r.process("entry", "entry-1")
-	g.Eventually(func() error { _, err := r.get("/gust/x"); return err }, "20s", "50ms").Should(Succeed())
-	g.Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
-	g.Eventually(func() int {
-		w, err := http.Get("http://" + r.at("7002") + "/ready")
-		if err != nil {
-			return 0
-		}
-		defer w.Body.Close()
-		return w.StatusCode
-	}, "5s", "20ms").Should(Equal(http.StatusServiceUnavailable))
-	g.Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
-	g.Expect(e.Wait()).NotTo(Succeed())
-}
+		Expect(a.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(a.Wait()).To(Succeed(), "the first signal drains and exits with 0")
+	})
 
-// TestCheckNamesEachFault runs check on files with faults.
-func TestCheckNamesEachFault(t *testing.T) {
-	g := NewWithT(t)
-	r := newRig(t)
-	file := filepath.Join(r.dir, "bad.yaml")
-	bad := "kinds:\n- {kind: gust, class: request, weight: 1, floor: 0.8, ceiling: 0.5, deadline: 1s}\n"
-	g.Expect(os.WriteFile(file, []byte(bad), 0o600)).To(Succeed())
-	out, err := r.operate("check", file)
-	var x *exec.ExitError
-	g.Expect(errors.As(err, &x)).To(BeTrue())
-	g.Expect(x.ExitCode()).To(Equal(2))
-	g.Expect(out).To(ContainSubstring("bad.yaml:2:64: $.kinds[0].ceiling: ceiling 0.5 is under floor 0.8"))
-}
+	It("ends a draining process at once by a second signal", func() {
+		r := newRig()
+		e := r.process("entry", "entry-1")
+		Eventually(func() error { _, err := r.get("/gust/x"); return err }, "20s", "50ms").Should(Succeed())
+		Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(func() int {
+			w, err := http.Get("http://" + r.at("7002") + "/ready")
+			if err != nil {
+				return 0
+			}
+			defer w.Body.Close()
+			return w.StatusCode
+		}, "5s", "20ms").Should(Equal(http.StatusServiceUnavailable))
+		Expect(e.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(e.Wait()).NotTo(Succeed())
+	})
+
+	It("names each fault of a file by line and column", func() {
+		r := newRig()
+		file := filepath.Join(r.dir, "bad.yaml")
+		bad := "kinds:\n- {kind: gust, class: request, weight: 1, floor: 0.8, ceiling: 0.5, deadline: 1s}\n"
+		Expect(os.WriteFile(file, []byte(bad), 0o600)).To(Succeed())
+		out, err := r.operate("check", file)
+		var x *exec.ExitError
+		Expect(errors.As(err, &x)).To(BeTrue())
+		Expect(x.ExitCode()).To(Equal(2))
+		Expect(out).To(ContainSubstring("bad.yaml:2:64: $.kinds[0].ceiling: ceiling 0.5 is under floor 0.8"))
+	})
+})
