--- a/internal/consul/client_test.go
+++ b/internal/consul/client_test.go
@@ -78,3 +78,10 @@
 	_, _, err = c.CAS(ctx, "a/e", []byte("3"), 0)
 	g.Expect(err).To(MatchError(store.ErrUnavailable))
 }
+
+func TestStandinRefusesAnUnknownMode(t *testing.T) {
+	g := NewWithT(t)
+	s := &standin.Server{}
+	g.Expect(s.Set(standin.Fault{Mode: "upp"})).NotTo(Succeed())
+	g.Expect(s.Set(standin.Fault{Mode: standin.Down})).To(Succeed())
+}
--- a/internal/consul/standin/standin.go
+++ b/internal/consul/standin/standin.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -152,8 +153,11 @@
 	}
 }
 
-// Set sets the mode of the server.
+// Set sets the mode of the server; an unknown one changes nothing.
 func (s *Server) Set(f Fault) error {
+	if !slices.Contains([]Mode{Up, Down, Slow, LoseAnswers}, f.Mode) {
+		return errors.Errorf("standin: mode must be %s, %s, %s or %s", Up, Down, Slow, LoseAnswers)
+	}
 	d, err := time.ParseDuration(f.Delay)
 	if f.Delay != "" && err != nil {
 		return errors.Wrap(err, "standin: delay")
