--- a/internal/consul/standin/standin.go
+++ b/internal/consul/standin/standin.go
@@ -153,9 +153,9 @@
 	}
 }
 
-// Set sets the mode of the server; an unknown one changes nothing.
+// Set sets the mode of the server, up for none; an unknown one changes nothing.
 func (s *Server) Set(f Fault) error {
-	if !slices.Contains([]Mode{Up, Down, Slow, LoseAnswers}, f.Mode) {
+	if !slices.Contains([]Mode{"", Up, Down, Slow, LoseAnswers}, f.Mode) {
 		return errors.Errorf("standin: mode must be %s, %s, %s or %s", Up, Down, Slow, LoseAnswers)
 	}
 	d, err := time.ParseDuration(f.Delay)
