--- a/internal/local/drain_test.go
+++ b/internal/local/drain_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 	"golang.org/x/time/rate"
@@ -23,7 +22,8 @@
 	defer stop()
 	var loads sync.WaitGroup
 	loads.Go(func() { x.Run(load, Load{Kind: kindGust, Rate: rate.Limit(150)}) })
-	time.Sleep(time.Second)
+	offered := func() int { return x.Callers.Of(kindGust).Offered }
+	g.Eventually(offered, "30s", "10ms").Should(BeNumerically(">", 100))
 	c.Agents[0].Stop()
 	stopped := make(chan struct{})
 	go func() {
@@ -31,7 +31,8 @@
 		c.Entries[0].Stop()
 	}()
 	// The balancer sends on for a moment after the stop has begun.
-	time.Sleep(time.Second)
+	before := offered()
+	g.Eventually(offered, "30s", "10ms").Should(BeNumerically(">", before+50))
 	stop()
 	loads.Wait()
 	x.Wait()
