--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -64,7 +64,13 @@
 
 // Decode reads data into v, refusing unknown fields and duplicate keys,
 // and then lists the faults v finds in itself. It returns Problems or nil.
-func Decode(data []byte, v Checker) error {
+func Decode(data []byte, v Checker) (err error) {
+	// The library panics on some malformed documents.
+	defer func() {
+		if x := recover(); x != nil {
+			err = Problems{{Line: 1, Column: 1, Message: fmt.Sprintf("malformed document: %v", x)}}
+		}
+	}()
 	f, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		return Problems{problemOf(err)}
