--- a/internal/local/recorder.go
+++ b/internal/local/recorder.go
@@ -105,17 +105,18 @@
 
 // Of returns a copy of the tally of one kind.
 func (c *Callers) Of(k fleet.Kind) Tally {
-	return c.copy(c.kinds, k)
+	return c.copy(func() map[fleet.Kind]*Tally { return c.kinds }, k)
 }
 
 // InFlood returns a copy of the tally of one kind during the flood.
 func (c *Callers) InFlood(k fleet.Kind) Tally {
-	return c.copy(c.flood, k)
+	return c.copy(func() map[fleet.Kind]*Tally { return c.flood }, k)
 }
 
-func (c *Callers) copy(m map[fleet.Kind]*Tally, k fleet.Kind) Tally {
+func (c *Callers) copy(tallies func() map[fleet.Kind]*Tally, k fleet.Kind) Tally {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	m := tallies()
 	if m == nil {
 		return Tally{latency: hdrhistogram.New(lowest, highest, digits)}
 	}
