Call the key's digest and the pause that stood already

Cause: the last read of the change: the entry hashed kind and key as claim.Key does, and the agent waited as store.Pause does. Behaviour is the same; the tests of agent and entry and the test of planned stops pass.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/sesamestream/sesamestream/internal/base"
 	"github.com/sesamestream/sesamestream/internal/message"
 	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/internal/store"
 	"github.com/sesamestream/sesamestream/internal/target"
 	"github.com/sesamestream/sesamestream/pkg/decide/admit"
 	"github.com/sesamestream/sesamestream/pkg/decide/host"
@@ -166,18 +167,9 @@
 	a.tasks.runner.Tell(host.Drain{Draining: true})
 	bound, cancel := context.WithTimeout(ctx, a.Drain)
 	defer cancel()
-	pause(bound, leaveTime)
+	store.Pause(bound, leaveTime)
 	a.gate.Drain()
 	for a.running.Load() > 0 && bound.Err() == nil {
-		pause(bound, drainPoll)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		store.Pause(bound, drainPoll)
 	}
 }
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"encoding/binary"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/sesamestream/sesamestream/internal/message"
 	"github.com/sesamestream/sesamestream/internal/peer"
 	"github.com/sesamestream/sesamestream/pkg/decide/attempt"
+	decideclaim "github.com/sesamestream/sesamestream/pkg/decide/claim"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -33,11 +33,6 @@
 	settled atomic.Bool
 }
 
-// digest stands for a key of a kind.
-func digest(k fleet.Kind, key string) message.Digest {
-	return sha256.Sum256([]byte(string(k) + "\x00" + key))
-}
-
 // shardOf returns the shard of a digest.
 func shardOf(d message.Digest, shards int) int {
 	return int(binary.BigEndian.Uint64(d[:8]) % uint64(shards))
@@ -45,7 +40,7 @@
 
 // askClaim asks for the key of f; the answer comes as an event.
 func (e *Entry) askClaim(f *flight) *claim {
-	d := digest(f.request.Kind, f.request.Key)
+	d := message.Digest(decideclaim.Key(f.request.Kind, f.request.Key))
 	c := &claim{ask: message.Claim{Shard: shardOf(d, e.Base.Shards), Digest: d, Kind: f.request.Kind}}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
