--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,388 @@
+// Package dispatch runs the elected scheduler: it holds the sessions of the
+// nodes, feeds what they and the store tell into the decision, carries its
+// orders to the hosts and keeps the jobs' progress in the store.
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestream/sesamestream/internal/election"
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/kv"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
+)
+
+// Grant is how long a host keeps its worker's lease alive after it last heard
+// the scheduler. It outlasts the restart of a process and a failover, and is
+// below the time in which a lasting task has to run again.
+const Grant = 4 * time.Second
+
+const (
+	// grantSlack covers clocks that are 2% slow and the way of a message.
+	grantSlack = 150 * time.Millisecond
+	// rideThrough is how long a scheduler goes on granting while nobody reaches the store.
+	rideThrough = 8 * time.Second
+	// storeFresh is how old the last contact with the store may be without asking whether others have it.
+	storeFresh = 1200 * time.Millisecond
+	// silentHost is how long a takeover waits for a host that it doesn't hear:
+	// the last grant of the scheduler before it, and the time that one takes to notice.
+	silentHost = Grant + Grant/20 + 1500*time.Millisecond
+	// sessionTimeout ends a session by silence; three pings fit.
+	sessionTimeout = 2 * time.Second
+	// tickEvery is the resolution of the scheduler's own times.
+	tickEvery = 100 * time.Millisecond
+	// flushEvery is how long progress is collected for one write; ends are noted only after it.
+	flushEvery = 120 * time.Millisecond
+	// watchWait is how long a watch waits; a connection that went silent is found in this time and a little more.
+	watchWait = time.Second
+	// watchSlack is how much later than asked for a watch may return.
+	watchSlack = 700 * time.Millisecond
+	// storeCall bounds other calls to the store.
+	storeCall = 900 * time.Millisecond
+	// fenceStep is how many sessions one term numbers.
+	fenceStep = 100000
+	// collectEvery is how often ended jobs are looked for.
+	collectEvery = 10 * time.Second
+	// mailbox is how many events may wait before the nodes' readers do.
+	mailbox = 4096
+)
+
+// The keys of the scheduler in the store.
+const (
+	// InPrefix is below which the entries write: jobs and cancellations.
+	InPrefix = "sesame/in/"
+	// JobPrefix holds the jobs as they were accepted.
+	JobPrefix = InPrefix + "job/"
+	// CancelPrefix holds the cancelled jobs.
+	CancelPrefix = InPrefix + "cancel/"
+	// StatePrefix holds the progress, which only the scheduler writes.
+	StatePrefix = "sesame/st/"
+	nodePrefix  = "sesame/node/"
+)
+
+// A Dispatcher is one term of the scheduler. Its exported fields are set before Run.
+type Dispatcher struct {
+	Store    kv.Store
+	Term     *election.Term
+	Node     string
+	Log      *eventlog.Log
+	Settings schedule.Settings
+	// ConfigKey and DecodeConfig give the operators' configuration.
+	ConfigKey    string
+	DecodeConfig func([]byte) (batch.Config, error)
+	// Keep is how long an ended job stays known.
+	Keep time.Duration
+	// Upkeep is called with each wave that the operator asks for; nil where nobody does.
+	Upkeep func(context.Context, *Dispatcher)
+	// Announce tells a node without a session where the scheduler is.
+	Announce func(address string, epoch int64)
+
+	begun    time.Time
+	events   chan func(now time.Time)
+	plan     *schedule.Scheduler
+	config   batch.Config
+	sessions map[string]*session
+	// nodes are the addresses of all nodes in the store.
+	nodes map[string]node
+	// unheard are the hosts that may run earlier work.
+	unheard map[string]bool
+	fences  int64
+	lapses  map[batch.WorkerKey]time.Time
+	notes   map[batch.WorkerKey]int64
+	flushed time.Time
+	writing bool
+	loaded  bool
+	swept   time.Time
+	told    time.Time
+	ctx     context.Context
+	stopped sync.WaitGroup
+}
+
+type node struct {
+	Address string `json:"address"`
+	Host    bool   `json:"host"`
+}
+
+// session is the link of one node.
+type session struct {
+	hello   link.Hello
+	conn    *link.Conn
+	fence   int64
+	heard   time.Time
+	granted time.Time
+	// storeOK tells whether the node reached the store lately.
+	storeOK bool
+	workers map[batch.WorkerKey]bool
+	// wanted are the workers of which a snapshot is due.
+	wanted map[batch.WorkerKey]bool
+}
+
+// Run schedules until ctx ends or the term is lost.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.ctx = ctx
+	d.begun = time.Now()
+	d.plan = schedule.New(d.Settings)
+	d.sessions, d.nodes, d.unheard = map[string]*session{}, map[string]node{}, map[string]bool{}
+	d.lapses, d.notes = map[batch.WorkerKey]time.Time{}, map[batch.WorkerKey]int64{}
+	var g errgroup.Group
+	g.Go(func() error { return d.load(ctx) })
+	d.loop(ctx)
+	cancel()
+	for _, s := range d.sessions {
+		s.conn.Close()
+	}
+	err := g.Wait()
+	d.stopped.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Open prepares the mailbox; it's called before Accept and Run.
+func (d *Dispatcher) Open() { d.events = make(chan func(time.Time), mailbox) }
+
+// post hands an event to the loop.
+func (d *Dispatcher) post(f func(now time.Time)) bool {
+	select {
+	case d.events <- f:
+		return true
+	case <-d.Term.Lost():
+		return false
+	}
+}
+
+func (d *Dispatcher) loop(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.Term.Lost():
+			return
+		case f := <-d.events:
+			f(time.Now())
+		case <-tick.C:
+			d.tick(time.Now())
+		}
+		for n := len(d.events); n > 0; n-- {
+			(<-d.events)(time.Now())
+		}
+		d.schedule(time.Now())
+	}
+}
+
+// load reads all that the store holds and then follows its changes.
+func (d *Dispatcher) load(ctx context.Context) error {
+	var in, states, nodes []kv.Item
+	var config kv.Item
+	var from kv.Revision
+	for {
+		c, cancel := context.WithTimeout(ctx, 4*storeCall)
+		g, c := errgroup.WithContext(c)
+		g.Go(func() (err error) { in, from, err = d.Store.Range(c, InPrefix); return err })
+		g.Go(func() (err error) { states, _, err = d.Store.Range(c, StatePrefix); return err })
+		g.Go(func() (err error) { nodes, _, err = d.Store.Range(c, nodePrefix); return err })
+		g.Go(func() (err error) {
+			if config, err = d.Store.Get(c, d.ConfigKey); errors.Is(err, kv.ErrNotFound) {
+				return nil
+			}
+			return err
+		})
+		err := g.Wait()
+		cancel()
+		if err == nil {
+			break
+		}
+		d.Log.Warning(eventlog.StoreLost).Str("call", "load").Err(err).Msg("")
+		if !sleep(ctx, 100*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	d.post(func(now time.Time) { d.take(now, in, states, nodes, config) })
+	d.stopped.Go(func() { d.followConfig(ctx, config.Revision) })
+	return d.follow(ctx, from)
+}
+
+func sleep(ctx context.Context, t time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(t):
+		return true
+	}
+}
+
+// take takes in what the store held when the term began.
+func (d *Dispatcher) take(now time.Time, in, states, nodes []kv.Item, config kv.Item) {
+	if len(config.Value) > 0 {
+		d.configure(config)
+	}
+	progress := map[string]*schedule.Progress{}
+	for _, i := range states {
+		var p schedule.Progress
+		if err := json.Unmarshal(i.Value, &p); err != nil {
+			d.Log.Warning(eventlog.ReportRejected).Str("key", i.Key).Err(err).Msg("stored progress can't be read")
+			continue
+		}
+		progress[strings.TrimPrefix(i.Key, StatePrefix)] = &p
+	}
+	for _, i := range nodes {
+		var n node
+		if err := json.Unmarshal(i.Value, &n); err != nil {
+			d.Log.Warning(eventlog.ReportRejected).Str("key", i.Key).Err(err).Msg("stored node can't be read")
+			continue
+		}
+		name := strings.TrimPrefix(i.Key, nodePrefix)
+		d.nodes[name] = n
+		if n.Host {
+			d.unheard[name] = true
+		}
+	}
+	for _, i := range in {
+		if id, ok := strings.CutPrefix(i.Key, JobPrefix); ok {
+			d.add(now, i, progress[id], i.Revision < d.Term.Epoch)
+		}
+	}
+	for _, i := range in {
+		if id, ok := strings.CutPrefix(i.Key, CancelPrefix); ok {
+			d.plan.Cancel(now, batch.JobID(id))
+		}
+	}
+	d.loaded = true
+	for name, s := range d.sessions {
+		d.welcome(now, name, s)
+	}
+	d.Log.Event(eventlog.StateLoaded).Int64("epoch", int64(d.Term.Epoch)).Int("jobs", len(in)).Int("nodes", len(nodes)).
+		Dur("took", now.Sub(d.begun)).Msg("")
+	d.settle(now)
+}
+
+func (d *Dispatcher) add(now time.Time, i kv.Item, p *schedule.Progress, earlier bool) {
+	var j batch.Job
+	if err := json.Unmarshal(i.Value, &j); err != nil {
+		d.Log.Warning(eventlog.ReportRejected).Str("key", i.Key).Err(err).Msg("stored job can't be read")
+		return
+	}
+	if d.plan.Knows(j.ID) {
+		return
+	}
+	d.plan.Add(now, &j, p, earlier)
+	d.Log.Event(eventlog.JobQueued).Str("job", string(j.ID)).Str("queue", j.Queue).Int64("revision", int64(i.Revision)).
+		Bool("earlier", earlier).Msg("")
+}
+
+func (d *Dispatcher) configure(i kv.Item) {
+	c, err := d.DecodeConfig(i.Value)
+	if err != nil {
+		d.Log.Warning(eventlog.ConfigRejected).Err(err).Msg("")
+		return
+	}
+	if c.Version < d.config.Version {
+		return
+	}
+	d.config = c
+	d.plan.Configure(&c)
+	d.Log.Event(eventlog.ConfigInForce).Int64("version", c.Version).Int64("revision", int64(i.Revision)).Msg("")
+}
+
+// follow feeds new jobs and cancellations in.
+func (d *Dispatcher) follow(ctx context.Context, from kv.Revision) error {
+	for ctx.Err() == nil {
+		c, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		items, upto, err := d.Store.Watch(c, InPrefix, from, watchWait)
+		cancel()
+		switch {
+		case errors.Is(err, kv.ErrCompacted):
+			c, cancel := context.WithTimeout(ctx, 4*storeCall)
+			items, upto, err = d.Store.Range(c, InPrefix)
+			cancel()
+			if err != nil {
+				sleep(ctx, 100*time.Millisecond)
+				continue
+			}
+		case err != nil:
+			sleep(ctx, 100*time.Millisecond)
+			continue
+		}
+		from = max(from, upto)
+		if len(items) == 0 {
+			continue
+		}
+		d.post(func(now time.Time) {
+			for _, i := range items {
+				if strings.HasPrefix(i.Key, JobPrefix) && !i.Removed {
+					d.add(now, i, nil, false)
+				}
+			}
+			for _, i := range items {
+				if id, ok := strings.CutPrefix(i.Key, CancelPrefix); ok && !i.Removed {
+					d.plan.Cancel(now, batch.JobID(id))
+				}
+			}
+		})
+	}
+	return ctx.Err()
+}
+
+func (d *Dispatcher) followConfig(ctx context.Context, from kv.Revision) {
+	FollowKey(ctx, d.Store, d.ConfigKey, from, func(i kv.Item) {
+		d.post(func(time.Time) { d.configure(i) })
+	}, nil)
+}
+
+// FollowKey calls f with each new value of a key until ctx ends. After a loss
+// of history it reads the key. Reached is told of each call's outcome.
+func FollowKey(ctx context.Context, s kv.Store, key string, from kv.Revision, f func(kv.Item), reached func(error)) {
+	if reached == nil {
+		reached = func(error) {}
+	}
+	read := from == 0
+	for ctx.Err() == nil {
+		if read {
+			c, cancel := context.WithTimeout(ctx, storeCall)
+			i, err := s.Get(c, key)
+			cancel()
+			if errors.Is(err, kv.ErrNotFound) {
+				reached(nil)
+				sleep(ctx, 100*time.Millisecond)
+				continue
+			}
+			reached(err)
+			if err != nil {
+				sleep(ctx, 100*time.Millisecond)
+				continue
+			}
+			from, read = i.Revision, false
+			f(i)
+		}
+		c, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		items, upto, err := s.Watch(c, key, from, watchWait)
+		cancel()
+		reached(err)
+		if err != nil {
+			// What was missed meanwhile is in the key itself.
+			read = true
+			sleep(ctx, 100*time.Millisecond)
+			continue
+		}
+		from = max(from, upto)
+		for _, i := range items {
+			if i.Key == key && !i.Removed {
+				f(i)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/session.go
@@ -0,0 +1,274 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/election"
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/hostagent"
+	"github.com/sesamestream/sesamestream/internal/kv"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
+)
+
+// Accept serves the link of a node that said hello, until it ends.
+func (d *Dispatcher) Accept(c *link.Conn, h link.Hello) {
+	s := &session{hello: h, conn: c, workers: map[batch.WorkerKey]bool{}, wanted: map[batch.WorkerKey]bool{}}
+	for _, k := range h.Workers {
+		s.wanted[k] = true
+	}
+	if !d.post(func(now time.Time) { d.join(now, s) }) {
+		c.Close()
+	}
+}
+
+// Message takes a message of a session's link.
+func (d *Dispatcher) Message(c *link.Conn, h *link.Hello, m link.Message) {
+	d.post(func(now time.Time) {
+		s := d.sessions[h.Node]
+		if s == nil || s.conn != c {
+			return
+		}
+		d.message(now, s, m)
+	})
+}
+
+// Ended says that a link is over.
+func (d *Dispatcher) Ended(c *link.Conn, h *link.Hello) {
+	d.post(func(now time.Time) {
+		if s := d.sessions[h.Node]; s != nil && s.conn == c {
+			d.leave(now, s, "link closed")
+		}
+	})
+}
+
+func (d *Dispatcher) join(now time.Time, s *session) {
+	if old := d.sessions[s.hello.Node]; old != nil {
+		d.leave(now, old, "new link")
+	}
+	s.heard = now
+	d.sessions[s.hello.Node] = s
+	if d.loaded {
+		d.welcome(now, s.hello.Node, s)
+	}
+}
+
+// welcome opens the session; a host's name has to be in the store first, so
+// that the next scheduler knows whom to wait for.
+func (d *Dispatcher) welcome(now time.Time, name string, s *session) {
+	want := node{Address: s.hello.Address, Host: s.hello.Host}
+	if d.nodes[name] != want {
+		d.register(name, want, s)
+		return
+	}
+	d.fences++
+	s.fence = (int64(d.Term.Epoch)*fenceStep + d.fences) * hostagent.FenceRoom
+	s.heard = now
+	s.conn.Send(link.Message{Welcome: &link.Welcome{Epoch: int64(d.Term.Epoch), Fence: s.fence}})
+	d.Log.Event(eventlog.HostJoined).Str("peer", name).Int64("life", s.hello.Life).Int64("fence", s.fence).
+		Bool("host", s.hello.Host).Msg("")
+	for _, id := range s.hello.Shown {
+		d.plan.Redo(id)
+	}
+}
+
+func (d *Dispatcher) register(name string, n node, s *session) {
+	v, err := json.Marshal(n)
+	if err != nil {
+		d.Log.Error().Err(err).Msg("node can't be encoded")
+		return
+	}
+	d.stopped.Go(func() {
+		for d.ctx.Err() == nil {
+			c, cancel := context.WithTimeout(d.ctx, storeCall)
+			_, err := d.Store.Apply(c, kv.Change{
+				Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}},
+				Puts:       []kv.Put{{Key: nodePrefix + name, Value: v}},
+			})
+			cancel()
+			if err == nil {
+				d.post(func(now time.Time) {
+					d.nodes[name] = n
+					if d.sessions[name] == s {
+						d.welcome(now, name, s)
+					}
+				})
+				return
+			}
+			d.Log.Warning(eventlog.ProgressNotStored).Str("key", nodePrefix+name).Err(err).Msg("")
+			sleep(d.ctx, 200*time.Millisecond)
+		}
+	})
+}
+
+func (d *Dispatcher) leave(now time.Time, s *session, why string) {
+	name := s.hello.Node
+	delete(d.sessions, name)
+	s.conn.Close()
+	d.plan.Silent(name)
+	for k := range s.workers {
+		d.lapses[k] = s.granted
+	}
+	d.Log.Warning(eventlog.HostLost).Str("peer", name).Str("why", why).Time("leaseEnds", s.granted).
+		Dur("silent", now.Sub(s.heard)).Msg("")
+}
+
+func (d *Dispatcher) message(now time.Time, s *session, m link.Message) {
+	s.heard = now
+	switch {
+	case m.Ping != nil:
+		d.ping(now, s, m.Ping)
+	case m.Snapshot != nil:
+		d.snapshot(now, s, m.Snapshot)
+	case m.Worker != nil:
+		d.plan.Update(m.Worker.Worker)
+		d.Log.Event(eventlog.WorkerChanged).Str("worker", m.Worker.Worker.ID).Bool("draining", m.Worker.Worker.Draining).
+			Dur("drainLeft", m.Worker.Worker.DrainLeft).Msg("")
+	case m.Gone != nil:
+		d.gone(m.Gone.Key, m.Gone.Why)
+		delete(s.workers, m.Gone.Key)
+		delete(s.wanted, m.Gone.Key)
+		d.heardHost(now, s)
+	case m.Ends != nil:
+		d.ends(now, m.Ends.Key, m.Ends.Ends)
+	case m.Started != nil:
+		d.started(now, m.Started)
+	case m.Progress != nil:
+		d.plan.Progressed(now, m.Progress.Key, m.Progress.Runs, m.Progress.Squeezed)
+	case m.Ask != nil:
+		d.answer(s, m.Ask)
+	case m.Advised != nil:
+		a := m.Advised
+		d.plan.Advised(now, schedule.Want{Job: a.Job, Occurrence: a.Occurrence, Step: a.Step, Workers: a.Asked}, a.Tickets, a.Valid, a.Failed)
+	}
+}
+
+// ping grants the session's lease, unless another scheduler may have begun.
+func (d *Dispatcher) ping(now time.Time, s *session, p *link.Ping) {
+	s.storeOK = p.Store
+	if s.fence == 0 {
+		return
+	}
+	if !d.mayGrant(now) {
+		return
+	}
+	s.granted = now.Add(Grant + Grant/50 + grantSlack)
+	s.conn.Send(link.Message{Pong: &link.Pong{Sent: p.Sent, Grant: Grant}})
+}
+
+// mayGrant reports whether this term is surely the newest: the store was
+// reached lately, or nobody else reaches it either.
+func (d *Dispatcher) mayGrant(now time.Time) bool {
+	age := now.Sub(d.Term.Contact())
+	if age < storeFresh {
+		return true
+	}
+	if age > rideThrough {
+		return false
+	}
+	for _, s := range d.sessions {
+		if s.storeOK {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Dispatcher) snapshot(now time.Time, s *session, m *link.Snapshot) {
+	if m.Fence != s.fence {
+		return
+	}
+	k := m.Worker.Key()
+	delete(d.lapses, k)
+	s.workers[k] = true
+	delete(s.wanted, k)
+	kept := d.plan.Join(now, s.hello.Node, m.Worker, m.Running, m.Ended)
+	f := link.Facts{Key: k}
+	for _, t := range kept {
+		if j, ok := d.plan.Job(t.Job); ok {
+			f.Facts = append(f.Facts, fact(t, &j.Steps[t.Step]))
+		}
+	}
+	s.conn.Send(link.Message{Facts: &f})
+	d.Log.Event(eventlog.WorkerJoined).Str("worker", k.ID).Int64("born", k.Born).Str("peer", s.hello.Node).Int64("fence", m.Fence).
+		Int("running", len(m.Running)).Int("kept", len(kept)).Int("ended", len(m.Ended)).Msg("")
+	d.note(k, m.Ended)
+	d.heardHost(now, s)
+}
+
+func fact(t batch.Task, st *batch.Step) link.Fact {
+	return link.Fact{Task: t, Target: st.TailTarget, Fills: st.Fills, Image: st.Image, MilliCPU: st.Need.MilliCPU}
+}
+
+// heardHost takes a host from those that may run earlier work unheard.
+func (d *Dispatcher) heardHost(now time.Time, s *session) {
+	if len(s.wanted) == 0 && d.unheard[s.hello.Node] {
+		delete(d.unheard, s.hello.Node)
+		d.settle(now)
+	}
+}
+
+func (d *Dispatcher) settle(now time.Time) {
+	if !d.loaded || d.plan.Settled() {
+		return
+	}
+	if len(d.unheard) > 0 && now.Sub(d.begun) < silentHost {
+		return
+	}
+	d.plan.Settle()
+	d.Log.Event(eventlog.Settled).Int("unheard", len(d.unheard)).Dur("after", now.Sub(d.begun)).Msg("")
+	clear(d.unheard)
+}
+
+func (d *Dispatcher) gone(k batch.WorkerKey, why string) {
+	n := d.plan.Gone(k)
+	delete(d.lapses, k)
+	delete(d.notes, k)
+	d.Log.Warning(eventlog.WorkerGone).Str("worker", k.ID).Int64("born", k.Born).Str("why", why).Int("runsLost", n).Msg("")
+}
+
+func (d *Dispatcher) ends(now time.Time, k batch.WorkerKey, ends []batch.End) {
+	d.plan.Ended(now, k, ends)
+	for _, e := range ends {
+		d.Log.Event(eventlog.RunEnded).Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Int("run", e.Number).
+			Str("how", string(e.How)).Str("worker", k.ID).Int64("seq", e.Seq).Msg("")
+	}
+	d.note(k, ends)
+}
+
+func (d *Dispatcher) note(k batch.WorkerKey, ends []batch.End) {
+	for _, e := range ends {
+		d.notes[k] = max(d.notes[k], e.Seq)
+	}
+}
+
+func (d *Dispatcher) started(now time.Time, m *link.Started) {
+	d.plan.Started(now, m.Key, m.Task, m.Number, m.Refusal != "", m.Refusal == link.RefusedUnhealthy || m.Refusal == link.RefusedSilent,
+		m.Refusal == link.RefusedOld)
+	if m.Refusal != "" {
+		d.Log.Warning(eventlog.RunRefused).Str("job", string(m.Task.Job)).Str("task", m.Task.String()).Int("run", m.Number).
+			Str("worker", m.Key.ID).Str("why", string(m.Refusal)).Msg("")
+	}
+}
+
+func (d *Dispatcher) answer(s *session, a *link.Ask) {
+	r := link.Reply{ID: a.ID}
+	switch {
+	case !d.loaded:
+	case a.Queue != "":
+		r.Known, r.Pending = true, d.plan.Pending(a.Queue)
+	default:
+		r.State, r.Known = d.plan.State(a.Job)
+	}
+	s.conn.Send(link.Message{Reply: &r})
+}
+
+// send passes a message to a host; a host without a session gets it told again when it joins.
+func (d *Dispatcher) send(host string, m link.Message) {
+	if s := d.sessions[host]; s != nil {
+		s.conn.Send(m)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/step.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/election"
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/kv"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
+)
+
+// announceEvery is how often a node without a session is told where the scheduler is.
+const announceEvery = 300 * time.Millisecond
+
+func (d *Dispatcher) tick(now time.Time) {
+	for _, s := range d.sessions {
+		if now.Sub(s.heard) > sessionTimeout {
+			d.leave(now, s, "silent")
+		}
+	}
+	for k, at := range d.lapses {
+		if now.After(at) {
+			d.gone(k, "lease lapsed")
+		}
+	}
+	d.settle(now)
+	d.stepDown(now)
+	if d.loaded && d.Announce != nil && now.Sub(d.told) > announceEvery {
+		d.told = now
+		for name, n := range d.nodes {
+			if d.sessions[name] == nil {
+				d.Announce(n.Address, int64(d.Term.Epoch))
+			}
+		}
+	}
+	if now.Sub(d.swept) > collectEvery {
+		d.swept = now
+		d.collect(now)
+	}
+}
+
+// stepDown gives the term up where others reach the store and this process doesn't.
+func (d *Dispatcher) stepDown(now time.Time) {
+	if now.Sub(d.Term.Contact()) < storeFresh {
+		return
+	}
+	for name, s := range d.sessions {
+		if s.storeOK && s.heard.After(d.Term.Contact().Add(storeFresh)) {
+			d.Log.Warning(eventlog.LeadLost).Str("why", "another node reaches the store").Str("peer", name).
+				Dur("storeAge", now.Sub(d.Term.Contact())).Msg("")
+			d.Term.Lose()
+			return
+		}
+	}
+}
+
+// schedule carries the decision's orders out and stores what changed.
+func (d *Dispatcher) schedule(now time.Time) {
+	if !d.loaded {
+		return
+	}
+	o := d.plan.Schedule(now)
+	for _, x := range o.Stops {
+		d.Log.Event(eventlog.RunStopping).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Int("run", x.Number).
+			Str("worker", x.Key.ID).Str("why", x.Why).Msg("")
+		d.send(x.Host, link.Message{Stop: &link.Stop{Key: x.Key, Task: x.Task, Number: x.Number}})
+	}
+	for _, x := range o.Starts {
+		d.Log.Event(eventlog.RunOrdered).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Int("run", x.Number).
+			Str("worker", x.Key.ID).Int("tier", x.Why.Tier).Dur("slack", x.Why.Slack).Int("roomMilliCpu", x.Why.Room.MilliCPU).
+			Int("roomMb", x.Why.Room.MemoryMB).Int("leftoverMilliCpu", x.Why.Leftover).Msg("")
+		d.send(x.Host, link.Message{Start: &link.Start{
+			Key: x.Key, Task: x.Task, Number: x.Number, Spec: x.Spec, Saved: x.Saved, Ticket: x.Ticket, Fact: fact(x.Task, x.Step),
+		}})
+	}
+	for _, w := range o.Wants {
+		d.ask(w)
+	}
+	d.flush(now)
+}
+
+// ask passes a question for the policy service to a node that isn't a host, if there is one.
+func (d *Dispatcher) ask(w schedule.Want) {
+	var to *session
+	for _, s := range d.sessions {
+		if s.fence != 0 && (to == nil || to.hello.Host && !s.hello.Host) {
+			to = s
+		}
+	}
+	if to != nil {
+		to.conn.Send(link.Message{Advice: &link.Advice{Job: w.Job, Occurrence: w.Occurrence, Step: w.Step, Workers: w.Workers}})
+	}
+}
+
+// flush stores the progress that changed, and lets the workers forget the ends that are in it.
+func (d *Dispatcher) flush(now time.Time) {
+	if d.writing || now.Sub(d.flushed) < flushEvery {
+		return
+	}
+	dirty := d.plan.Dirty()
+	notes := d.notes
+	if len(dirty) == 0 && len(notes) == 0 {
+		return
+	}
+	d.notes = map[batch.WorkerKey]int64{}
+	d.flushed = now
+	type record struct {
+		id batch.JobID
+		p  *schedule.Progress
+	}
+	var records []record
+	var puts []kv.Put
+	for _, id := range dirty {
+		p, ok := d.plan.Progress(id)
+		if !ok {
+			continue
+		}
+		v, err := json.Marshal(p)
+		if err != nil {
+			d.Log.Error().Err(err).Str("job", string(id)).Msg("progress can't be encoded")
+			continue
+		}
+		records = append(records, record{id, p})
+		puts = append(puts, kv.Put{Key: StatePrefix + string(id), Value: v})
+	}
+	if len(puts) == 0 {
+		d.noted(notes)
+		return
+	}
+	d.writing = true
+	d.stopped.Go(func() {
+		err := d.write(puts)
+		d.post(func(now time.Time) {
+			d.writing = false
+			if err != nil {
+				d.Log.Warning(eventlog.ProgressNotStored).Int("jobs", len(puts)).Err(err).Msg("")
+				for _, r := range records {
+					d.plan.Redo(r.id)
+				}
+				for k, n := range notes {
+					d.notes[k] = max(d.notes[k], n)
+				}
+				return
+			}
+			for _, r := range records {
+				d.plan.Stored(r.id, r.p)
+				if r.p.State.Final() {
+					d.Log.Event(eventlog.JobEnded).Str("job", string(r.id)).Str("state", string(r.p.State)).
+						Dur("stored", now.Sub(r.p.Ended)).Msg("")
+				}
+			}
+			d.noted(notes)
+		})
+	})
+}
+
+func (d *Dispatcher) noted(notes map[batch.WorkerKey]int64) {
+	for k, n := range notes {
+		host, ok := d.plan.Host(k)
+		if !ok {
+			continue
+		}
+		d.send(host, link.Message{Noted: &link.Noted{Key: k, Upto: n}})
+	}
+}
+
+// write puts all, as many at a time as one change holds.
+func (d *Dispatcher) write(puts []kv.Put) error {
+	for len(puts) > 0 {
+		n := min(len(puts), kv.MaxEntries-1)
+		c, cancel := context.WithTimeout(d.ctx, storeCall)
+		_, err := d.Store.Apply(c, kv.Change{
+			Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}, Puts: puts[:n],
+		})
+		cancel()
+		if errors.Is(err, kv.ErrConflict) {
+			d.Term.Lose()
+		}
+		if err != nil {
+			return err
+		}
+		puts = puts[n:]
+	}
+	return nil
+}
+
+// collect removes the jobs that ended long ago.
+func (d *Dispatcher) collect(now time.Time) {
+	ids := d.plan.Expired(now.Add(-d.Keep))
+	if len(ids) == 0 {
+		return
+	}
+	d.stopped.Go(func() {
+		const keysOfJob = 3
+		for len(ids) > 0 {
+			n := min(len(ids), (kv.MaxEntries-1)/keysOfJob)
+			c := kv.Change{Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}}
+			for _, id := range ids[:n] {
+				c.Removes = append(c.Removes, JobPrefix+string(id), CancelPrefix+string(id), StatePrefix+string(id))
+			}
+			ctx, cancel := context.WithTimeout(d.ctx, storeCall)
+			_, err := d.Store.Apply(ctx, c)
+			cancel()
+			if err != nil {
+				d.Log.Warning(eventlog.ProgressNotStored).Int("removes", n).Err(err).Msg("")
+				return
+			}
+			ids = ids[n:]
+		}
+	})
+}
--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,210 @@
+// Package election chooses the one scheduler by a leased key of the store. The
+// store only keeps others from trying; what makes two schedulers harmless is
+// the epoch, which workers and the store's conditions check.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/kv"
+)
+
+// The keys of the election.
+const (
+	leadKey  = "sesame/lead"
+	epochKey = "sesame/epoch"
+)
+
+// EpochKey is the key whose revision fences the scheduler's own changes.
+const EpochKey = epochKey
+
+// callTimeout bounds a call to the store; it's above the store's answer from the farthest region on a slow day.
+const callTimeout = 600 * time.Millisecond
+
+// ErrTaken is returned where another process leads.
+var ErrTaken = errors.New("election: taken")
+
+// A Leader is the scheduler that the store names.
+type Leader struct {
+	Node    string         `json:"node"`
+	Address netip.AddrPort `json:"address"`
+	// Epoch orders the terms; it's the revision of the epoch's key.
+	Epoch kv.Revision `json:"-"`
+}
+
+// An Elector reads and takes the lead.
+type Elector struct {
+	Store   kv.Store
+	Node    string
+	Address netip.AddrPort
+	// TTL is the store's lease on the lead.
+	TTL time.Duration
+}
+
+// Current returns the leader, or kv.ErrNotFound.
+func (e *Elector) Current(ctx context.Context) (Leader, error) {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	i, err := e.Store.Get(c, leadKey)
+	if err != nil {
+		return Leader{}, err
+	}
+	var l Leader
+	if err := json.Unmarshal(i.Value, &l); err != nil {
+		return Leader{}, errors.Wrap(err, "election: lead")
+	}
+	return l, nil
+}
+
+// Try takes the lead if nobody has it, or returns ErrTaken.
+func (e *Elector) Try(ctx context.Context) (*Term, error) {
+	c, cancel := context.WithTimeout(ctx, 4*callTimeout)
+	defer cancel()
+	var before kv.Revision
+	switch i, err := e.Store.Get(c, epochKey); {
+	case err == nil:
+		before = i.Revision
+	case !errors.Is(err, kv.ErrNotFound):
+		return nil, err
+	}
+	t := &Term{elector: e, lost: make(chan struct{})}
+	r, err := t.take(c, before, true)
+	if err != nil {
+		return nil, err
+	}
+	t.Epoch = r
+	return t, nil
+}
+
+// A Term is the time in which one process leads.
+type Term struct {
+	// Epoch is above that of all terms before.
+	Epoch   kv.Revision
+	elector *Elector
+
+	mu      sync.Mutex
+	lease   kv.LeaseID
+	contact time.Time
+	once    sync.Once
+	lost    chan struct{}
+}
+
+// take writes the lead; first also opens a new epoch.
+func (t *Term) take(ctx context.Context, epoch kv.Revision, first bool) (kv.Revision, error) {
+	e := t.elector
+	at := time.Now()
+	lease, err := e.Store.Grant(ctx, e.TTL)
+	if err != nil {
+		return 0, err
+	}
+	v, err := json.Marshal(Leader{Node: e.Node, Address: e.Address})
+	if err != nil {
+		return 0, errors.Wrap(err, "election: encode")
+	}
+	c := kv.Change{
+		Conditions: []kv.Condition{{Key: leadKey}, {Key: epochKey, Revision: epoch}},
+		Puts:       []kv.Put{{Key: leadKey, Value: v, Lease: lease}},
+	}
+	if first {
+		c.Puts = append(c.Puts, kv.Put{Key: epochKey, Value: []byte(e.Node)})
+	}
+	r, err := e.Store.Apply(ctx, c)
+	if errors.Is(err, kv.ErrUnknown) {
+		// The answer was lost: the key tells whether the change was made.
+		var i kv.Item
+		if i, err = e.Store.Get(ctx, leadKey); err == nil && i.Lease == lease {
+			r = i.Revision
+		} else {
+			err = errors.Wrap(kv.ErrRefused, "election: take")
+		}
+	}
+	if err != nil {
+		// A lease that can't be ended runs out by itself.
+		_ = e.Store.Revoke(ctx, lease)
+		if errors.Is(err, kv.ErrConflict) {
+			err = ErrTaken
+		}
+		return 0, err
+	}
+	t.mu.Lock()
+	t.lease, t.contact = lease, at
+	t.mu.Unlock()
+	return r, nil
+}
+
+// Contact returns when the last renewal that succeeded was sent.
+func (t *Term) Contact() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.contact
+}
+
+// Lost is closed once another term may have begun.
+func (t *Term) Lost() <-chan struct{} { return t.lost }
+
+// Lose ends the term: a newer epoch was heard of.
+func (t *Term) Lose() { t.once.Do(func() { close(t.lost) }) }
+
+// renewals is how often a lease is renewed in its time.
+const renewals = 4
+
+// Keep renews the lease until ctx ends or the term is lost. While the store is
+// away the term goes on; if its lease has ended meanwhile and no other term
+// began, it's taken up again under the same epoch.
+func (t *Term) Keep(ctx context.Context) {
+	tick := time.NewTicker(t.elector.TTL / renewals)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.lost:
+			return
+		case <-tick.C:
+		}
+		t.renew(ctx)
+	}
+}
+
+func (t *Term) renew(ctx context.Context) {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	t.mu.Lock()
+	lease := t.lease
+	t.mu.Unlock()
+	at := time.Now()
+	err := t.elector.Store.Renew(c, lease)
+	switch {
+	case err == nil:
+		t.mu.Lock()
+		t.contact = at
+		t.mu.Unlock()
+	case errors.Is(err, kv.ErrNoLease):
+		c, cancel := context.WithTimeout(ctx, 3*callTimeout)
+		defer cancel()
+		if _, err := t.take(c, t.Epoch, false); errors.Is(err, ErrTaken) {
+			i, err := t.elector.Store.Get(c, epochKey)
+			if err == nil && i.Revision != t.Epoch {
+				t.Lose()
+			}
+		}
+	}
+}
+
+// Resign gives the lead up, so that another process takes it at once.
+func (t *Term) Resign(ctx context.Context) {
+	t.Lose()
+	t.mu.Lock()
+	lease := t.lease
+	t.mu.Unlock()
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	// A lease that can't be ended runs out by itself.
+	_ = t.elector.Store.Revoke(c, lease)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,375 @@
+// Package gateway takes callers' jobs in: it stores what it accepts, answers
+// what has become of it, and refuses at once what can't be served.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/dispatch"
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/kv"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+const (
+	// storeCall bounds one call to the store; several fit into a caller's deadline.
+	storeCall = 700 * time.Millisecond
+	// askTimeout bounds a question to the scheduler; the farthest one takes 60 ms.
+	askTimeout = 400 * time.Millisecond
+	// answerMargin is left for the way back to the caller.
+	answerMargin = 100 * time.Millisecond
+	// retryPause is the pause before the store is asked again.
+	retryPause = 60 * time.Millisecond
+	// storeDownAfter is how long calls have to fail until requests are refused without a try.
+	storeDownAfter = 700 * time.Millisecond
+	// refuseAfter is how long a refusing store is tried again for one request.
+	refuseAfter = 500 * time.Millisecond
+	// storeRetryAfter is what callers are told while the store is away; the gateway looks for it more often.
+	storeRetryAfter = time.Second
+)
+
+// An Outcome says what became of a request.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	// Unknown requests may take effect.
+	Unknown Outcome = iota
+	// Accepted jobs are stored.
+	Accepted
+	// Refused jobs never run by this request.
+	Refused
+	// Known jobs have a state.
+	Known
+	// Absent jobs don't exist.
+	Absent
+)
+
+// A Verdict is the outcome of a job's submission.
+type Verdict struct {
+	Outcome Outcome
+	// RetryAfter is when a refused caller may come back.
+	RetryAfter time.Duration
+}
+
+// A Gateway serves callers. Its exported fields are set before Run.
+type Gateway struct {
+	Store        kv.Store
+	Log          *eventlog.Log
+	ConfigKey    string
+	DecodeConfig func([]byte) (batch.Config, error)
+	// Send passes a message to the scheduler.
+	Send func(link.Message) bool
+
+	config  atomic.Pointer[batch.Config]
+	stopped atomic.Bool
+
+	mu     sync.Mutex
+	asks   map[uint64]chan link.Reply
+	next   uint64
+	failed time.Time
+	failAt time.Time
+}
+
+// Run follows the configuration until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	dispatch.FollowKey(ctx, g.Store, g.ConfigKey, 0, g.configure, g.reached)
+	return nil
+}
+
+func (g *Gateway) configure(i kv.Item) {
+	c, err := g.DecodeConfig(i.Value)
+	if err != nil {
+		g.Log.Warning(eventlog.ConfigRejected).Err(err).Msg("")
+		return
+	}
+	if old := g.config.Load(); old != nil && c.Version <= old.Version {
+		return
+	}
+	g.config.Store(&c)
+	g.Log.Event(eventlog.ConfigInForce).Int64("version", c.Version).Int64("revision", int64(i.Revision)).
+		Int("routes", len(c.Routes)).Msg("")
+}
+
+// Config returns the configuration in force.
+func (g *Gateway) Config() (batch.Config, bool) {
+	c := g.config.Load()
+	if c == nil {
+		return batch.Config{}, false
+	}
+	return *c, true
+}
+
+// reached takes in the outcome of a call to the store.
+func (g *Gateway) reached(err error) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil || errors.Is(err, kv.ErrConflict) || errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrCompacted) {
+		if !g.failed.IsZero() && now.Sub(g.failed) > storeDownAfter {
+			g.Log.Event(eventlog.StoreRegained).Dur("away", now.Sub(g.failed)).Msg("")
+		}
+		g.failed = time.Time{}
+		return
+	}
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	if g.failed.IsZero() {
+		g.failed = now
+		g.Log.Warning(eventlog.StoreLost).Err(err).Msg("")
+	}
+	g.failAt = now
+}
+
+// StoreDown reports whether the store has been away for a while.
+func (g *Gateway) StoreDown() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.failed.IsZero() && g.failAt.Sub(g.failed) >= storeDownAfter
+}
+
+// StoreOK reports whether the last call reached the store.
+func (g *Gateway) StoreOK() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.failed.IsZero()
+}
+
+// Ready reports whether callers should be sent here.
+func (g *Gateway) Ready() bool {
+	return g.config.Load() != nil && !g.stopped.Load() && !g.StoreDown()
+}
+
+// Stop takes the gateway out of rotation.
+func (g *Gateway) Stop() { g.stopped.Store(true) }
+
+// Submit stores a job. Only a refusal says that the job doesn't run by it.
+func (g *Gateway) Submit(ctx context.Context, deadline time.Time, j *batch.Job) Verdict {
+	began := time.Now()
+	v := g.submit(ctx, deadline, j)
+	e := eventlog.JobAccepted
+	switch v.Outcome {
+	case Refused:
+		e = eventlog.JobRefused
+	case Unknown:
+		e = eventlog.JobUnknown
+	}
+	g.Log.Event(e).Str("job", string(j.ID)).Str("queue", j.Queue).Dur("took", time.Since(began)).
+		Dur("retryAfter", v.RetryAfter).Bool("storeDown", g.StoreDown()).Msg("")
+	return v
+}
+
+func (g *Gateway) submit(ctx context.Context, deadline time.Time, j *batch.Job) Verdict {
+	if g.StoreDown() {
+		return Verdict{Refused, storeRetryAfter}
+	}
+	j.Accepted = time.Now()
+	b, err := json.Marshal(j)
+	if err != nil {
+		g.Log.Error().Err(err).Str("job", string(j.ID)).Msg("job can't be encoded")
+		return Verdict{Refused, storeRetryAfter}
+	}
+	key := dispatch.JobPrefix + string(j.ID)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-answerMargin))
+	defer cancel()
+	began := time.Now()
+	// open is set once a call may take effect later.
+	open := false
+	for {
+		c, cancel := context.WithTimeout(ctx, storeCall)
+		_, err := g.Store.Apply(c, kv.Change{
+			Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: b}},
+		})
+		cancel()
+		if ctx.Err() == nil {
+			g.reached(err)
+		}
+		switch {
+		case err == nil, errors.Is(err, kv.ErrConflict):
+			return Verdict{Outcome: Accepted}
+		case errors.Is(err, kv.ErrUnknown):
+			open = true
+		}
+		if !open && (time.Since(began) > refuseAfter || ctx.Err() != nil) {
+			return Verdict{Refused, storeRetryAfter}
+		}
+		if ctx.Err() != nil || open && g.StoreDown() {
+			return Verdict{Outcome: Unknown}
+		}
+		wait(ctx, retryPause)
+	}
+}
+
+func wait(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+// ask asks the scheduler.
+func (g *Gateway) ask(ctx context.Context, a link.Ask) (link.Reply, bool) {
+	ch := make(chan link.Reply, 1)
+	g.mu.Lock()
+	if g.asks == nil {
+		g.asks = map[uint64]chan link.Reply{}
+	}
+	g.next++
+	a.ID = g.next
+	g.asks[a.ID] = ch
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		delete(g.asks, a.ID)
+		g.mu.Unlock()
+	}()
+	if !g.Send(link.Message{Ask: &a}) {
+		return link.Reply{}, false
+	}
+	select {
+	case r := <-ch:
+		return r, r.Known
+	case <-ctx.Done():
+	case <-time.After(askTimeout):
+	}
+	return link.Reply{}, false
+}
+
+// Message takes what the scheduler says.
+func (g *Gateway) Message(m link.Message) {
+	if m.Reply == nil {
+		return
+	}
+	g.mu.Lock()
+	ch := g.asks[m.Reply.ID]
+	g.mu.Unlock()
+	if ch != nil {
+		ch <- *m.Reply
+	}
+}
+
+// Pending returns how many jobs of a queue haven't begun.
+func (g *Gateway) Pending(ctx context.Context, deadline time.Time, queue string) (int, bool) {
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-answerMargin))
+	defer cancel()
+	for ctx.Err() == nil {
+		if r, ok := g.ask(ctx, link.Ask{Queue: queue}); ok {
+			return r.Pending, true
+		}
+		wait(ctx, retryPause)
+	}
+	return 0, false
+}
+
+// State returns a job's state, from the scheduler or else from the store.
+func (g *Gateway) State(ctx context.Context, deadline time.Time, id batch.JobID) (batch.JobState, Outcome) {
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-answerMargin))
+	defer cancel()
+	for {
+		if r, ok := g.ask(ctx, link.Ask{Job: id}); ok {
+			return r.State, Known
+		}
+		s, o, err := g.stored(ctx, id)
+		if err == nil {
+			return s, o
+		}
+		if ctx.Err() != nil {
+			g.Log.Warning(eventlog.StateUnknown).Str("job", string(id)).Err(err).Msg("")
+			return "", Unknown
+		}
+		wait(ctx, retryPause)
+	}
+}
+
+// stored reads a job's state from the store.
+func (g *Gateway) stored(ctx context.Context, id batch.JobID) (batch.JobState, Outcome, error) {
+	if _, err := g.get(ctx, dispatch.JobPrefix+string(id)); errors.Is(err, kv.ErrNotFound) {
+		return "", Absent, nil
+	} else if err != nil {
+		return "", Unknown, err
+	}
+	var p struct {
+		State batch.JobState `json:"state"`
+	}
+	i, err := g.get(ctx, dispatch.StatePrefix+string(id))
+	switch {
+	case err == nil:
+		if err := json.Unmarshal(i.Value, &p); err != nil {
+			return "", Unknown, errors.Wrap(err, "gateway: progress")
+		}
+	case !errors.Is(err, kv.ErrNotFound):
+		return "", Unknown, err
+	}
+	if p.State.Final() {
+		return p.State, Known, nil
+	}
+	switch _, err := g.get(ctx, dispatch.CancelPrefix+string(id)); {
+	case err == nil:
+		return batch.Cancelled, Known, nil
+	case !errors.Is(err, kv.ErrNotFound):
+		return "", Unknown, err
+	}
+	if p.State == "" {
+		return batch.Queued, Known, nil
+	}
+	return p.State, Known, nil
+}
+
+func (g *Gateway) get(ctx context.Context, key string) (kv.Item, error) {
+	c, cancel := context.WithTimeout(ctx, storeCall)
+	defer cancel()
+	i, err := g.Store.Get(c, key)
+	if ctx.Err() == nil {
+		g.reached(err)
+	}
+	return i, err
+}
+
+// Cancel stores that a job is cancelled.
+func (g *Gateway) Cancel(ctx context.Context, deadline time.Time, id batch.JobID) Outcome {
+	o := g.cancel(ctx, deadline, id)
+	e := eventlog.CancelAccepted
+	if o == Unknown {
+		e = eventlog.CancelUnknown
+	}
+	g.Log.Event(e).Str("job", string(id)).Bool("known", o == Known).Msg("")
+	return o
+}
+
+func (g *Gateway) cancel(ctx context.Context, deadline time.Time, id batch.JobID) Outcome {
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-answerMargin))
+	defer cancel()
+	key := dispatch.CancelPrefix + string(id)
+	for exists := false; ; {
+		if !exists {
+			_, err := g.get(ctx, dispatch.JobPrefix+string(id))
+			if errors.Is(err, kv.ErrNotFound) {
+				return Absent
+			}
+			exists = err == nil
+		}
+		if exists {
+			c, done := context.WithTimeout(ctx, storeCall)
+			_, err := g.Store.Apply(c, kv.Change{Puts: []kv.Put{{Key: key, Value: []byte("cancelled")}}})
+			done()
+			if ctx.Err() == nil {
+				g.reached(err)
+			}
+			if err == nil {
+				return Known
+			}
+		}
+		if ctx.Err() != nil {
+			return Unknown
+		}
+		wait(ctx, retryPause)
+	}
+}
--- /dev/null
+++ b/internal/hostagent/agent.go
@@ -0,0 +1,291 @@
+// Package hostagent is the part of the system on a host of a worker: it keeps
+// the worker's lease alive while the scheduler vouches for it, carries out the
+// scheduler's orders, tells what runs and ends, and paces the filling tasks.
+package hostagent
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/pacing"
+)
+
+const (
+	// orderTimeout bounds one call of an order; a worker on the same host answers in a few milliseconds.
+	orderTimeout = 400 * time.Millisecond
+	// orderPause is the pause before an unanswered order is sent again.
+	orderPause = 60 * time.Millisecond
+	// startTries is how often a start is sent before it's taken back.
+	startTries = 4
+	// holdWait is how long a look waits for an end; it's the window of the worker's load figures.
+	holdWait = 500 * time.Millisecond
+	// ackWait is the wait of a look while the scheduler hasn't taken the snapshot in.
+	ackWait = 100 * time.Millisecond
+	// holdSlack is how much later than asked for a look may return.
+	holdSlack = 500 * time.Millisecond
+	// lapseSlack covers the worker's clock, which may be 2% slow over a grant.
+	lapseSlack = 150 * time.Millisecond
+	// tellEvery is how often the scheduler is told how runs get on.
+	tellEvery = time.Second
+	// goneKept is how many lives that are over are remembered, as late heartbeats of them may come.
+	goneKept = 64
+	// fenceRoom is how often a host may raise a session's fence by itself.
+	fenceRoom = 64
+)
+
+// FenceRoom is the distance between the fences of two sessions.
+const FenceRoom = fenceRoom
+
+// An Agent serves the workers of one host. Its exported fields are set before Run.
+type Agent struct {
+	Log *eventlog.Log
+	// Dial returns a client for a life of a worker.
+	Dial func(netip.AddrPort, batch.WorkerKey) Worker
+	// Send passes a message to the scheduler.
+	Send func(link.Message) bool
+	// Steady is the clock of the leases; it goes on while the machine is suspended.
+	Steady func() time.Duration
+	// MaxLease is the longest lease that a worker takes.
+	MaxLease time.Duration
+
+	mu      sync.Mutex
+	ctx     context.Context
+	workers map[batch.WorkerKey]*held
+	gone    []batch.WorkerKey
+	// fence is that of the session; 0 without one.
+	fence int64
+	// granted is when the session's lease ends, by Steady.
+	granted time.Duration
+	ended   sync.WaitGroup
+}
+
+// held is a worker of this host.
+type held struct {
+	agent  *Agent
+	info   batch.Worker
+	seq    int64
+	client Worker
+	ctx    context.Context
+	cancel context.CancelFunc
+	// changed wakes the holder.
+	changed chan struct{}
+	look    context.CancelFunc
+
+	fence int64
+	// joined is the fence under which a snapshot was sent, acked that it was taken in.
+	joined int64
+	acked  bool
+	// clock is the worker's clock at the steady time clockAt.
+	clock   time.Duration
+	clockAt time.Duration
+	sampled bool
+	// until is the latest end of a lease that was asked for, by Steady.
+	until    time.Duration
+	lapsed   bool
+	failing  bool
+	reported int64
+	noted    int64
+	facts    map[batch.Task]link.Fact
+	pacing   pacing.Machine
+	told     time.Time
+	saved    map[batch.Task]string
+}
+
+// Run serves until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	a.mu.Lock()
+	a.ctx = ctx
+	a.workers = map[batch.WorkerKey]*held{}
+	a.mu.Unlock()
+	<-ctx.Done()
+	a.ended.Wait()
+	return nil
+}
+
+// Workers returns the lives that are held.
+func (a *Agent) Workers() []batch.WorkerKey {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var ks []batch.WorkerKey
+	for k := range a.workers {
+		ks = append(ks, k)
+	}
+	return ks
+}
+
+// Report takes a heartbeat.
+func (a *Agent) Report(r Report) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ctx == nil || a.ctx.Err() != nil {
+		return false
+	}
+	k := r.Worker.Key()
+	for _, g := range a.gone {
+		if g == k {
+			return true
+		}
+	}
+	h := a.workers[k]
+	if h == nil {
+		for o, x := range a.workers {
+			if x.info.Address != r.Worker.Address && o.ID != k.ID {
+				continue
+			}
+			if o.Born > k.Born {
+				// A heartbeat of a life before, come late.
+				return true
+			}
+			a.lose(x, "another life took its place")
+		}
+		a.hold(r)
+		return true
+	}
+	if r.Seq <= h.seq {
+		return true
+	}
+	h.seq = r.Seq
+	changed := h.info.Draining != r.Worker.Draining || h.info.Room != r.Worker.Room
+	h.info = r.Worker
+	if changed {
+		a.Log.Event(eventlog.WorkerChanged).Str("worker", k.ID).Bool("draining", r.Worker.Draining).Int64("seq", r.Seq).Msg("")
+		if h.acked {
+			a.Send(link.Message{Worker: &link.Worker{Worker: h.info}})
+		}
+	}
+	return true
+}
+
+// Leave takes the notice that a worker has ended.
+func (a *Agent) Leave(id string, born int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for k, h := range a.workers {
+		if k.ID == id && (born == 0 || k.Born == born) {
+			a.lose(h, "left")
+		}
+	}
+	return true
+}
+
+func (a *Agent) hold(r Report) {
+	h := &held{
+		agent: a, info: r.Worker, seq: r.Seq, fence: a.fence,
+		changed: make(chan struct{}, 1), facts: map[batch.Task]link.Fact{}, saved: map[batch.Task]string{},
+	}
+	ad, err := netip.ParseAddrPort(r.Worker.Address)
+	if err != nil {
+		a.Log.Warning(eventlog.ReportRejected).Str("worker", r.Worker.ID).Err(err).Msg("")
+		return
+	}
+	h.client = a.Dial(ad, r.Worker.Key())
+	h.ctx, h.cancel = context.WithCancel(a.ctx)
+	a.workers[r.Worker.Key()] = h
+	a.Log.Event(eventlog.WorkerJoined).Str("worker", r.Worker.ID).Int64("born", r.Worker.Born).Str("address", r.Worker.Address).
+		Int64("seq", r.Seq).Msg("")
+	a.ended.Go(h.run)
+}
+
+// lose forgets a life on which nothing runs any more.
+func (a *Agent) lose(h *held, why string) {
+	k := h.info.Key()
+	delete(a.workers, k)
+	a.gone = append(a.gone, k)
+	if len(a.gone) > goneKept {
+		a.gone = a.gone[1:]
+	}
+	h.cancel()
+	a.Log.Warning(eventlog.WorkerGone).Str("worker", k.ID).Int64("born", k.Born).Str("why", why).Msg("")
+	a.Send(link.Message{Gone: &link.Gone{Key: k, Why: why}})
+}
+
+// Welcomed opens a session: all workers are fenced anew.
+func (a *Agent) Welcomed(w link.Welcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fence, a.granted = w.Fence, 0
+	for _, h := range a.workers {
+		h.refence(w.Fence)
+	}
+}
+
+// Granted extends the session's lease, counted from when the ping was sent.
+func (a *Agent) Granted(sent, grant time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.granted = max(a.granted, sent+grant)
+}
+
+// Lost ends the session; the leases run on until their end.
+func (a *Agent) Lost() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fence = 0
+	for _, h := range a.workers {
+		h.acked, h.joined = false, 0
+	}
+}
+
+func (h *held) refence(fence int64) {
+	h.fence, h.joined, h.acked, h.lapsed = fence, 0, false, false
+	h.wake()
+	if h.look != nil {
+		h.look()
+	}
+}
+
+func (h *held) wake() {
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Message takes what the scheduler says.
+func (a *Agent) Message(m link.Message) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case m.Facts != nil:
+		if h := a.workers[m.Facts.Key]; h != nil && h.joined == h.fence {
+			h.acked = true
+			for _, f := range m.Facts.Facts {
+				h.facts[f.Task] = f
+			}
+		}
+	case m.Noted != nil:
+		if h := a.workers[m.Noted.Key]; h != nil {
+			h.noted = max(h.noted, m.Noted.Upto)
+		}
+	case m.Start != nil:
+		a.start(m.Start)
+	case m.Stop != nil:
+		if h := a.workers[m.Stop.Key]; h != nil && h.acked {
+			fence := h.fence
+			a.ended.Go(func() { h.stop(m.Stop.Task, m.Stop.Number, fence) })
+		}
+	}
+}
+
+func (a *Agent) start(s *link.Start) {
+	h := a.workers[s.Key]
+	refuse := link.Refusal("")
+	switch {
+	case h == nil || !h.acked:
+		refuse = link.RefusedFence
+	case h.info.Draining:
+		refuse = link.RefusedDraining
+	}
+	if refuse != "" {
+		a.Send(link.Message{Started: &link.Started{Key: s.Key, Task: s.Task, Number: s.Number, Refusal: refuse}})
+		return
+	}
+	h.facts[s.Task] = s.Fact
+	fence := h.fence
+	a.ended.Go(func() { h.start(s, fence) })
+}
--- /dev/null
+++ b/internal/hostagent/hold.go
@@ -0,0 +1,167 @@
+package hostagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/pacing"
+)
+
+// run looks at the worker again and again while there is a session.
+func (h *held) run() {
+	for h.ctx.Err() == nil {
+		if !h.once() {
+			select {
+			case <-h.ctx.Done():
+			case <-h.changed:
+			case <-time.After(ackWait):
+			}
+		}
+	}
+}
+
+// once makes one look; false asks for a pause.
+func (h *held) once() bool {
+	a := h.agent
+	a.mu.Lock()
+	if h.fence == 0 {
+		a.mu.Unlock()
+		return false
+	}
+	fence := h.fence
+	o := HoldOrder{Fence: fence, Noted: h.noted}
+	switch {
+	case h.joined != fence:
+	case !h.acked:
+		o.Wait = ackWait
+	default:
+		o.Wait = holdWait
+		if until, ok := h.lease(); ok {
+			o.Until = until
+		}
+	}
+	// The clock is all that a look without a lease is needed for.
+	c, cancel := context.WithTimeout(h.ctx, o.Wait+holdSlack)
+	h.look = cancel
+	a.mu.Unlock()
+	answer, lists, err := h.client.Hold(c, o)
+	cancel()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.ctx.Err() != nil || h.fence != fence {
+		return true
+	}
+	if err != nil {
+		h.missed(err)
+		return false
+	}
+	if h.failing {
+		h.failing = false
+		a.Log.Event(eventlog.WorkerJoined).Str("worker", h.info.ID).Str("why", "answers again").Msg("")
+	}
+	h.sample(answer, a.Steady())
+	if h.lapsed {
+		// It counts as gone; what runs there now needs a fence that no order of before has.
+		h.lapsed = false
+		h.fence++
+		h.joined, h.acked = 0, false
+		return true
+	}
+	if lists.Unread > 0 {
+		a.Log.Warning(eventlog.ReportRejected).Str("worker", h.info.ID).Int("rows", lists.Unread).Msg("")
+	}
+	if h.joined != fence {
+		h.joined = fence
+		for _, e := range lists.Ended {
+			h.reported = max(h.reported, e.Seq)
+		}
+		a.Send(link.Message{Snapshot: &link.Snapshot{Fence: a.fence, Worker: h.info, Running: lists.Running, Ended: lists.Ended}})
+		return true
+	}
+	h.tell(lists)
+	h.pace(lists.Running)
+	return true
+}
+
+// missed takes in that a look failed.
+func (h *held) missed(err error) {
+	a := h.agent
+	if errors.Is(err, ErrOtherLife) {
+		a.lose(h, "another life answers")
+		return
+	}
+	if !h.failing {
+		h.failing = true
+		a.Log.Warning(eventlog.WorkerUnreachable).Str("worker", h.info.ID).Err(err).Msg("")
+	}
+	if h.acked && !h.lapsed && a.Steady() > h.until+lapseSlack {
+		h.lapsed, h.acked = true, false
+		a.Log.Warning(eventlog.WorkerGone).Str("worker", h.info.ID).Str("why", "lease lapsed unanswered").Msg("")
+		a.Send(link.Message{Gone: &link.Gone{Key: h.info.Key(), Why: "lease lapsed unanswered"}})
+	}
+}
+
+// tell passes new ends on at once, and how the runs get on now and then.
+func (h *held) tell(l Lists) {
+	a := h.agent
+	k := h.info.Key()
+	var ends []batch.End
+	for _, e := range l.Ended {
+		if e.Seq > h.reported {
+			ends = append(ends, e)
+			delete(h.facts, e.Task)
+			delete(h.saved, e.Task)
+		}
+	}
+	if len(ends) > 0 && h.acked {
+		for _, e := range ends {
+			h.reported = max(h.reported, e.Seq)
+		}
+		a.Send(link.Message{Ends: &link.Ends{Key: k, Ends: ends}})
+	}
+	now := time.Now()
+	if now.Sub(h.told) < tellEvery || !h.acked || len(l.Running) == 0 {
+		return
+	}
+	h.told = now
+	p := link.Progress{Key: k, Squeezed: h.pacing.Squeezed()}
+	for _, r := range l.Running {
+		if r.Saved == h.saved[r.Task] {
+			r.Saved = ""
+		} else {
+			h.saved[r.Task] = r.Saved
+		}
+		p.Runs = append(p.Runs, r)
+	}
+	a.Send(link.Message{Progress: &p})
+}
+
+// pace lets filling tasks give way to serving ones.
+func (h *held) pace(running []batch.Run) {
+	rows := make([]pacing.Row, 0, len(running))
+	for _, r := range running {
+		f := h.facts[r.Task]
+		row := pacing.Row{Task: r.Task, Number: r.Number, Target: f.Target, Fills: f.Fills, Image: f.Image}
+		if f.Target > 0 {
+			row.Tail = time.Duration(r.Load) * time.Millisecond
+		}
+		rows = append(rows, row)
+	}
+	fence := h.fence
+	for _, c := range h.pacing.Step(time.Now(), rows, nil) {
+		h.agent.Log.Event(eventlog.RunPaced).Str("job", string(c.Task.Job)).Str("task", c.Task.String()).Int("run", c.Number).
+			Int("percent", c.Percent).Float64("worstShare", c.Worst).Msg("")
+		h.agent.ended.Go(func() {
+			t, cancel := context.WithTimeout(h.ctx, orderTimeout)
+			defer cancel()
+			if _, err := h.client.Pace(t, c.Task, c.Number, c.Percent, fence); err != nil {
+				h.agent.Log.Warning(eventlog.RunPaced).Str("task", c.Task.String()).Err(err).Msg("not answered")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/hostagent/order.go
@@ -0,0 +1,139 @@
+package hostagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// lease returns the end of the lease to ask for, in the worker's time, or
+// false where the session's lease is over.
+func (h *held) lease() (time.Duration, bool) {
+	a := h.agent
+	now := a.Steady()
+	if !h.sampled || !h.acked || now >= a.granted {
+		return 0, false
+	}
+	end := min(a.granted, now+a.MaxLease)
+	h.until = max(h.until, end)
+	return h.clock + (end - h.clockAt), true
+}
+
+// sample takes in the worker's clock as an answer told it. The answer was
+// written before it arrived, so that a lease counted from here ends early.
+func (h *held) sample(w Answer, at time.Duration) {
+	if w.Clock > 0 {
+		h.clock, h.clockAt, h.sampled = w.Clock, at, true
+	}
+}
+
+// current reports whether the session of fence goes on; the agent is locked.
+func (h *held) current(fence int64) bool {
+	return h.fence == fence && h.acked && h.ctx.Err() == nil
+}
+
+// start sends a start until it's answered, or takes it back.
+func (h *held) start(s *link.Start, fence int64) {
+	a := h.agent
+	open := false
+	refusal := link.RefusedSilent
+	for range startTries {
+		a.mu.Lock()
+		until, ok := h.lease()
+		ok = ok && h.current(fence)
+		a.mu.Unlock()
+		if !ok {
+			refusal = link.RefusedLate
+			break
+		}
+		c, cancel := context.WithTimeout(h.ctx, orderTimeout)
+		answer, err := h.client.Start(c, StartOrder{
+			Task: s.Task, Number: s.Number, Spec: s.Spec, Saved: s.Saved, Ticket: s.Ticket, Until: until, Fence: fence,
+		})
+		cancel()
+		a.mu.Lock()
+		if err == nil {
+			h.sample(answer, a.Steady())
+		}
+		a.mu.Unlock()
+		if err == nil {
+			a.Log.Event(eventlog.RunStarted).Str("job", string(s.Task.Job)).Str("task", s.Task.String()).Int("run", s.Number).
+				Str("worker", s.Key.ID).Int64("fence", fence).Msg("")
+			a.Send(link.Message{Started: &link.Started{Key: s.Key, Task: s.Task, Number: s.Number}})
+			return
+		}
+		if errors.Is(err, ErrNoAnswer) {
+			open = true
+		} else if r, final := refusalOf(err); final {
+			refusal = r
+			break
+		}
+		h.pause(orderPause)
+	}
+	a.Log.Warning(eventlog.RunRefused).Str("job", string(s.Task.Job)).Str("task", s.Task.String()).Int("run", s.Number).
+		Str("worker", s.Key.ID).Str("why", string(refusal)).Bool("unanswered", open).Int64("fence", fence).Msg("")
+	if open && !h.stop(s.Task, s.Number, fence) {
+		// Only a new fence or the end of the lease tells what became of it.
+		return
+	}
+	a.Send(link.Message{Started: &link.Started{Key: s.Key, Task: s.Task, Number: s.Number, Refusal: refusal}})
+}
+
+func (h *held) pause(t time.Duration) {
+	select {
+	case <-h.ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+// refusalOf returns why a worker refused, and whether another try is of no use.
+func refusalOf(err error) (link.Refusal, bool) {
+	switch {
+	case errors.Is(err, ErrNoRoom):
+		return link.RefusedRoom, true
+	case errors.Is(err, ErrOldRun):
+		return link.RefusedOld, true
+	case errors.Is(err, ErrLate):
+		return link.RefusedLate, true
+	case errors.Is(err, ErrNoTicket):
+		return link.RefusedTicket, true
+	case errors.Is(err, ErrUnhealthy):
+		return link.RefusedUnhealthy, true
+	case errors.Is(err, ErrFenced):
+		return link.RefusedFence, true
+	case errors.Is(err, ErrOtherLife), errors.Is(err, ErrRejected):
+		return link.RefusedOther, true
+	}
+	return link.RefusedSilent, false
+}
+
+// stop sends a stop until it's answered; a run that isn't there yet is then refused.
+func (h *held) stop(t batch.Task, run int, fence int64) bool {
+	a := h.agent
+	for {
+		a.mu.Lock()
+		ok := h.current(fence)
+		a.mu.Unlock()
+		if !ok {
+			return false
+		}
+		c, cancel := context.WithTimeout(h.ctx, orderTimeout)
+		_, err := h.client.Stop(c, t, run, fence)
+		cancel()
+		switch {
+		case err == nil:
+			return true
+		case errors.Is(err, ErrFenced), errors.Is(err, ErrOtherLife):
+			return false
+		case errors.Is(err, ErrRejected), errors.Is(err, ErrOldRun):
+			a.Log.Warning(eventlog.RunRefused).Str("task", t.String()).Int("run", run).Err(err).Msg("stop")
+			return true
+		}
+		h.pause(orderPause)
+	}
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,154 @@
+// Package link carries messages between the system's nodes over TCP: frames
+// of a length and a CBOR body, in order, without a reply of their own.
+package link
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/codec"
+)
+
+// The errors of a link.
+var (
+	ErrClosed   = errors.New("link: closed")
+	ErrTooLarge = errors.New("link: frame too large")
+)
+
+const (
+	// maxFrame bounds a frame in bytes; a snapshot of 500 ends and 500 runs has a twentieth of it.
+	maxFrame = 2 << 20
+	// queueLength is how many messages may wait for a slow reader before the link is closed.
+	queueLength = 4096
+	// dialTimeout bounds the opening; the slowest link known takes 30 ms one way.
+	dialTimeout = 700 * time.Millisecond
+	// writeTimeout closes a link whose reader takes nothing; it's above the time in which a session ends by silence.
+	writeTimeout = 3 * time.Second
+)
+
+// A Conn is one link.
+type Conn struct {
+	c     net.Conn
+	out   chan Message
+	once  sync.Once
+	ended chan struct{}
+}
+
+// New wraps a connection and starts to write to it.
+func New(c net.Conn) *Conn {
+	l := &Conn{c: c, out: make(chan Message, queueLength), ended: make(chan struct{})}
+	go l.write()
+	return l
+}
+
+// Dial opens a link to a.
+func Dial(ctx context.Context, a netip.AddrPort) (*Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	c, err := d.DialContext(ctx, "tcp", a.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "link: dial")
+	}
+	return New(c), nil
+}
+
+// Send queues m; a link that can't keep up is closed.
+func (l *Conn) Send(m Message) {
+	select {
+	case l.out <- m:
+	case <-l.ended:
+	default:
+		l.Close()
+	}
+}
+
+// Close ends the link.
+func (l *Conn) Close() {
+	l.once.Do(func() {
+		close(l.ended)
+		_ = l.c.Close()
+	})
+}
+
+// Ended is closed when the link is.
+func (l *Conn) Ended() <-chan struct{} { return l.ended }
+
+// Remote returns the other side's address.
+func (l *Conn) Remote() string { return l.c.RemoteAddr().String() }
+
+// Read calls f for each message until the link ends.
+func (l *Conn) Read(f func(Message)) error {
+	defer l.Close()
+	r := bufio.NewReaderSize(l.c, 8<<10)
+	var head [4]byte
+	for {
+		if _, err := io.ReadFull(r, head[:]); err != nil {
+			return errors.Wrap(ErrClosed, err.Error())
+		}
+		n := binary.BigEndian.Uint32(head[:])
+		if n > maxFrame {
+			return ErrTooLarge
+		}
+		b := make([]byte, n)
+		if _, err := io.ReadFull(r, b); err != nil {
+			return errors.Wrap(ErrClosed, err.Error())
+		}
+		m, err := codec.Decode[Message](b)
+		if err != nil {
+			return err
+		}
+		f(m)
+	}
+}
+
+// write sends what is queued, many messages in one write where they wait together.
+func (l *Conn) write() {
+	defer l.Close()
+	w := bufio.NewWriterSize(l.c, 8<<10)
+	for {
+		select {
+		case m := <-l.out:
+			if !l.put(w, m) {
+				return
+			}
+		case <-l.ended:
+			return
+		}
+		for more := true; more; {
+			select {
+			case m := <-l.out:
+				if !l.put(w, m) {
+					return
+				}
+			default:
+				more = false
+			}
+		}
+		_ = l.c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if w.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (l *Conn) put(w *bufio.Writer, m Message) bool {
+	b, err := codec.Encode(m)
+	if err != nil || len(b) > maxFrame {
+		return false
+	}
+	var head [4]byte
+	binary.BigEndian.PutUint32(head[:], uint32(len(b)))
+	_ = l.c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := w.Write(head[:]); err != nil {
+		return false
+	}
+	_, err = w.Write(b)
+	return err == nil
+}
--- /dev/null
+++ b/internal/link/message.go
@@ -0,0 +1,207 @@
+package link
+
+import (
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// A Message is what two nodes tell each other; one field is set.
+type Message struct {
+	Hello    *Hello    `cbor:"1,keyasint,omitempty"`
+	Welcome  *Welcome  `cbor:"2,keyasint,omitempty"`
+	Ping     *Ping     `cbor:"3,keyasint,omitempty"`
+	Pong     *Pong     `cbor:"4,keyasint,omitempty"`
+	Snapshot *Snapshot `cbor:"5,keyasint,omitempty"`
+	Worker   *Worker   `cbor:"6,keyasint,omitempty"`
+	Gone     *Gone     `cbor:"7,keyasint,omitempty"`
+	Ends     *Ends     `cbor:"8,keyasint,omitempty"`
+	Noted    *Noted    `cbor:"9,keyasint,omitempty"`
+	Start    *Start    `cbor:"10,keyasint,omitempty"`
+	Stop     *Stop     `cbor:"11,keyasint,omitempty"`
+	Started  *Started  `cbor:"12,keyasint,omitempty"`
+	Progress *Progress `cbor:"13,keyasint,omitempty"`
+	Ask      *Ask      `cbor:"14,keyasint,omitempty"`
+	Reply    *Reply    `cbor:"15,keyasint,omitempty"`
+	Facts    *Facts    `cbor:"16,keyasint,omitempty"`
+	Room     *Room     `cbor:"17,keyasint,omitempty"`
+	Advice   *Advice   `cbor:"18,keyasint,omitempty"`
+	Advised  *Advised  `cbor:"19,keyasint,omitempty"`
+}
+
+// Hello opens a session with the scheduler.
+type Hello struct {
+	Node string `cbor:"1,keyasint"`
+	// Life is new at each start of the process.
+	Life       int64  `cbor:"2,keyasint"`
+	Address    string `cbor:"3,keyasint"`
+	DataCentre string `cbor:"4,keyasint"`
+	Region     string `cbor:"5,keyasint"`
+	// Host is set on nodes with a worker.
+	Host bool `cbor:"6,keyasint"`
+	// Shown lists the jobs that callers were told to be over while the store was away.
+	Shown []batch.JobID `cbor:"7,keyasint,omitempty"`
+	// Workers are the lives that the host holds; a snapshot of each follows.
+	Workers []batch.WorkerKey `cbor:"8,keyasint,omitempty"`
+}
+
+// Welcome answers a hello.
+type Welcome struct {
+	// Epoch orders the schedulers.
+	Epoch int64 `cbor:"1,keyasint"`
+	// Fence goes with all orders of this session.
+	Fence int64 `cbor:"2,keyasint"`
+}
+
+// Ping asks for a grant.
+type Ping struct {
+	// Sent is the sender's own time and comes back as it is.
+	Sent int64 `cbor:"1,keyasint"`
+	// Store tells whether the sender reached the store lately.
+	Store bool `cbor:"2,keyasint"`
+}
+
+// Pong grants the lease of the session, counted from the ping's sending.
+type Pong struct {
+	Sent  int64         `cbor:"1,keyasint"`
+	Grant time.Duration `cbor:"2,keyasint"`
+}
+
+// Snapshot is all that a worker knows under the session's fence.
+type Snapshot struct {
+	Fence   int64        `cbor:"1,keyasint"`
+	Worker  batch.Worker `cbor:"2,keyasint"`
+	Running []batch.Run  `cbor:"3,keyasint"`
+	Ended   []batch.End  `cbor:"4,keyasint"`
+}
+
+// Worker tells of a change in what a worker says of itself.
+type Worker struct {
+	Worker batch.Worker `cbor:"1,keyasint"`
+}
+
+// Gone tells that nothing runs on a life of a worker any more.
+type Gone struct {
+	Key batch.WorkerKey `cbor:"1,keyasint"`
+	// Why is for the log.
+	Why string `cbor:"2,keyasint"`
+}
+
+// Ends tells of runs that are over.
+type Ends struct {
+	Key  batch.WorkerKey `cbor:"1,keyasint"`
+	Ends []batch.End     `cbor:"2,keyasint"`
+}
+
+// Noted says up to which end the worker may forget.
+type Noted struct {
+	Key  batch.WorkerKey `cbor:"1,keyasint"`
+	Upto int64           `cbor:"2,keyasint"`
+}
+
+// Start orders a run.
+type Start struct {
+	Key    batch.WorkerKey `cbor:"1,keyasint"`
+	Task   batch.Task      `cbor:"2,keyasint"`
+	Number int             `cbor:"3,keyasint"`
+	Spec   string          `cbor:"4,keyasint"`
+	Saved  string          `cbor:"5,keyasint,omitempty"`
+	Ticket string          `cbor:"6,keyasint,omitempty"`
+	Fact   Fact            `cbor:"7,keyasint"`
+}
+
+// A Fact is what a host has to know of a run to share its processor.
+type Fact struct {
+	Task batch.Task `cbor:"1,keyasint"`
+	// Target bounds the tail latency of a run that serves.
+	Target   time.Duration `cbor:"2,keyasint,omitempty"`
+	Fills    bool          `cbor:"3,keyasint,omitempty"`
+	Image    string        `cbor:"4,keyasint,omitempty"`
+	MilliCPU int           `cbor:"5,keyasint,omitempty"`
+}
+
+// Facts tells of runs that a host found on its worker.
+type Facts struct {
+	Key   batch.WorkerKey `cbor:"1,keyasint"`
+	Facts []Fact          `cbor:"2,keyasint"`
+}
+
+// Stop orders the end of a run.
+type Stop struct {
+	Key    batch.WorkerKey `cbor:"1,keyasint"`
+	Task   batch.Task      `cbor:"2,keyasint"`
+	Number int             `cbor:"3,keyasint"`
+}
+
+// Started tells what became of a start.
+type Started struct {
+	Key    batch.WorkerKey `cbor:"1,keyasint"`
+	Task   batch.Task      `cbor:"2,keyasint"`
+	Number int             `cbor:"3,keyasint"`
+	// Refusal is empty where the run is there.
+	Refusal Refusal `cbor:"4,keyasint,omitempty"`
+}
+
+// A Refusal says why a run isn't there and won't be.
+type Refusal string
+
+// The refusals.
+const (
+	RefusedRoom      Refusal = "noRoom"
+	RefusedOld       Refusal = "oldRun"
+	RefusedLate      Refusal = "leaseOver"
+	RefusedTicket    Refusal = "noTicket"
+	RefusedUnhealthy Refusal = "unhealthy"
+	RefusedDraining  Refusal = "draining"
+	RefusedFence     Refusal = "fenced"
+	RefusedOther     Refusal = "rejected"
+	RefusedSilent    Refusal = "noAnswer"
+)
+
+// Progress tells how the runs of a worker get on.
+type Progress struct {
+	Key  batch.WorkerKey `cbor:"1,keyasint"`
+	Runs []batch.Run     `cbor:"2,keyasint"`
+	// Squeezed tells that serving runs are near their target here.
+	Squeezed bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Ask asks for a job's state or a queue's length.
+type Ask struct {
+	ID    uint64      `cbor:"1,keyasint"`
+	Job   batch.JobID `cbor:"2,keyasint,omitempty"`
+	Queue string      `cbor:"3,keyasint,omitempty"`
+}
+
+// Reply answers an ask.
+type Reply struct {
+	ID      uint64         `cbor:"1,keyasint"`
+	Known   bool           `cbor:"2,keyasint"`
+	State   batch.JobState `cbor:"3,keyasint,omitempty"`
+	Pending int            `cbor:"4,keyasint,omitempty"`
+}
+
+// Room tells the entries how much work waits.
+type Room struct {
+	// Waits is by priority how long new work waits for its first start.
+	Waits map[int]time.Duration `cbor:"1,keyasint"`
+}
+
+// Advice asks the host to ask the policy service for a step.
+type Advice struct {
+	Job        batch.JobID `cbor:"1,keyasint"`
+	Occurrence int         `cbor:"2,keyasint"`
+	Step       int         `cbor:"3,keyasint"`
+	Workers    []string    `cbor:"4,keyasint"`
+}
+
+// Advised answers it with tickets by worker.
+type Advised struct {
+	Job        batch.JobID       `cbor:"1,keyasint"`
+	Occurrence int               `cbor:"2,keyasint"`
+	Step       int               `cbor:"3,keyasint"`
+	Tickets    map[string]string `cbor:"4,keyasint"`
+	Asked      []string          `cbor:"5,keyasint"`
+	Valid      time.Duration     `cbor:"6,keyasint"`
+	Failed     bool              `cbor:"7,keyasint"`
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,378 @@
+// Package node keeps a process in touch with the scheduler: it finds the one
+// that leads, holds a session with it, and leads itself when nobody does.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestream/sesamestream/internal/dispatch"
+	"github.com/sesamestream/sesamestream/internal/election"
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/kv"
+	"github.com/sesamestream/sesamestream/internal/link"
+)
+
+const (
+	// pingEvery keeps several pings within a session's time-out.
+	pingEvery = 500 * time.Millisecond
+	// sessionTimeout is that of the scheduler: three pings fit.
+	sessionTimeout = 2 * time.Second
+	// welcomeTimeout covers the load of a scheduler's state and the registration of a node in the store.
+	welcomeTimeout = 3 * time.Second
+	// seekPause is the pause between two looks for the scheduler.
+	seekPause = 150 * time.Millisecond
+	// hostDelay lets nodes that run no work take the lead first.
+	hostDelay = 300 * time.Millisecond
+	// distanceFactor turns the store's answer time into a delay, so that a near node leads.
+	distanceFactor = 4
+	// maxDistance bounds that delay.
+	maxDistance = 500 * time.Millisecond
+	// jitter parts nodes of like distance.
+	jitter = 60 * time.Millisecond
+	// announcement bounds a datagram in bytes.
+	announcement = 512
+)
+
+// A Node is the part that all processes share. Its exported fields are set before Run.
+type Node struct {
+	Elector *election.Elector
+	Log     *eventlog.Log
+	// Listen is where other nodes reach this one.
+	Listen netip.AddrPort
+	// Host is set on nodes with a worker.
+	Host bool
+	// Hello describes the process.
+	Hello func() link.Hello
+	// Dispatcher makes the scheduler of a term.
+	Dispatcher func(*election.Term) *dispatch.Dispatcher
+	// Welcomed, Granted, Message and Lost tell of the session.
+	Welcomed func(link.Welcome)
+	Granted  func(sent, grant time.Duration)
+	Message  func(link.Message)
+	Lost     func()
+	// Steady is the clock of the leases.
+	Steady func() time.Duration
+	// StoreOK reports whether the store was reached lately.
+	StoreOK func() bool
+
+	mu    sync.Mutex
+	conn  *link.Conn
+	lead  *dispatch.Dispatcher
+	term  *election.Term
+	epoch int64
+	known election.Leader
+	hint  chan struct{}
+	udp   *net.UDPConn
+}
+
+// Run serves until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	n.hint = make(chan struct{}, 1)
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "node: listen")
+	}
+	n.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(n.Listen))
+	if err != nil {
+		_ = l.Close()
+		return errors.Wrap(err, "node: listen for announcements")
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return n.accept(ctx, l) })
+	g.Go(func() error { return n.hear(ctx) })
+	g.Go(func() error { return n.seek(ctx) })
+	<-ctx.Done()
+	_ = l.Close()
+	_ = n.udp.Close()
+	return g.Wait()
+}
+
+// Send passes a message to the scheduler; without a session it's dropped, and
+// the next session begins with all that is needed.
+func (n *Node) Send(m link.Message) bool {
+	n.mu.Lock()
+	c := n.conn
+	n.mu.Unlock()
+	if c == nil {
+		return false
+	}
+	c.Send(m)
+	return true
+}
+
+// Connected reports whether there is a session.
+func (n *Node) Connected() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conn != nil
+}
+
+// Resign gives the lead up, if this node has it.
+func (n *Node) Resign(ctx context.Context) {
+	n.mu.Lock()
+	t := n.term
+	n.mu.Unlock()
+	if t != nil {
+		t.Resign(ctx)
+	}
+}
+
+// accept serves the nodes that connect while this one leads.
+func (n *Node) accept(ctx context.Context, l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			n.Log.Warn().Err(err).Msg("accept")
+			time.Sleep(seekPause)
+			continue
+		}
+		go n.serve(link.New(c))
+	}
+}
+
+func (n *Node) serve(c *link.Conn) {
+	var h *link.Hello
+	var d *dispatch.Dispatcher
+	// The reader's error is that of the link's end.
+	_ = c.Read(func(m link.Message) {
+		if h == nil {
+			n.mu.Lock()
+			d = n.lead
+			n.mu.Unlock()
+			if m.Hello == nil || d == nil {
+				c.Close()
+				return
+			}
+			h = m.Hello
+			d.Accept(c, *h)
+			return
+		}
+		d.Message(c, h, m)
+	})
+	if h != nil {
+		d.Ended(c, h)
+	}
+}
+
+// hear takes announcements: a node that the store turns away learns from them.
+func (n *Node) hear(ctx context.Context) error {
+	b := make([]byte, announcement)
+	for {
+		k, _, err := n.udp.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			continue
+		}
+		var a struct {
+			Epoch  int64           `json:"epoch"`
+			Leader election.Leader `json:"leader"`
+		}
+		if json.Unmarshal(b[:k], &a) != nil {
+			continue
+		}
+		n.mu.Lock()
+		if a.Epoch > n.epoch {
+			n.epoch = a.Epoch
+			n.known = a.Leader
+			if n.term != nil && int64(n.term.Epoch) < a.Epoch {
+				n.term.Lose()
+			}
+			if n.conn != nil {
+				n.conn.Close()
+			}
+		} else if a.Epoch == n.epoch {
+			n.known = a.Leader
+		}
+		n.mu.Unlock()
+		select {
+		case n.hint <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (n *Node) announce(leader election.Leader) func(string, int64) {
+	return func(to string, epoch int64) {
+		a, err := netip.ParseAddrPort(to)
+		if err != nil {
+			return
+		}
+		b, err := json.Marshal(struct {
+			Epoch  int64           `json:"epoch"`
+			Leader election.Leader `json:"leader"`
+		}{epoch, leader})
+		if err != nil {
+			return
+		}
+		// A lost announcement is repeated.
+		_, _ = n.udp.WriteToUDPAddrPort(b, a)
+	}
+}
+
+// seek holds a session with whoever leads.
+func (n *Node) seek(ctx context.Context) error {
+	var lead sync.WaitGroup
+	defer lead.Wait()
+	for ctx.Err() == nil {
+		at := time.Now()
+		l, err := n.Elector.Current(ctx)
+		distance := min(time.Since(at)*distanceFactor, maxDistance)
+		switch {
+		case err == nil:
+			n.session(ctx, l)
+		case errors.Is(err, kv.ErrNotFound):
+			if n.Host {
+				distance += hostDelay
+			}
+			if !n.pause(ctx, distance+rand.N(jitter)) {
+				return nil
+			}
+			n.try(ctx, &lead)
+		default:
+			n.mu.Lock()
+			k := n.known
+			n.mu.Unlock()
+			if k.Address.IsValid() {
+				n.session(ctx, k)
+			}
+		}
+		n.pause(ctx, seekPause)
+	}
+	return nil
+}
+
+// pause waits, or less where an announcement comes.
+func (n *Node) pause(ctx context.Context, t time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-n.hint:
+	case <-time.After(t):
+	}
+	return ctx.Err() == nil
+}
+
+// try takes the lead where nobody has it.
+func (n *Node) try(ctx context.Context, lead *sync.WaitGroup) {
+	if _, err := n.Elector.Current(ctx); !errors.Is(err, kv.ErrNotFound) {
+		return
+	}
+	t, err := n.Elector.Try(ctx)
+	if err != nil {
+		return
+	}
+	n.Log.Event(eventlog.LeadTaken).Int64("epoch", int64(t.Epoch)).Msg("")
+	d := n.Dispatcher(t)
+	d.Announce = n.announce(election.Leader{Node: n.Elector.Node, Address: n.Elector.Address})
+	d.Open()
+	n.mu.Lock()
+	n.lead, n.term, n.epoch = d, t, int64(t.Epoch)
+	n.mu.Unlock()
+	lead.Go(func() { t.Keep(ctx) })
+	lead.Go(func() {
+		err := d.Run(ctx)
+		t.Lose()
+		n.Log.Warning(eventlog.LeadLost).Int64("epoch", int64(t.Epoch)).Err(err).Msg("")
+		n.mu.Lock()
+		if n.lead == d {
+			n.lead, n.term = nil, nil
+		}
+		n.mu.Unlock()
+	})
+}
+
+// session stays with the scheduler until it isn't heard any more.
+func (n *Node) session(ctx context.Context, l election.Leader) {
+	c, err := link.Dial(ctx, l.Address)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	c.Send(link.Message{Hello: ptr(n.Hello())})
+	heard := make(chan link.Message, 1024)
+	go func() {
+		defer close(heard)
+		// The reader's error is that of the link's end.
+		_ = c.Read(func(m link.Message) {
+			select {
+			case heard <- m:
+			case <-c.Ended():
+			}
+		})
+	}()
+	welcome := time.NewTimer(welcomeTimeout)
+	defer welcome.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-welcome.C:
+		return
+	case m, ok := <-heard:
+		if !ok || m.Welcome == nil {
+			return
+		}
+		n.mu.Lock()
+		old := m.Welcome.Epoch < n.epoch
+		if !old {
+			n.epoch, n.known, n.conn = m.Welcome.Epoch, l, c
+		}
+		n.mu.Unlock()
+		if old {
+			return
+		}
+		n.Log.Event(eventlog.SchedulerFound).Str("leader", l.Node).Int64("epoch", m.Welcome.Epoch).Int64("fence", m.Welcome.Fence).Msg("")
+		n.Welcomed(*m.Welcome)
+	}
+	last := time.Now()
+	ping := time.NewTicker(pingEvery)
+	defer ping.Stop()
+	n.ping(c)
+	for open := true; open; {
+		select {
+		case <-ctx.Done():
+			open = false
+		case m, ok := <-heard:
+			if !ok {
+				open = false
+				break
+			}
+			last = time.Now()
+			if m.Pong != nil {
+				n.Granted(time.Duration(m.Pong.Sent), m.Pong.Grant)
+			} else {
+				n.Message(m)
+			}
+		case <-ping.C:
+			if time.Since(last) > sessionTimeout {
+				open = false
+				break
+			}
+			n.ping(c)
+		}
+	}
+	n.mu.Lock()
+	n.conn = nil
+	n.mu.Unlock()
+	n.Log.Warning(eventlog.SchedulerLost).Str("leader", l.Node).Dur("silent", time.Since(last)).Msg("")
+	n.Lost()
+}
+
+func (n *Node) ping(c *link.Conn) {
+	c.Send(link.Message{Ping: &link.Ping{Sent: int64(n.Steady()), Store: n.StoreOK()}})
+}
+
+func ptr[T any](v T) *T { return &v }
--- /dev/null
+++ b/pkg/decide/schedule/job.go
@@ -0,0 +1,271 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// job is a job with what has become of it.
+type job struct {
+	*batch.Job
+	arrived time.Time
+	state   batch.JobState
+	ended   time.Time
+	// stored is set once the final state is in the store.
+	stored bool
+	// begun is set once a task has started.
+	begun bool
+	// earlier jobs may run on hosts that weren't heard yet.
+	earlier bool
+	runs    []*occurrence
+	// left counts the tasks that aren't done.
+	left int
+	// remaining is the estimated work that is left, in core-seconds.
+	remaining float64
+	// chain is the estimated time of its longest chain of steps.
+	chain time.Duration
+}
+
+// occurrence is one run of all steps.
+type occurrence struct {
+	due   time.Time
+	steps []*step
+	left  int
+}
+
+// step is one step of an occurrence.
+type step struct {
+	*batch.Step
+	job   *job
+	at    *occurrence
+	index int
+	tasks []*task
+	left  int
+	// waiting counts the tasks that have no worker and aren't done.
+	waiting int
+	// counts is how many tasks a worker has, where MaxPerWorker bounds it.
+	counts map[*worker]int
+	// run is the number of the newest run of a gang.
+	run    int
+	failed int
+	saved  string
+	advice advice
+}
+
+// task is one task of an occurrence.
+type task struct {
+	id       batch.Task
+	step     *step
+	done     bool
+	run      int
+	failed   int
+	saved    string
+	worker   *worker
+	started  time.Time
+	there    bool
+	stopping bool
+	percent  int
+	moved    time.Time
+	// avoid is the machine on which it failed or stood still last.
+	avoid string
+	// again is when it may be tried again.
+	again time.Time
+}
+
+func newJob(b *batch.Job) *job {
+	j := &job{Job: b, state: batch.Queued}
+	for k := range b.Occurrences() {
+		o := &occurrence{}
+		if b.Repeat > 0 {
+			o.due = b.Start.Add(time.Duration(k) * b.Interval)
+		}
+		for i := range b.Steps {
+			st := &step{Step: &b.Steps[i], job: j, at: o, index: i, left: b.Steps[i].Count, waiting: b.Steps[i].Count}
+			if st.MaxPerWorker > 0 {
+				st.counts = map[*worker]int{}
+			}
+			for n := range st.Count {
+				st.tasks = append(st.tasks, &task{id: batch.Task{Job: b.ID, Occurrence: k, Step: i, Index: n}, step: st})
+			}
+			o.steps = append(o.steps, st)
+			o.left += st.Count
+		}
+		j.runs = append(j.runs, o)
+		j.left += o.left
+	}
+	j.remaining = j.totalWork()
+	j.chain = chain(b)
+	return j
+}
+
+// chain returns the estimated time of the longest chain of steps.
+func chain(b *batch.Job) time.Duration {
+	ends := make([]time.Duration, len(b.Steps))
+	var longest time.Duration
+	for i, s := range b.Steps {
+		var begin time.Duration
+		for _, a := range s.After {
+			begin = max(begin, ends[a])
+		}
+		ends[i] = begin + s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// work returns the estimated core-seconds of one task.
+func work(s *batch.Step) float64 {
+	return float64(s.Need.MilliCPU) / 1000 * s.Estimate.Seconds()
+}
+
+func (j *job) totalWork() float64 {
+	w := 0.0
+	for i := range j.Steps {
+		w += work(&j.Steps[i]) * float64(j.Steps[i].Count)
+	}
+	return w * float64(j.Occurrences())
+}
+
+func (j *job) each(f func(*task)) {
+	for _, o := range j.runs {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				f(t)
+			}
+		}
+	}
+}
+
+func (j *job) find(id batch.Task) *task {
+	if id.Occurrence >= len(j.runs) || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
+		return nil
+	}
+	return j.runs[id.Occurrence].steps[id.Step].tasks[id.Index]
+}
+
+func (j *job) finish(now time.Time, s batch.JobState) {
+	j.state, j.ended = s, now
+}
+
+// ready reports whether the steps that s waits for are done.
+func (s *step) ready() bool {
+	for _, a := range s.After {
+		if s.at.steps[a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// complete marks a task as done.
+func (t *task) complete() {
+	if t.done {
+		return
+	}
+	t.done = true
+	if t.worker == nil {
+		t.step.waiting--
+	}
+	t.step.left--
+	t.step.at.left--
+	t.step.job.left--
+	t.step.job.remaining -= work(t.step.Step)
+}
+
+// assign puts the task on a worker.
+func (t *task) assign(w *worker, run int, now time.Time) {
+	if t.worker == nil && !t.done {
+		t.step.waiting--
+	}
+	t.worker, t.run, t.started, t.moved = w, run, now, now
+	t.there, t.stopping, t.percent = false, false, 0
+	w.take(t)
+	if t.step.counts != nil {
+		t.step.counts[w]++
+	}
+	t.step.job.begun = true
+}
+
+// release takes the task from its worker.
+func (t *task) release() {
+	w := t.worker
+	if w == nil {
+		return
+	}
+	w.free(t)
+	if t.step.counts != nil {
+		if t.step.counts[w]--; t.step.counts[w] == 0 {
+			delete(t.step.counts, w)
+		}
+	}
+	t.worker, t.there, t.stopping = nil, false, false
+	if !t.done {
+		t.step.waiting++
+	}
+}
+
+// A Progress is what the store holds of a job beside its description.
+type Progress struct {
+	State batch.JobState `json:"state,omitempty"`
+	Ended time.Time      `json:"ended,omitzero"`
+	Tasks []TaskProgress `json:"tasks,omitempty"`
+}
+
+// A TaskProgress is what the store holds of a task that has run.
+type TaskProgress struct {
+	Occurrence int    `json:"k,omitempty"`
+	Step       int    `json:"step,omitempty"`
+	Index      int    `json:"index,omitempty"`
+	Done       bool   `json:"done,omitempty"`
+	Run        int    `json:"run,omitempty"`
+	Failed     int    `json:"failed,omitempty"`
+	Saved      string `json:"saved,omitempty"`
+}
+
+func (j *job) progress() *Progress {
+	p := &Progress{Ended: j.ended}
+	if j.state.Final() {
+		// A job that is over needs nothing else.
+		p.State = j.state
+		return p
+	}
+	if j.begun {
+		p.State = batch.Running
+	}
+	j.each(func(t *task) {
+		if t.run == 0 && !t.done {
+			return
+		}
+		p.Tasks = append(p.Tasks, TaskProgress{
+			Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index,
+			Done: t.done, Run: t.run, Failed: t.failed, Saved: t.saved,
+		})
+	})
+	return p
+}
+
+func (j *job) load(p *Progress) {
+	if p.State.Final() {
+		j.state, j.ended, j.stored, j.begun = p.State, p.Ended, true, true
+		return
+	}
+	j.begun = p.State == batch.Running
+	for _, x := range p.Tasks {
+		t := j.find(batch.Task{Job: j.ID, Occurrence: x.Occurrence, Step: x.Step, Index: x.Index})
+		if t == nil {
+			continue
+		}
+		t.run, t.failed, t.saved = x.Run, x.Failed, x.Saved
+		t.step.run = max(t.step.run, x.Run)
+		if t.step.Gang {
+			t.step.failed = max(t.step.failed, x.Failed)
+			if x.Saved != "" {
+				t.step.saved = x.Saved
+			}
+		}
+		if x.Done {
+			t.complete()
+		}
+	}
+}
--- /dev/null
+++ b/pkg/decide/schedule/place.go
@@ -0,0 +1,296 @@
+package schedule
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// lateFactor is how many times its objective a job may take and still be of use, late.
+const lateFactor = 3
+
+// The tiers of waiting work, served in this order.
+const (
+	// tierInTime can end within its objective.
+	tierInTime = iota
+	// tierLate can end while late answers are still of use.
+	tierLate
+	// tierHopeless is done when nothing else wants the room.
+	tierHopeless
+)
+
+// claim is a step with tasks that wait.
+type claim struct {
+	step     *step
+	priority int
+	tier     int
+	slack    time.Duration
+	// density is the value of the job against the work that is left.
+	density float64
+}
+
+// Schedule decides what to start and stop now.
+func (s *Scheduler) Schedule(now time.Time) Orders {
+	var o Orders
+	for _, c := range s.claims(now) {
+		s.serve(now, c, &o)
+	}
+	o.Stops = append(o.Stops, s.stops...)
+	s.stops = nil
+	return o
+}
+
+// claims returns the steps with waiting tasks, first the one to serve first.
+func (s *Scheduler) claims(now time.Time) []claim {
+	var cs []claim
+	for _, j := range s.jobs {
+		if j.state.Final() || j.left == 0 || j.earlier {
+			continue
+		}
+		q := s.terms(j)
+		for _, o := range j.runs {
+			if o.left == 0 {
+				continue
+			}
+			begin := j.Accepted
+			if begin.IsZero() {
+				begin = j.arrived
+			}
+			if !o.due.IsZero() {
+				if now.Before(o.due.Add(dueMargin)) {
+					continue
+				}
+				begin = o.due
+			}
+			for _, st := range o.steps {
+				if st.waiting == 0 || st.left == 0 || !st.ready() {
+					continue
+				}
+				objective := time.Duration(q.Stretch*float64(j.chain)) + q.Objective
+				ahead := st.aheadOf()
+				c := claim{step: st, priority: q.Priority}
+				c.slack = begin.Add(objective).Sub(now) - ahead
+				switch {
+				case c.slack >= 0:
+					c.tier = tierInTime
+				case begin.Add(lateFactor*objective).Sub(now)-ahead >= 0:
+					c.tier = tierLate
+				default:
+					c.tier = tierHopeless
+				}
+				mean := s.work[j.Queue].value()
+				total := j.totalWork()
+				c.density = (0.3*mean + 0.7*total) / math.Max(j.remaining, 0.05*mean+1e-3)
+				cs = append(cs, c)
+			}
+		}
+	}
+	sort.Slice(cs, func(a, b int) bool {
+		x, y := &cs[a], &cs[b]
+		switch {
+		case x.step.Lasting != y.step.Lasting:
+			return x.step.Lasting
+		case x.priority != y.priority:
+			return x.priority < y.priority
+		case x.tier != y.tier:
+			return x.tier < y.tier
+		case x.density != y.density:
+			return x.density > y.density
+		case x.step.job.ID != y.step.job.ID:
+			return x.step.job.ID < y.step.job.ID
+		case !x.step.at.due.Equal(y.step.at.due):
+			return x.step.at.due.Before(y.step.at.due)
+		}
+		return x.step.index < y.step.index
+	})
+	return cs
+}
+
+// dueMargin keeps a timed start from being early on a clock that runs ahead.
+const dueMargin = 100 * time.Millisecond
+
+// aheadOf returns the estimated time from the start of s to the end of its occurrence.
+func (s *step) aheadOf() time.Duration {
+	ends := make([]time.Duration, len(s.at.steps))
+	ends[s.index] = s.Estimate
+	longest := s.Estimate
+	for i := s.index + 1; i < len(s.at.steps); i++ {
+		st := s.at.steps[i]
+		for _, a := range st.After {
+			if ends[a] > 0 {
+				ends[i] = max(ends[i], ends[a]+st.Estimate)
+			}
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func (s *Scheduler) serve(now time.Time, c claim, o *Orders) {
+	if c.step.Gang {
+		s.serveGang(now, c, o)
+		return
+	}
+	for _, t := range c.step.tasks {
+		if t.done || t.worker != nil || now.Before(t.again) {
+			continue
+		}
+		w := s.place(now, c.step, t, o)
+		if w == nil {
+			if t.avoid == "" {
+				// What has no room for one has none for the like.
+				return
+			}
+			continue
+		}
+		s.start(now, c, t, w, t.run+1, o)
+	}
+}
+
+func (s *Scheduler) start(now time.Time, c claim, t *task, w *worker, run int, o *Orders) {
+	room, left := w.room(), w.spare(now)
+	saved := t.saved
+	if c.step.Gang {
+		saved = c.step.saved
+	}
+	t.assign(w, run, now)
+	c.step.run = max(c.step.run, run)
+	o.Starts = append(o.Starts, Start{
+		Key: w.Key(), Host: w.host, Task: t.id, Number: run, Saved: saved, Ticket: c.step.advice.ticket(now, w),
+		Step: c.step.Step, Spec: c.step.job.Spec,
+		Why: Reason{Tier: c.tier, Slack: c.slack, Room: room, Leftover: left},
+	})
+}
+
+// serveGang starts all members at once or none.
+func (s *Scheduler) serveGang(now time.Time, c claim, o *Orders) {
+	run := c.step.run
+	for _, t := range c.step.tasks {
+		if t.done || t.worker != nil || now.Before(t.again) {
+			return
+		}
+		run = max(run, t.run)
+	}
+	run++
+	for _, rack := range s.racks(c.step) {
+		var placed []*task
+		for _, t := range c.step.tasks {
+			w := s.placeOn(now, c.step, t, rack, o)
+			if w == nil {
+				break
+			}
+			// The room is taken for the trial, and given back where not all fit.
+			t.assign(w, run, now)
+			placed = append(placed, t)
+		}
+		if len(placed) == len(c.step.tasks) {
+			for _, t := range placed {
+				w := t.worker
+				t.release()
+				s.start(now, c, t, w, run, o)
+			}
+			return
+		}
+		begun := c.step.job.begun
+		for _, t := range placed {
+			t.release()
+			t.run = run - 1
+		}
+		c.step.job.begun = begun
+	}
+}
+
+// racks returns the racks to try for a gang; the empty one stands for any.
+func (s *Scheduler) racks(st *step) []string {
+	if !st.SameRack {
+		return []string{""}
+	}
+	seen := map[string]bool{}
+	var rs []string
+	for _, w := range s.workers {
+		if r := w.Rack(); r != "" && !seen[r] {
+			seen[r] = true
+			rs = append(rs, r)
+		}
+	}
+	sort.Strings(rs)
+	return append(rs, "")
+}
+
+func (s *Scheduler) place(now time.Time, st *step, t *task, o *Orders) *worker {
+	return s.placeOn(now, st, t, "", o)
+}
+
+// placeOn returns the best worker for t, of a rack where one is named.
+func (s *Scheduler) placeOn(now time.Time, st *step, t *task, rack string, o *Orders) *worker {
+	q := s.terms(st.job)
+	n := need(st.Step)
+	var best *worker
+	bestScore := math.Inf(-1)
+	var unasked []string
+	for _, w := range s.workers {
+		if w.Service != q.Service || !w.takes(now) || !n.Fits(w.room()) {
+			continue
+		}
+		if st.Requires != "" && !w.Has(st.Requires) || rack != "" && w.Rack() != rack {
+			continue
+		}
+		if st.MaxPerWorker > 0 && st.counts[w] >= st.MaxPerWorker {
+			continue
+		}
+		if t.avoid != "" && w.Machine == t.avoid && len(s.workers) > 1 {
+			continue
+		}
+		if st.Fills && w.spare(now) < fillFloor(st) {
+			continue
+		}
+		if q.Advised {
+			switch st.advice.answer(now, w) {
+			case adviceUnknown:
+				unasked = append(unasked, w.ID)
+				continue
+			case adviceNo:
+				continue
+			case adviceYes:
+			}
+		}
+		if v := s.score(now, st, w); v > bestScore || v == bestScore && w.ID < best.ID {
+			best, bestScore = w, v
+		}
+	}
+	if len(unasked) > 0 {
+		st.advice.ask(now, st, unasked, o)
+	}
+	return best
+}
+
+// fillFloor is the least processor time that makes a filling task worth its start.
+func fillFloor(st *step) int { return st.Need.MilliCPU / 2 }
+
+// score is higher for a better worker.
+func (s *Scheduler) score(now time.Time, st *step, w *worker) float64 {
+	v := 0.0
+	switch {
+	case st.Fills:
+		v = float64(w.spare(now)-st.Need.MilliCPU) / 1000
+		if w.squeezed {
+			v -= squeezedCost
+		}
+	case st.Lasting:
+		v = float64(w.room().MilliCPU) / 1000
+	default:
+		v = float64(w.room().MilliCPU)/1000 + float64(min(w.spare(now), 0))/1000
+	}
+	if st.DataRack != "" && w.Rack() != st.DataRack {
+		v -= farCost
+	}
+	return v
+}
+
+// The costs of a worker that isn't ideal, in cores of spare room.
+const (
+	// squeezedCost is above what one filling task takes.
+	squeezedCost = 4
+	// farCost is above the room of a worker, as work away from its data takes half as long again.
+	farCost = 1000
+)
--- /dev/null
+++ b/pkg/decide/schedule/report.go
@@ -0,0 +1,262 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// Join takes in all that a worker knows under a new fence: no order of before
+// can be carried out there any more. It returns the runs that go on.
+func (s *Scheduler) Join(now time.Time, host string, b batch.Worker, running []batch.Run, ended []batch.End) []batch.Task {
+	w := s.workers[b.Key()]
+	if w == nil {
+		w = &worker{tasks: map[batch.Task]*task{}}
+		s.workers[b.Key()] = w
+	}
+	w.Worker, w.host, w.silent = b, host, false
+	for _, e := range ended {
+		s.end(now, w, e)
+	}
+	there := map[batch.Task]bool{}
+	var kept []batch.Task
+	for _, r := range running {
+		t := s.task(r.Task)
+		switch {
+		case t != nil && t.worker == w && t.run == r.Number:
+			t.there = true
+		case t != nil && t.worker == nil && !t.done && !t.step.job.state.Final():
+			t.assign(w, r.Number, now)
+			t.there = true
+			t.step.run = max(t.step.run, r.Number)
+		default:
+			s.stops = append(s.stops, Stop{Key: w.Key(), Host: host, Task: r.Task, Number: r.Number, Why: "not assigned"})
+			continue
+		}
+		there[r.Task] = true
+		kept = append(kept, r.Task)
+		t.see(now, r)
+	}
+	for id, t := range w.tasks {
+		if !there[id] {
+			// Neither running nor ended: the start was never carried out.
+			t.release()
+		} else if t.stopping {
+			s.stop(t, "again")
+		}
+	}
+	return kept
+}
+
+func (s *Scheduler) task(id batch.Task) *task {
+	j := s.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.find(id)
+}
+
+// see takes in a row of a worker's list.
+func (t *task) see(now time.Time, r batch.Run) {
+	if r.Percent != t.percent {
+		t.percent, t.moved = r.Percent, now
+	}
+	if r.Saved != "" {
+		t.saved = r.Saved
+		if t.step.Gang {
+			t.step.saved = r.Saved
+		}
+	}
+}
+
+// Update takes in what a worker says of itself.
+func (s *Scheduler) Update(b batch.Worker) {
+	if w := s.workers[b.Key()]; w != nil {
+		w.Worker = b
+	}
+}
+
+// Silent says that a host isn't heard; its runs stay where they are.
+func (s *Scheduler) Silent(host string) {
+	for _, w := range s.workers {
+		if w.host == host {
+			w.silent = true
+		}
+	}
+}
+
+// Gone says that nothing runs on a life of a worker any more.
+func (s *Scheduler) Gone(k batch.WorkerKey) int {
+	w := s.workers[k]
+	if w == nil {
+		return 0
+	}
+	delete(s.workers, k)
+	n := len(w.tasks)
+	for _, t := range w.tasks {
+		t.release()
+	}
+	return n
+}
+
+// Lapse says that all leases of a host have run out.
+func (s *Scheduler) Lapse(host string) []batch.WorkerKey {
+	var keys []batch.WorkerKey
+	for k, w := range s.workers {
+		if w.host == host {
+			keys = append(keys, k)
+		}
+	}
+	for _, k := range keys {
+		s.Gone(k)
+	}
+	return keys
+}
+
+// Ended takes in the ends that a worker lists.
+func (s *Scheduler) Ended(now time.Time, k batch.WorkerKey, ends []batch.End) {
+	w := s.workers[k]
+	if w == nil {
+		return
+	}
+	for _, e := range ends {
+		s.end(now, w, e)
+	}
+}
+
+func (s *Scheduler) end(now time.Time, w *worker, e batch.End) {
+	t := s.task(e.Task)
+	if t == nil {
+		return
+	}
+	j := t.step.job
+	mine := t.worker == w && t.run == e.Number
+	// An earlier scheduler may have started it: what nobody runs now may have ended there.
+	if !mine && (t.worker != nil || t.done || e.Number < t.run) {
+		return
+	}
+	if !mine && e.Number == t.run && e.How == batch.Failed && t.failed > 0 {
+		// It was counted before its end was noted.
+		return
+	}
+	t.run = max(t.run, e.Number)
+	t.step.run = max(t.step.run, e.Number)
+	if e.Saved != "" {
+		t.saved = e.Saved
+		if t.step.Gang {
+			t.step.saved = e.Saved
+		}
+	}
+	if mine {
+		t.release()
+	}
+	s.dirty[j.ID] = true
+	switch e.How {
+	case batch.Done:
+		w.health.done()
+		s.done(now, t)
+	case batch.Failed:
+		t.avoid = w.Machine
+		w.health.fail(now, j.ID)
+		s.fail(now, t)
+	case batch.Alone, batch.Broken:
+		t.again = now
+	case batch.Stopped, batch.Lapsed:
+	}
+}
+
+func (s *Scheduler) done(now time.Time, t *task) {
+	j := t.step.job
+	if t.step.Lasting {
+		return
+	}
+	t.complete()
+	if t.step.Gang {
+		// One end stands for all members.
+		for _, o := range t.step.tasks {
+			o.complete()
+		}
+	}
+	if j.left == 0 && !j.state.Final() {
+		j.finish(now, batch.Completed)
+	}
+}
+
+func (s *Scheduler) fail(now time.Time, t *task) {
+	j := t.step.job
+	t.failed++
+	if t.step.Gang {
+		t.step.failed++
+		t.failed = t.step.failed
+	}
+	if t.step.Lasting || j.state.Final() {
+		return
+	}
+	if t.failed >= s.terms(j).MaxAttempts {
+		j.finish(now, batch.JobFailed)
+		s.stopAll(j, "job failed")
+	}
+}
+
+// Started takes in what became of a start. A refused run isn't there and won't be.
+func (s *Scheduler) Started(now time.Time, k batch.WorkerKey, id batch.Task, run int, refused, unhealthy, old bool) {
+	t := s.task(id)
+	if t == nil || t.worker == nil || t.worker.Key() != k || t.run != run {
+		return
+	}
+	if !refused {
+		t.there = true
+		t.started, t.moved = now, now
+		return
+	}
+	if old {
+		t.run += unheardStarts
+		t.step.run = max(t.step.run, t.run)
+	}
+	if unhealthy {
+		t.worker.health.fail(now, id.Job)
+		t.avoid = t.worker.Machine
+	}
+	t.release()
+	t.again = now.Add(refusedPause)
+}
+
+// refusedPause is how long a task waits after a worker refused it; a look at the worker takes as long.
+const refusedPause = 250 * time.Millisecond
+
+// Progressed takes in how the runs of a worker get on.
+func (s *Scheduler) Progressed(now time.Time, k batch.WorkerKey, runs []batch.Run, squeezed bool) {
+	w := s.workers[k]
+	if w == nil {
+		return
+	}
+	w.squeezed = squeezed
+	used, wanted := 0, 0
+	for _, r := range runs {
+		t := w.tasks[r.Task]
+		if t == nil || t.run != r.Number {
+			continue
+		}
+		t.see(now, r)
+		if t.step.Fills && now.Sub(t.started) > loadAge {
+			used += r.Load
+			wanted += t.step.Need.MilliCPU
+		}
+	}
+	// Only filling tasks that want more than they get show what is left.
+	if wanted > 0 && used < wanted*9/10 {
+		w.leftover = leftover{seen: max(used, 1), at: now}
+	}
+}
+
+// loadAge is how long a run has to be there until its load covers half a second of work.
+const loadAge = time.Second
+
+// Host returns the host of a worker.
+func (s *Scheduler) Host(k batch.WorkerKey) (string, bool) {
+	w := s.workers[k]
+	if w == nil {
+		return "", false
+	}
+	return w.host, true
+}
--- /dev/null
+++ b/pkg/decide/schedule/schedule.go
@@ -0,0 +1,284 @@
+// Package schedule decides which task runs on which worker and when. It
+// answers a load in which short urgent jobs, wide jobs that take what is left
+// and tasks that last share the same hosts, and in which workers come, go,
+// fail and stand still while more work arrives than they can do.
+//
+// A Scheduler has no I/O and no clock: what happened and the time go in, the
+// orders come out of Schedule.
+package schedule
+
+import (
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// Settings are the bounds that the deployment sets.
+type Settings struct {
+	// CrossRack is the factor by which work away from its data is slower.
+	CrossRack float64
+	// GangWait is how long a member of a gang waits for the others.
+	GangWait time.Duration
+	// Stop is how long a worker takes to stop a run.
+	Stop time.Duration
+	// Notice is how long a lasting task has to be back before it counts as there.
+	Notice time.Duration
+}
+
+// A Start is an order to start a run.
+type Start struct {
+	Key    batch.WorkerKey
+	Host   string
+	Task   batch.Task
+	Number int
+	Saved  string
+	Ticket string
+	Step   *batch.Step
+	Spec   string
+	// Why is for the log: what the choice was made by.
+	Why Reason
+}
+
+// A Reason says what a placement was decided by.
+type Reason struct {
+	Tier  int
+	Slack time.Duration
+	// Room is what the worker had left before the start.
+	Room batch.Resources
+	// Leftover is the processor time for filling work that was left, in thousandths of a core.
+	Leftover int
+}
+
+// A Stop is an order to stop a run.
+type Stop struct {
+	Key    batch.WorkerKey
+	Host   string
+	Task   batch.Task
+	Number int
+	Why    string
+}
+
+// A Want asks the policy service about a step.
+type Want struct {
+	Job        batch.JobID
+	Occurrence int
+	Step       int
+	Workers    []string
+}
+
+// Orders is what Schedule decided.
+type Orders struct {
+	Starts []Start
+	Stops  []Stop
+	Wants  []Want
+}
+
+// A Scheduler holds all jobs and workers. It's used by one goroutine.
+type Scheduler struct {
+	Settings Settings
+
+	jobs    map[batch.JobID]*job
+	workers map[batch.WorkerKey]*worker
+	queues  map[string]batch.Queue
+	guards  map[string]bool
+	// settled is set once each host that may run earlier work has been heard or waited out.
+	settled bool
+	stops   []Stop
+	dirty   map[batch.JobID]bool
+	// work is the mean work of a queue's jobs.
+	work map[string]*mean
+}
+
+// New returns an empty scheduler.
+func New(s Settings) *Scheduler {
+	return &Scheduler{
+		Settings: s,
+		jobs:     map[batch.JobID]*job{},
+		workers:  map[batch.WorkerKey]*worker{},
+		queues:   map[string]batch.Queue{},
+		guards:   map[string]bool{},
+		dirty:    map[batch.JobID]bool{},
+		work:     map[string]*mean{},
+	}
+}
+
+// mean is a running mean.
+type mean struct {
+	sum float64
+	n   int
+}
+
+func (m *mean) add(v float64) { m.sum += v; m.n++ }
+
+func (m *mean) value() float64 {
+	if m == nil || m.n == 0 {
+		return 1
+	}
+	return m.sum / float64(m.n)
+}
+
+// Configure takes the configuration in force.
+func (s *Scheduler) Configure(c *batch.Config) {
+	s.queues = c.Queues()
+	s.guards = map[string]bool{}
+	for _, v := range c.Services {
+		s.guards[v.Name] = v.Guards
+	}
+}
+
+// terms returns the queue of j as configured now, or as it was when the queue is gone.
+func (s *Scheduler) terms(j *job) batch.Queue {
+	if q, ok := s.queues[j.Queue]; ok {
+		return q
+	}
+	return j.Terms
+}
+
+// Add takes a job in, with what is stored of its progress, if anything. The
+// tasks of an earlier job may run on hosts that weren't heard yet.
+func (s *Scheduler) Add(now time.Time, b *batch.Job, p *Progress, earlier bool) {
+	if s.jobs[b.ID] != nil {
+		return
+	}
+	j := newJob(b)
+	j.arrived = now
+	j.earlier = earlier && !s.settled
+	if p != nil {
+		j.load(p)
+	}
+	s.jobs[b.ID] = j
+	m := s.work[b.Queue]
+	if m == nil {
+		m = &mean{}
+		s.work[b.Queue] = m
+	}
+	m.add(j.totalWork())
+}
+
+// Knows reports whether the job was added.
+func (s *Scheduler) Knows(id batch.JobID) bool { return s.jobs[id] != nil }
+
+// Cancel ends a job; its runs are stopped by the next Schedule.
+func (s *Scheduler) Cancel(now time.Time, id batch.JobID) {
+	j := s.jobs[id]
+	if j == nil || j.state.Final() {
+		return
+	}
+	j.finish(now, batch.Cancelled)
+	j.stored = true
+	s.dirty[id] = true
+	s.stopAll(j, "cancelled")
+}
+
+func (s *Scheduler) stopAll(j *job, why string) {
+	j.each(func(t *task) {
+		if t.worker != nil && !t.stopping {
+			s.stop(t, why)
+		}
+	})
+}
+
+func (s *Scheduler) stop(t *task, why string) {
+	t.stopping = true
+	s.stops = append(s.stops, Stop{Key: t.worker.Key(), Host: t.worker.host, Task: t.id, Number: t.run, Why: why})
+}
+
+// Settle says that no host may run earlier work unheard.
+func (s *Scheduler) Settle() {
+	s.settled = true
+	for _, j := range s.jobs {
+		if !j.earlier {
+			continue
+		}
+		j.earlier = false
+		j.each(func(t *task) {
+			// A start that nobody noted may have used the next numbers.
+			if t.worker == nil && !t.done {
+				t.run += unheardStarts
+			}
+		})
+	}
+}
+
+// unheardStarts is how many starts of one task an earlier scheduler may have
+// made since its last record: one each round trip in the time of a flush.
+const unheardStarts = 16
+
+// Settled reports whether Settle was called.
+func (s *Scheduler) Settled() bool { return s.settled }
+
+// State returns what callers are told of a job.
+func (s *Scheduler) State(id batch.JobID) (batch.JobState, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if j.state.Final() && j.stored {
+		return j.state, true
+	}
+	if j.begun {
+		return batch.Running, true
+	}
+	return batch.Queued, true
+}
+
+// Pending returns how many jobs of a queue wait for their first start.
+func (s *Scheduler) Pending(queue string) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.Queue == queue && !j.begun && !j.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// Dirty returns the jobs whose progress has to be stored, and forgets them.
+func (s *Scheduler) Dirty() []batch.JobID {
+	ids := make([]batch.JobID, 0, len(s.dirty))
+	for id := range s.dirty {
+		ids = append(ids, id)
+	}
+	clear(s.dirty)
+	return ids
+}
+
+// Progress returns what is to be stored of a job.
+func (s *Scheduler) Progress(id batch.JobID) (*Progress, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return nil, false
+	}
+	return j.progress(), true
+}
+
+// Stored says that the progress of a job up to version is stored.
+func (s *Scheduler) Stored(id batch.JobID, p *Progress) {
+	if j := s.jobs[id]; j != nil && p.State.Final() && p.State == j.state {
+		j.stored = true
+	}
+}
+
+// Redo marks a job whose progress couldn't be stored.
+func (s *Scheduler) Redo(id batch.JobID) { s.dirty[id] = true }
+
+// Expired removes the jobs that ended before the time and returns them.
+func (s *Scheduler) Expired(before time.Time) []batch.JobID {
+	var ids []batch.JobID
+	for id, j := range s.jobs {
+		if j.state.Final() && j.stored && j.ended.Before(before) {
+			ids = append(ids, id)
+			delete(s.jobs, id)
+		}
+	}
+	return ids
+}
+
+// Job returns the description of a job.
+func (s *Scheduler) Job(id batch.JobID) (*batch.Job, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return nil, false
+	}
+	return j.Job, true
+}
--- /dev/null
+++ b/pkg/decide/schedule/worker.go
@@ -0,0 +1,130 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// worker is a worker with what runs on it.
+type worker struct {
+	batch.Worker
+	host string
+	// silent workers take no orders; what they run stays theirs.
+	silent bool
+	tasks  map[batch.Task]*task
+	used   batch.Resources
+	// serving is the processor time reserved by tasks that last, in thousandths of a core.
+	serving int
+	// filling is the processor time asked for by tasks that fill.
+	filling int
+	// squeezed workers have serving tasks near their target.
+	squeezed bool
+	health   health
+	leftover leftover
+}
+
+// health is what a worker's outcomes tell.
+type health struct {
+	// failures counts the failed runs since the last one done.
+	failures int
+	job      batch.JobID
+	jobs     int
+	// until is when the worker may be tried again.
+	until time.Time
+	round int
+}
+
+// The bounds of setting a worker aside.
+const (
+	// failuresToSuspect is how many failed runs without one done set a worker aside, if they are of two jobs.
+	failuresToSuspect = 3
+	// suspectTime is how long the first time; it doubles up to suspectLimit.
+	suspectTime  = 2 * time.Second
+	suspectLimit = 8 * time.Second
+)
+
+func (h *health) fail(now time.Time, id batch.JobID) {
+	h.failures++
+	if h.job != id {
+		h.job = id
+		h.jobs++
+	}
+	if h.failures >= failuresToSuspect && h.jobs >= 2 && !now.Before(h.until) {
+		h.until = now.Add(min(suspectTime<<h.round, suspectLimit))
+		h.round = min(h.round+1, 4)
+	}
+}
+
+func (h *health) done() { *h = health{} }
+
+// aside reports whether the worker takes no new work now.
+func (h *health) aside(now time.Time) bool { return now.Before(h.until) }
+
+// probing reports whether the worker takes one run at a time.
+func (h *health) probing() bool { return h.round > 0 }
+
+// leftover learns how much processor time the filling tasks of a worker get.
+type leftover struct {
+	// seen is what they used while they wanted more, in thousandths of a core.
+	seen int
+	at   time.Time
+}
+
+// servingShare is the share of their reservation that serving tasks are
+// expected to use where nothing was measured; their load swings about half.
+const servingShare = 0.6
+
+// leftoverAge is how long a measured leftover is believed; loads swing in 14 s or more.
+const leftoverAge = 3 * time.Second
+
+// spare returns the processor time that filling tasks may be promised.
+func (w *worker) spare(now time.Time) int {
+	other := w.used.MilliCPU - w.serving
+	free := w.Room.MilliCPU - other - int(servingShare*float64(w.serving))
+	if w.leftover.seen > 0 && now.Sub(w.leftover.at) < leftoverAge {
+		free = w.leftover.seen
+	}
+	return free - w.filling
+}
+
+func (w *worker) room() batch.Resources { return w.Room.Minus(w.used) }
+
+// need is what t takes of the worker's room.
+func need(s *batch.Step) batch.Resources {
+	n := s.Need
+	if s.Fills {
+		n.MilliCPU = 0
+	}
+	return n
+}
+
+func (w *worker) take(t *task) {
+	w.tasks[t.id] = t
+	w.used = w.used.Plus(need(t.step.Step))
+	switch {
+	case t.step.Fills:
+		w.filling += t.step.Need.MilliCPU
+	case t.step.Lasting:
+		w.serving += t.step.Need.MilliCPU
+	}
+}
+
+func (w *worker) free(t *task) {
+	delete(w.tasks, t.id)
+	w.used = w.used.Minus(need(t.step.Step))
+	switch {
+	case t.step.Fills:
+		w.filling -= t.step.Need.MilliCPU
+	case t.step.Lasting:
+		w.serving -= t.step.Need.MilliCPU
+	}
+}
+
+// takes reports whether the worker takes new work at all.
+func (w *worker) takes(now time.Time) bool {
+	if w.silent || w.Draining || w.health.aside(now) {
+		return false
+	}
+	return !w.health.probing() || len(w.tasks) == 0
+}
