Place filling work by what disturbs what; count each failed run once

Cause: filling tasks were spread over all hosts and throttled together; in one run 663b took the tail of ed93 from 14 to 700 ms and left 40e2 alone.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -102,6 +102,7 @@
 	writing bool
 	loaded  bool
 	swept   time.Time
+	taught  time.Time
 	told    time.Time
 	ctx     context.Context
 	stopped sync.WaitGroup
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -18,6 +18,25 @@
 // announceEvery is how often a node without a session is told where the scheduler is.
 const announceEvery = 300 * time.Millisecond
 
+// teachEvery is how often the hosts are told what was learned of images; a pair is known after some seconds.
+const teachEvery = 2 * time.Second
+
+// taughtPairs bounds what they are told; the sheets have 45 pairs, 180 when grown.
+const taughtPairs = 256
+
+// teach tells the hosts which images disturb which.
+func (d *Dispatcher) teach(now time.Time) {
+	e := d.plan.Pressures(now, taughtPairs)
+	if len(e) == 0 {
+		return
+	}
+	for _, s := range d.sessions {
+		if s.hello.Host && s.fence != 0 {
+			s.conn.Send(link.Message{Pressure: &link.Pressure{Entries: e}})
+		}
+	}
+}
+
 func (d *Dispatcher) tick(now time.Time) {
 	for _, s := range d.sessions {
 		if now.Sub(s.heard) > sessionTimeout {
@@ -39,6 +58,10 @@
 			}
 		}
 	}
+	if now.Sub(d.taught) > teachEvery {
+		d.taught = now
+		d.teach(now)
+	}
 	if now.Sub(d.swept) > collectEvery {
 		d.swept = now
 		d.collect(now)
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/decide/pacing"
 )
 
@@ -26,12 +27,14 @@
 	holdWait = 500 * time.Millisecond
 	// ackWait is the wait of a look while the scheduler hasn't taken the snapshot in.
 	ackWait = 100 * time.Millisecond
+	// lookPause is the pause between looks that would be answered at once.
+	lookPause = 50 * time.Millisecond
 	// holdSlack is how much later than asked for a look may return.
 	holdSlack = 500 * time.Millisecond
 	// lapseSlack covers the worker's clock, which may be 2% slow over a grant.
 	lapseSlack = 150 * time.Millisecond
-	// tellEvery is how often the scheduler is told how runs get on.
-	tellEvery = time.Second
+	// tellEvery is how often the scheduler is told how runs get on: each window of the load figures.
+	tellEvery = 500 * time.Millisecond
 	// goneKept is how many lives that are over are remembered, as late heartbeats of them may come.
 	goneKept = 64
 	// fenceRoom is how often a host may raise a session's fence by itself.
@@ -61,7 +64,9 @@
 	fence int64
 	// granted is when the session's lease ends, by Steady.
 	granted time.Duration
-	ended   sync.WaitGroup
+	// model is what the scheduler learned of images.
+	model interfere.Model
+	ended sync.WaitGroup
 }
 
 // held is a worker of this host.
@@ -85,7 +90,9 @@
 	clockAt time.Duration
 	sampled bool
 	// until is the latest end of a lease that was asked for, by Steady.
-	until    time.Duration
+	until time.Duration
+	// before is what until was before the last order that asked for a lease.
+	before   time.Duration
 	lapsed   bool
 	failing  bool
 	reported int64
@@ -258,9 +265,12 @@
 				h.facts[f.Task] = f
 			}
 		}
+	case m.Pressure != nil:
+		a.model.Merge(time.Now(), m.Pressure.Entries)
 	case m.Noted != nil:
 		if h := a.workers[m.Noted.Key]; h != nil {
 			h.noted = max(h.noted, m.Noted.Upto)
+			h.wake()
 		}
 	case m.Start != nil:
 		a.start(m.Start)
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -10,6 +10,7 @@
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/pacing"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
 // run looks at the worker again and again while there is a session.
@@ -19,7 +20,7 @@
 			select {
 			case <-h.ctx.Done():
 			case <-h.changed:
-			case <-time.After(ackWait):
+			case <-time.After(lookPause):
 			}
 		}
 	}
@@ -41,11 +42,13 @@
 		o.Wait = ackWait
 	default:
 		o.Wait = holdWait
-		if until, ok := h.lease(); ok {
+		// A worker that doesn't answer gets no longer lease, so that its end is known.
+		if until, ok := h.lease(); ok && !h.failing {
 			o.Until = until
 		}
 	}
 	// The clock is all that a look without a lease is needed for.
+	before := h.before
 	c, cancel := context.WithTimeout(h.ctx, o.Wait+holdSlack)
 	h.look = cancel
 	a.mu.Unlock()
@@ -57,6 +60,9 @@
 		return true
 	}
 	if err != nil {
+		if errors.Is(err, ErrNotSent) && o.Until != 0 {
+			h.until = before
+		}
 		h.missed(err)
 		return false
 	}
@@ -85,7 +91,8 @@
 	}
 	h.tell(lists)
 	h.pace(lists.Running)
-	return true
+	// A worker answers at once while it lists ends that it may not forget yet.
+	return len(lists.Ended) == 0
 }
 
 // missed takes in that a look failed.
@@ -149,11 +156,17 @@
 		row := pacing.Row{Task: r.Task, Number: r.Number, Target: f.Target, Fills: f.Fills, Image: f.Image}
 		if f.Target > 0 {
 			row.Tail = time.Duration(r.Load) * time.Millisecond
+		} else {
+			row.MilliCPU = r.Load
 		}
 		rows = append(rows, row)
 	}
 	fence := h.fence
-	for _, c := range h.pacing.Step(time.Now(), rows, nil) {
+	now := time.Now()
+	h.pacing.Pressure = func(victim, disturber string) (float64, float64) {
+		return h.agent.model.Weight(now, fleet.Kind(victim), fleet.Kind(disturber))
+	}
+	for _, c := range h.pacing.Step(now, rows, nil) {
 		h.agent.Log.Event(eventlog.RunPaced).Str("job", string(c.Task.Job)).Str("task", c.Task.String()).Int("run", c.Number).
 			Int("percent", c.Percent).Float64("worstShare", c.Worst).Msg("")
 		h.agent.ended.Go(func() {
--- a/internal/hostagent/order.go
+++ b/internal/hostagent/order.go
@@ -16,10 +16,11 @@
 func (h *held) lease() (time.Duration, bool) {
 	a := h.agent
 	now := a.Steady()
-	if !h.sampled || !h.acked || now >= a.granted {
+	if !h.sampled || !h.acked || h.failing || now >= a.granted {
 		return 0, false
 	}
 	end := min(a.granted, now+a.MaxLease)
+	h.before = h.until
 	h.until = max(h.until, end)
 	return h.clock + (end - h.clockAt), true
 }
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 )
 
 // A Message is what two nodes tell each other; one field is set.
@@ -27,6 +28,7 @@
 	Room     *Room     `cbor:"17,keyasint,omitempty"`
 	Advice   *Advice   `cbor:"18,keyasint,omitempty"`
 	Advised  *Advised  `cbor:"19,keyasint,omitempty"`
+	Pressure *Pressure `cbor:"20,keyasint,omitempty"`
 }
 
 // Hello opens a session with the scheduler.
@@ -205,3 +207,8 @@
 	Valid      time.Duration     `cbor:"6,keyasint"`
 	Failed     bool              `cbor:"7,keyasint"`
 }
+
+// Pressure tells the hosts which images disturb which.
+type Pressure struct {
+	Entries []interfere.Entry `cbor:"1,keyasint"`
+}
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -47,10 +47,10 @@
 	// counts is how many tasks a worker has, where MaxPerWorker bounds it.
 	counts map[*worker]int
 	// run is the number of the newest run of a gang.
-	run    int
-	failed int
-	saved  string
-	advice advice
+	run      int
+	failures []int
+	saved    string
+	advice   advice
 }
 
 // task is one task of an occurrence.
@@ -59,9 +59,10 @@
 	step     *step
 	done     bool
 	run      int
-	failed   int
+	failures []int
 	saved    string
 	worker   *worker
+	tail     tail
 	started  time.Time
 	there    bool
 	stopping bool
@@ -214,13 +215,14 @@
 
 // A TaskProgress is what the store holds of a task that has run.
 type TaskProgress struct {
-	Occurrence int    `json:"k,omitempty"`
-	Step       int    `json:"step,omitempty"`
-	Index      int    `json:"index,omitempty"`
-	Done       bool   `json:"done,omitempty"`
-	Run        int    `json:"run,omitempty"`
-	Failed     int    `json:"failed,omitempty"`
-	Saved      string `json:"saved,omitempty"`
+	Occurrence int  `json:"k,omitempty"`
+	Step       int  `json:"step,omitempty"`
+	Index      int  `json:"index,omitempty"`
+	Done       bool `json:"done,omitempty"`
+	Run        int  `json:"run,omitempty"`
+	// Failures are the numbers of the runs that failed.
+	Failures []int  `json:"failures,omitempty"`
+	Saved    string `json:"saved,omitempty"`
 }
 
 func (j *job) progress() *Progress {
@@ -239,7 +241,7 @@
 		}
 		p.Tasks = append(p.Tasks, TaskProgress{
 			Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index,
-			Done: t.done, Run: t.run, Failed: t.failed, Saved: t.saved,
+			Done: t.done, Run: t.run, Failures: t.failures, Saved: t.saved,
 		})
 	})
 	return p
@@ -256,10 +258,12 @@
 		if t == nil {
 			continue
 		}
-		t.run, t.failed, t.saved = x.Run, x.Failed, x.Saved
+		t.run, t.failures, t.saved = x.Run, x.Failures, x.Saved
 		t.step.run = max(t.step.run, x.Run)
 		if t.step.Gang {
-			t.step.failed = max(t.step.failed, x.Failed)
+			for _, r := range x.Failures {
+				t.step.failures = insert(t.step.failures, r)
+			}
 			if x.Saved != "" {
 				t.step.saved = x.Saved
 			}
@@ -269,3 +273,21 @@
 		}
 	}
 }
+
+// insert adds a run to those that failed, once.
+func insert(runs []int, run int) []int {
+	for _, r := range runs {
+		if r == run {
+			return runs
+		}
+	}
+	return append(runs, run)
+}
+
+// attempts returns how many runs of the task, or of its gang, have failed.
+func (t *task) attempts() int {
+	if t.step.Gang {
+		return len(t.step.failures)
+	}
+	return len(t.failures)
+}
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -241,8 +241,13 @@
 		if t.avoid != "" && w.Machine == t.avoid && len(s.workers) > 1 {
 			continue
 		}
-		if st.Fills && w.spare(now) < fillFloor(st) {
-			continue
+		if st.Fills {
+			if w.spare(now) < fillFloor(st) {
+				continue
+			}
+			if worst, _ := s.strain(now, w, st); worst > tailRoom {
+				continue
+			}
 		}
 		if q.Advised {
 			switch st.advice.answer(now, w) {
@@ -272,12 +277,18 @@
 	v := 0.0
 	switch {
 	case st.Fills:
-		v = float64(w.spare(now)-st.Need.MilliCPU) / 1000
-		if w.squeezed {
-			v -= squeezedCost
-		}
+		_, added := s.strain(now, w, st)
+		v = min(float64(w.spare(now))/float64(max(st.Need.MilliCPU, 1)), speedEnough) - strainCost*added
 	case st.Lasting:
-		v = float64(w.room().MilliCPU) / 1000
+		// Like tasks together, on as few workers as they fit: filling work
+		// then finds workers where it disturbs few, or nobody.
+		v = -float64(w.room().MilliCPU) / 1000
+		for _, t := range w.tasks {
+			if t.step.Lasting && t.step.Image == st.Image {
+				v += alikeGain
+				break
+			}
+		}
 	default:
 		v = float64(w.room().MilliCPU)/1000 + float64(min(w.spare(now), 0))/1000
 	}
@@ -287,10 +298,14 @@
 	return v
 }
 
-// The costs of a worker that isn't ideal, in cores of spare room.
+// The weights of a worker's merits.
 const (
-	// squeezedCost is above what one filling task takes.
-	squeezedCost = 4
-	// farCost is above the room of a worker, as work away from its data takes half as long again.
+	// speedEnough is the spare processor time, in needs of the task, above which more is of no use.
+	speedEnough = 2
+	// strainCost weighs the growth of tails, in shares of their targets, against the task's speed.
+	strainCost = 6
+	// alikeGain is above the room of any worker, in cores, so that alike tasks come together first.
+	alikeGain = 1000
+	// farCost is as high: work away from its data takes half as long again.
 	farCost = 1000
 )
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -131,12 +131,12 @@
 	}
 	j := t.step.job
 	mine := t.worker == w && t.run == e.Number
-	// An earlier scheduler may have started it: what nobody runs now may have ended there.
-	if !mine && (t.worker != nil || t.done || e.Number < t.run) {
-		return
+	if e.How == batch.Failed {
+		// Each failed run counts, whoever started it.
+		s.failed(now, w, t, e.Number)
 	}
-	if !mine && e.Number == t.run && e.How == batch.Failed && t.failed > 0 {
-		// It was counted before its end was noted.
+	// An earlier scheduler may have started it: what nobody runs now may have ended there.
+	if !mine && (t.worker != nil || t.done || e.Number < t.run && e.How != batch.Done) {
 		return
 	}
 	t.run = max(t.run, e.Number)
@@ -155,13 +155,7 @@
 	case batch.Done:
 		w.health.done()
 		s.done(now, t)
-	case batch.Failed:
-		t.avoid = w.Machine
-		w.health.fail(now, j.ID)
-		s.fail(now, t)
-	case batch.Alone, batch.Broken:
-		t.again = now
-	case batch.Stopped, batch.Lapsed:
+	case batch.Failed, batch.Alone, batch.Broken, batch.Stopped, batch.Lapsed:
 	}
 }
 
@@ -182,17 +176,24 @@
 	}
 }
 
-func (s *Scheduler) fail(now time.Time, t *task) {
+// failed counts a failed run of t, and ends the job where it was the last attempt.
+func (s *Scheduler) failed(now time.Time, w *worker, t *task, run int) {
 	j := t.step.job
-	t.failed++
+	before := t.attempts()
+	t.failures = insert(t.failures, run)
 	if t.step.Gang {
-		t.step.failed++
-		t.failed = t.step.failed
+		t.step.failures = insert(t.step.failures, run)
 	}
+	if t.attempts() == before {
+		return
+	}
+	t.avoid = w.Machine
+	w.health.fail(now, j.ID)
+	s.dirty[j.ID] = true
 	if t.step.Lasting || j.state.Final() {
 		return
 	}
-	if t.failed >= s.terms(j).MaxAttempts {
+	if t.attempts() >= s.terms(j).MaxAttempts {
 		j.finish(now, batch.JobFailed)
 		s.stopAll(j, "job failed")
 	}
@@ -238,11 +239,15 @@
 			continue
 		}
 		t.see(now, r)
+		if t.step.TailTarget > 0 && r.Load > 0 {
+			t.tail = tail{time.Duration(r.Load) * time.Millisecond, now}
+		}
 		if t.step.Fills && now.Sub(t.started) > loadAge {
 			used += r.Load
 			wanted += t.step.Need.MilliCPU
 		}
 	}
+	s.learn(now, w, runs)
 	// Only filling tasks that want more than they get show what is left.
 	if wanted > 0 && used < wanted*9/10 {
 		w.leftover = leftover{seen: max(used, 1), at: now}
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 )
 
 // Settings are the bounds that the deployment sets.
@@ -87,6 +88,8 @@
 	dirty   map[batch.JobID]bool
 	// work is the mean work of a queue's jobs.
 	work map[string]*mean
+	// model knows which images disturb which.
+	model interfere.Model
 }
 
 // New returns an empty scheduler.
