Learn who disturbs whom as room taken from a queue; move what is held back

Cause: the log-linear learner took 20 s and more, and learned 0.3 for pairs whose real weight is 1.4 and more: hosts throttle when tails are high, so low shares came with high tails.

--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -19,20 +19,20 @@
 const announceEvery = 300 * time.Millisecond
 
 // teachEvery is how often the hosts are told what was learned of images; a pair is known after some seconds.
-const teachEvery = 2 * time.Second
+const teachEvery = time.Second
 
 // taughtPairs bounds what they are told; the sheets have 45 pairs, 180 when grown.
 const taughtPairs = 256
 
 // teach tells the hosts which images disturb which.
 func (d *Dispatcher) teach(now time.Time) {
-	e := d.plan.Pressures(now, taughtPairs)
+	e, idle := d.plan.Pressures(now, taughtPairs)
 	if len(e) == 0 {
 		return
 	}
 	for _, s := range d.sessions {
 		if s.hello.Host && s.fence != 0 {
-			s.conn.Send(link.Message{Pressure: &link.Pressure{Entries: e}})
+			s.conn.Send(link.Message{Pressure: &link.Pressure{Entries: e, Idle: idle}})
 		}
 	}
 }
@@ -96,7 +96,7 @@
 	}
 	for _, x := range o.Starts {
 		d.Log.Event(eventlog.RunOrdered).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Int("run", x.Number).
-			Str("worker", x.Key.ID).Int("tier", x.Why.Tier).Dur("slack", x.Why.Slack).Int("roomMilliCpu", x.Why.Room.MilliCPU).
+			Str("worker", x.Key.ID).Str("image", x.Step.Image).Int("tier", x.Why.Tier).Dur("slack", x.Why.Slack).Int("roomMilliCpu", x.Why.Room.MilliCPU).
 			Int("roomMb", x.Why.Room.MemoryMB).Int("leftoverMilliCpu", x.Why.Leftover).Msg("")
 		d.send(x.Host, link.Message{Start: &link.Start{
 			Key: x.Key, Task: x.Task, Number: x.Number, Spec: x.Spec, Saved: x.Saved, Ticket: x.Ticket, Fact: fact(x.Task, x.Step),
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -14,6 +14,7 @@
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/decide/pacing"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
 const (
@@ -64,9 +65,10 @@
 	fence int64
 	// granted is when the session's lease ends, by Steady.
 	granted time.Duration
-	// model is what the scheduler learned of images.
-	model interfere.Model
-	ended sync.WaitGroup
+	// pressure is what the scheduler learned of images.
+	pressure map[interfere.Pair]float64
+	idle     map[fleet.Kind]time.Duration
+	ended    sync.WaitGroup
 }
 
 // held is a worker of this host.
@@ -266,7 +268,11 @@
 			}
 		}
 	case m.Pressure != nil:
-		a.model.Merge(time.Now(), m.Pressure.Entries)
+		a.idle = m.Pressure.Idle
+		a.pressure = make(map[interfere.Pair]float64, len(m.Pressure.Entries))
+		for _, e := range m.Pressure.Entries {
+			a.pressure[e.Pair] = float64(e.Weight)
+		}
 	case m.Noted != nil:
 		if h := a.workers[m.Noted.Key]; h != nil {
 			h.noted = max(h.noted, m.Noted.Upto)
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -9,6 +9,7 @@
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/decide/pacing"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
@@ -143,6 +144,9 @@
 		} else {
 			h.saved[r.Task] = r.Saved
 		}
+		if h.facts[r.Task].Fills {
+			r.Pace = h.pacing.Pace(r.Task, r.Number)
+		}
 		p.Runs = append(p.Runs, r)
 	}
 	a.Send(link.Message{Progress: &p})
@@ -163,9 +167,11 @@
 	}
 	fence := h.fence
 	now := time.Now()
-	h.pacing.Pressure = func(victim, disturber string) (float64, float64) {
-		return h.agent.model.Weight(now, fleet.Kind(victim), fleet.Kind(disturber))
+	h.pacing.Pressure = func(victim, disturber string) (float64, bool) {
+		w, ok := h.agent.pressure[interfere.Pair{Victim: fleet.Kind(victim), Disturber: fleet.Kind(disturber)}]
+		return w, ok
 	}
+	h.pacing.Idle = func(victim string) time.Duration { return h.agent.idle[fleet.Kind(victim)] }
 	for _, c := range h.pacing.Step(now, rows, nil) {
 		h.agent.Log.Event(eventlog.RunPaced).Str("job", string(c.Task.Job)).Str("task", c.Task.String()).Int("run", c.Number).
 			Int("percent", c.Percent).Float64("worstShare", c.Worst).Msg("")
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
+	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
 // A Message is what two nodes tell each other; one field is set.
@@ -211,4 +212,6 @@
 // Pressure tells the hosts which images disturb which.
 type Pressure struct {
 	Entries []interfere.Entry `cbor:"1,keyasint"`
+	// Idle is by image the least tail of a serving task.
+	Idle map[fleet.Kind]time.Duration `cbor:"2,keyasint"`
 }
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -264,6 +264,8 @@
 	// Load is the tail latency in milliseconds of a task that serves,
 	// of another the processor use in thousandths of a core.
 	Load int `json:"load"`
+	// Pace is the share in percent at which the host lets a filling run work.
+	Pace int `json:"pace,omitempty"`
 }
 
 // An End is a run that is over.
--- /dev/null
+++ b/pkg/decide/interfere/crowding.go
@@ -0,0 +1,242 @@
+package interfere
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// The parameters of a Crowding.
+const (
+	// priorCrowding is the weight of a pair of which nothing is known: half that of a strong disturber.
+	priorCrowding = 0.25
+	// priorEvidence is how much the prior counts, in windows at a share of 1.
+	priorEvidence = 0.3
+	// keep is the part of the evidence that each window leaves, so that changes are followed in about a thousand windows.
+	keep = 0.999
+	// full is the occupancy from which a tail tells only that there's no room left.
+	full = 0.93
+	// maxDisturbers bounds the disturbers of one victim.
+	maxDisturbers = 48
+	// maxCrowding bounds a weight.
+	maxCrowding = 2
+)
+
+// A Crowding learns which kinds of work take room from which others. It reads
+// a tail latency as that of a queue: the latency of an idle host divided by
+// the room that is left. What is left of a victim's room falls by a weight
+// times the share of each disturber, so that the same disturber does little
+// beside an idle victim and much beside a busy one. The weights come from
+// regularised least squares over all that runs beside a victim together, and
+// are known after some seconds. Its zero value knows nothing.
+type Crowding struct {
+	victims map[fleet.Kind]*normal
+}
+
+// normal holds the normal equations of one victim.
+type normal struct {
+	// idle is the least tail seen.
+	idle    time.Duration
+	columns map[fleet.Kind]int
+	names   []fleet.Kind
+	a       [][]float64
+	b       []float64
+	w       []float64
+	solved  bool
+}
+
+func (c *Crowding) victim(k fleet.Kind) *normal {
+	if c.victims == nil {
+		c.victims = map[fleet.Kind]*normal{}
+	}
+	n := c.victims[k]
+	if n == nil {
+		n = &normal{columns: map[fleet.Kind]int{}}
+		c.victims[k] = n
+	}
+	return n
+}
+
+func (n *normal) add(k fleet.Kind) int {
+	i := len(n.names)
+	n.names = append(n.names, k)
+	n.columns[k] = i
+	for j := range n.a {
+		n.a[j] = append(n.a[j], 0)
+	}
+	n.a = append(n.a, make([]float64, i+1))
+	n.a[i][i] = priorEvidence
+	n.b = append(n.b, priorEvidence*priorCrowding)
+	n.solved = false
+	return i
+}
+
+// Observe learns from one window of a task of the victim: its tail, and what
+// its tail would be without those that have shares.
+func (c *Crowding) Observe(victim fleet.Kind, tail, alone time.Duration, shares Shares) {
+	if tail <= 0 || alone <= 0 {
+		return
+	}
+	n := c.victim(victim)
+	if least := min(tail, alone); n.idle == 0 || least < n.idle {
+		n.idle = least
+	}
+	if len(shares) == 0 {
+		return
+	}
+	x := map[int]float64{}
+	for k, s := range shares {
+		if s <= 0 {
+			continue
+		}
+		i, ok := n.columns[k]
+		if !ok {
+			if len(n.names) >= maxDisturbers {
+				continue
+			}
+			i = n.add(k)
+		}
+		x[i] = s
+	}
+	taken := max(n.occupancy(tail)-n.occupancy(alone), 0)
+	if n.occupancy(tail) >= full {
+		n.solve()
+		expected := 0.0
+		for i, s := range x {
+			expected += n.w[i] * s
+		}
+		if expected >= taken {
+			return
+		}
+	}
+	for i := range n.a {
+		for j := range n.a[i] {
+			n.a[i][j] *= keep
+		}
+		n.b[i] *= keep
+		// The prior isn't forgotten.
+		n.a[i][i] += (1 - keep) * priorEvidence
+		n.b[i] += (1 - keep) * priorEvidence * priorCrowding
+	}
+	for i, u := range x {
+		for j, v := range x {
+			n.a[i][j] += u * v
+		}
+		n.b[i] += u * taken
+	}
+	n.solved = false
+}
+
+// occupancy returns how much of its room a victim with that tail lacks, from 0 to 1.
+func (n *normal) occupancy(tail time.Duration) float64 {
+	if n.idle == 0 || tail <= n.idle {
+		return 0
+	}
+	return 1 - float64(n.idle)/float64(tail)
+}
+
+// solve finds the weights by elimination; the matrix is positive definite.
+func (n *normal) solve() {
+	if n.solved {
+		return
+	}
+	size := len(n.b)
+	m := make([][]float64, size)
+	for i := range m {
+		m[i] = append(append(make([]float64, 0, size+1), n.a[i]...), n.b[i])
+	}
+	for i := range m {
+		for k := i + 1; k < size; k++ {
+			f := m[k][i] / m[i][i]
+			if f == 0 {
+				continue
+			}
+			for j := i; j <= size; j++ {
+				m[k][j] -= f * m[i][j]
+			}
+		}
+	}
+	n.w = make([]float64, size)
+	for i := size - 1; i >= 0; i-- {
+		v := m[i][size]
+		for j := i + 1; j < size; j++ {
+			v -= m[i][j] * n.w[j]
+		}
+		n.w[i] = v / m[i][i]
+	}
+	n.solved = true
+}
+
+// Idle returns the least tail that was seen of the victim, or 0.
+func (c *Crowding) Idle(victim fleet.Kind) time.Duration {
+	if n := c.victims[victim]; n != nil {
+		return n.idle
+	}
+	return 0
+}
+
+// Occupancy returns how much of its room a victim with that tail lacks, from 0 to 1.
+func (c *Crowding) Occupancy(victim fleet.Kind, tail time.Duration) float64 {
+	if n := c.victims[victim]; n != nil {
+		return n.occupancy(tail)
+	}
+	return 0
+}
+
+// Weight returns how much of its room a victim loses to a share of the disturber.
+func (c *Crowding) Weight(victim, disturber fleet.Kind) float64 {
+	n := c.victims[victim]
+	if n == nil {
+		return priorCrowding
+	}
+	i, ok := n.columns[disturber]
+	if !ok {
+		return priorCrowding
+	}
+	n.solve()
+	return min(max(n.w[i], 0), maxCrowding)
+}
+
+// Disturbers returns all that was seen beside a victim, in order.
+func (c *Crowding) Disturbers() []fleet.Kind {
+	var out []fleet.Kind
+	for _, n := range c.victims {
+		out = append(out, n.names...)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Victims returns the least tail of each victim.
+func (c *Crowding) Victims() map[fleet.Kind]time.Duration {
+	out := make(map[fleet.Kind]time.Duration, len(c.victims))
+	for k, n := range c.victims {
+		out[k] = n.idle
+	}
+	return out
+}
+
+// Entries returns up to n pairs, those with the most evidence first.
+func (c *Crowding) Entries(now time.Time, n int) []Entry {
+	var out []Entry
+	for v, x := range c.victims {
+		for i, d := range x.names {
+			out = append(out, Entry{
+				Pair: Pair{Victim: v, Disturber: d}, Weight: float32(c.Weight(v, d)),
+				Evidence: float32(x.a[i][i] - priorEvidence), Seen: now.Unix(),
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int {
+		if c := cmp.Compare(b.Evidence, a.Evidence); c != 0 {
+			return c
+		}
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	return out[:min(n, len(out))]
+}
--- a/pkg/decide/pacing/pacing.go
+++ b/pkg/decide/pacing/pacing.go
@@ -5,7 +5,6 @@
 package pacing
 
 import (
-	"math"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
@@ -15,30 +14,33 @@
 	// stepEvery is the window over which a worker measures a tail.
 	stepEvery = 500 * time.Millisecond
 	// high is the share of the target above which filling tasks give way.
-	high = 0.75
-	// wanted is the share of the target that they give way to.
-	wanted = 0.55
-	// low is the share of the target below which they come back.
-	low = 0.55
+	high = 0.85
+	// wanted is the share of the target that they give way to, and come back to.
+	wanted = 0.65
 	// over is how long a tail may be above its target until all filling tasks
 	// give way, also those that aren't known to disturb it; a quarter of the
 	// shortest time in which the harm counts.
 	over = time.Second
+	// settle is how long a tail takes to follow a change of pace.
+	settle = 900 * time.Millisecond
 	// giveWay is the factor of a step back where the disturber isn't known.
 	giveWay = 0.4
 	// comeBack is the largest step forth in percent.
-	comeBack = 35
+	comeBack = 50
 	// least is the pace in percent below which a task is halted.
 	least = 8
 	// full is the pace of a task that starts.
 	full = 100
 	// unit is the processor time of a share of 1, in thousandths of a core.
 	unit = 4000
-	// prior and sure weigh a pair of which little is known, as at placement.
-	prior = 0.6
-	sure  = 0.4
-	// matters is the growth of a tail's logarithm below which a task counts as no disturber.
-	matters = 0.03
+	// prior is the weight of a pair of which nothing was told, as at placement.
+	prior = 0.25
+	// idleShare is the share of its target taken for the least tail of a victim of which nothing was told.
+	idleShare = 0.2
+	// matters is the part of a victim's room below which a task counts as no disturber.
+	matters = 0.02
+	// guess is the share that a halted task is taken to come back with.
+	guess = 0.45
 )
 
 // A Row is a run as the worker lists it, with what is known of its step.
@@ -71,14 +73,26 @@
 
 // A Machine paces the runs of one worker.
 type Machine struct {
-	// Pressure returns by how much the logarithm of a victim's tail grows with
-	// a share of a disturber, and the evidence for it.
-	Pressure func(victim, disturber string) (weight, evidence float64)
+	// Pressure returns how much of its room a victim loses to a share of a
+	// disturber, if that is known.
+	Pressure func(victim, disturber string) (weight float64, known bool)
+	// Idle returns the least tail of a victim, or 0.
+	Idle func(victim string) time.Duration
 
 	paces map[run]int
 	// above is since when a tail is over its target.
 	above map[run]time.Time
-	last  time.Time
+	// cut is when the tasks beside a victim gave way last.
+	cut  map[run]time.Time
+	last time.Time
+}
+
+// Pace returns the pace of a run in percent.
+func (m *Machine) Pace(t batch.Task, number int) int {
+	if p, ok := m.paces[run{t, number}]; ok {
+		return p
+	}
+	return full
 }
 
 // Squeezed reports whether filling tasks are held back.
@@ -92,11 +106,31 @@
 }
 
 func (m *Machine) weight(victim, disturber string) float64 {
-	w, e := 0.0, 0.0
 	if m.Pressure != nil {
-		w, e = m.Pressure(victim, disturber)
+		if w, ok := m.Pressure(victim, disturber); ok {
+			return w
+		}
+	}
+	return prior
+}
+
+// room returns how much of its room v lacks now, and how much it may lack to
+// be within a share of its target.
+func (m *Machine) room(v Row, share float64) (has, may float64) {
+	idle := time.Duration(0)
+	if m.Idle != nil {
+		idle = m.Idle(v.Image)
+	}
+	if idle <= 0 {
+		idle = time.Duration(idleShare * float64(v.Target))
 	}
-	return (w*e + prior*sure) / (e + sure)
+	lacks := func(t float64) float64 { return max(1-float64(idle)/t, 0) }
+	return lacks(float64(v.Tail)), lacks(share * float64(v.Target))
+}
+
+// takes returns how much of v's room r takes.
+func (m *Machine) takes(v, r Row) float64 {
+	return m.weight(v.Image, r.Image) * float64(r.MilliCPU) / unit
 }
 
 // Step takes the rows of a look and appends the changes that follow to out.
@@ -107,9 +141,8 @@
 	m.last = now
 	m.forget(rows)
 	worst := 0.0
-	// factors are what each run's pace is multiplied with, room how far it may come back.
+	// factors are what each run's pace is multiplied with.
 	factors := map[run]float64{}
-	room := math.Inf(1)
 	for _, v := range rows {
 		if v.Target <= 0 || v.Tail <= 0 {
 			continue
@@ -118,9 +151,8 @@
 		worst = max(worst, share)
 		m.watch(now, v, share)
 		if share > high {
-			m.relieve(now, v, share, rows, factors)
+			m.relieve(now, v, rows, factors)
 		}
-		room = min(room, math.Log(wanted/share))
 	}
 	for _, r := range rows {
 		if !r.Fills {
@@ -136,8 +168,8 @@
 			if p = int(float64(old) * f); p < least {
 				p = 0
 			}
-		} else if worst < low && old < full {
-			p = m.forth(old, r, rows, room)
+		} else if old < full {
+			p = m.forth(old, r, rows)
 		}
 		m.paces[k] = p
 		if p != old {
@@ -153,16 +185,18 @@
 		there[run{r.Task, r.Number}] = true
 	}
 	if m.paces == nil {
-		m.paces, m.above = map[run]int{}, map[run]time.Time{}
+		m.paces, m.above, m.cut = map[run]int{}, map[run]time.Time{}, map[run]time.Time{}
 	}
 	for k := range m.paces {
 		if !there[k] {
 			delete(m.paces, k)
 		}
 	}
-	for k := range m.above {
-		if !there[k] {
-			delete(m.above, k)
+	for _, x := range []map[run]time.Time{m.above, m.cut} {
+		for k := range x {
+			if !there[k] {
+				delete(x, k)
+			}
 		}
 	}
 }
@@ -178,25 +212,35 @@
 }
 
 // relieve makes those that disturb v give way, as far as its tail has to come down.
-func (m *Machine) relieve(now time.Time, v Row, share float64, rows []Row, factors map[run]float64) {
+func (m *Machine) relieve(now time.Time, v Row, rows []Row, factors map[run]float64) {
+	k := run{v.Task, v.Number}
+	since, above := m.above[k]
+	all := above && now.Sub(since) >= over
+	if now.Sub(m.cut[k]) < settle && !all {
+		// What was done already isn't in the tail yet.
+		for _, r := range rows {
+			if r.Fills && m.takes(v, r) >= matters {
+				factors[run{r.Task, r.Number}] = min(factorOf(factors, r), 1)
+			}
+		}
+		return
+	}
 	total := 0.0
 	for _, r := range rows {
 		if r.Fills {
-			total += m.weight(v.Image, r.Image) * float64(r.MilliCPU) / unit
+			total += m.takes(v, r)
 		}
 	}
 	factor := giveWay
-	if need := math.Log(share / wanted); total > 0 {
-		factor = max(1-need/total, 0)
+	if has, may := m.room(v, wanted); total > 0 {
+		factor = max(1-(has-may)/total, 0)
 	}
-	since, above := m.above[run{v.Task, v.Number}]
-	all := above && now.Sub(since) >= over
 	for _, r := range rows {
 		if !r.Fills {
 			continue
 		}
 		f := factor
-		if m.weight(v.Image, r.Image)*float64(r.MilliCPU)/unit < matters {
+		if m.takes(v, r) < matters {
 			if !all {
 				continue
 			}
@@ -205,31 +249,39 @@
 		if all {
 			f = min(f, giveWay)
 		}
-		k := run{r.Task, r.Number}
-		if old, ok := factors[k]; !ok || f < old {
-			factors[k] = f
-		}
+		m.cut[k] = now
+		factors[run{r.Task, r.Number}] = min(factorOf(factors, r), f)
 	}
 }
 
-// forth returns the pace to come back to: a step, less where its growth would take a tail too far.
-func (m *Machine) forth(old int, r Row, rows []Row, room float64) int {
-	heaviest := 0.0
-	for _, v := range rows {
-		if v.Target > 0 {
-			heaviest = max(heaviest, m.weight(v.Image, r.Image))
-		}
+func factorOf(factors map[run]float64, r Row) float64 {
+	if f, ok := factors[run{r.Task, r.Number}]; ok {
+		return f
 	}
-	step := comeBack
+	return 1
+}
+
+// forth returns the pace to come back to: as far as each victim has room for it, in steps.
+func (m *Machine) forth(old int, r Row, rows []Row) int {
 	// What the run uses at full pace is known from what it uses now.
-	use := float64(r.MilliCPU) / unit
-	if old > 0 {
-		use = use * full / float64(old)
-	} else {
-		use = 0.5
+	use := guess
+	if old > 0 && r.MilliCPU > 0 {
+		use = float64(r.MilliCPU) / unit * full / float64(old)
 	}
-	if grow := heaviest * use; grow > 0 && !math.IsInf(room, 1) {
-		step = min(step, int(room/grow*full/2))
+	step := float64(comeBack)
+	for _, v := range rows {
+		if v.Target <= 0 || v.Tail <= 0 {
+			continue
+		}
+		takes := m.weight(v.Image, r.Image) * use
+		if takes < matters {
+			continue
+		}
+		has, may := m.room(v, wanted)
+		if has >= may {
+			return old
+		}
+		step = min(step, (may-has)/takes*full/2)
 	}
-	return min(old+max(step, least), full)
+	return min(old+int(step), full)
 }
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -51,6 +51,8 @@
 	failures []int
 	saved    string
 	advice   advice
+	// moved is when one of its tasks was moved last.
+	moved time.Time
 }
 
 // task is one task of an occurrence.
@@ -63,6 +65,10 @@
 	saved    string
 	worker   *worker
 	tail     tail
+	// slow is since when the host holds the task back; zero where it doesn't.
+	slow time.Time
+	// unmoved is until when it stays where it is.
+	unmoved  time.Time
 	started  time.Time
 	there    bool
 	stopping bool
@@ -180,7 +186,7 @@
 		t.step.waiting--
 	}
 	t.worker, t.run, t.started, t.moved = w, run, now, now
-	t.there, t.stopping, t.percent = false, false, 0
+	t.there, t.stopping, t.percent, t.slow = false, false, 0, time.Time{}
 	w.take(t)
 	if t.step.counts != nil {
 		t.step.counts[w]++
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -35,6 +35,7 @@
 	for _, c := range s.claims(now) {
 		s.serve(now, c, &o)
 	}
+	s.move(now, &o)
 	o.Stops = append(o.Stops, s.stops...)
 	s.stops = nil
 	return o
@@ -245,7 +246,7 @@
 			if w.spare(now) < fillFloor(st) {
 				continue
 			}
-			if worst, _ := s.strain(now, w, st); worst > tailRoom {
+			if fits, _ := s.strain(now, w, st); !fits {
 				continue
 			}
 		}
@@ -277,8 +278,8 @@
 	v := 0.0
 	switch {
 	case st.Fills:
-		_, added := s.strain(now, w, st)
-		v = min(float64(w.spare(now))/float64(max(st.Need.MilliCPU, 1)), speedEnough) - strainCost*added
+		_, taken := s.strain(now, w, st)
+		v = min(float64(w.spare(now))/float64(max(st.Need.MilliCPU, 1)), speedEnough) - strainCost*taken - openCost*s.openness(w)
 	case st.Lasting:
 		// Like tasks together, on as few workers as they fit: filling work
 		// then finds workers where it disturbs few, or nobody.
@@ -302,8 +303,10 @@
 const (
 	// speedEnough is the spare processor time, in needs of the task, above which more is of no use.
 	speedEnough = 2
-	// strainCost weighs the growth of tails, in shares of their targets, against the task's speed.
-	strainCost = 6
+	// strainCost weighs the room that serving tasks lose against the task's speed.
+	strainCost = 4
+	// openCost is below that of a strain that matters.
+	openCost = 0.5
 	// alikeGain is above the room of any worker, in cores, so that alike tasks come together first.
 	alikeGain = 1000
 	// farCost is as high: work away from its data takes half as long again.
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -232,7 +232,7 @@
 		return
 	}
 	w.squeezed = squeezed
-	used, wanted := 0, 0
+	used, best := 0, 0.0
 	for _, r := range runs {
 		t := w.tasks[r.Task]
 		if t == nil || t.run != r.Number {
@@ -242,18 +242,25 @@
 		if t.step.TailTarget > 0 && r.Load > 0 {
 			t.tail = tail{time.Duration(r.Load) * time.Millisecond, now}
 		}
-		if t.step.Fills && now.Sub(t.started) > loadAge {
+		if t.step.Fills {
+			t.held(now, r.Pace)
+		}
+		if t.step.Fills && now.Sub(t.started) > loadAge && t.step.Need.MilliCPU > 0 {
 			used += r.Load
-			wanted += t.step.Need.MilliCPU
+			best = max(best, float64(r.Load)/float64(t.step.Need.MilliCPU))
 		}
 	}
 	s.learn(now, w, runs)
-	// Only filling tasks that want more than they get show what is left.
-	if wanted > 0 && used < wanted*9/10 {
-		w.leftover = leftover{seen: max(used, 1), at: now}
+	// Where no filling task gets near what it asks for, what they use is all that is left.
+	if used > 0 && best < starved && !squeezed {
+		w.leftover = leftover{seen: used, at: now}
 	}
 }
 
+// starved is the share of its need below which a filling task lacks processor
+// time; some use only two thirds of it by themselves.
+const starved = 0.6
+
 // loadAge is how long a run has to be there until its load covers half a second of work.
 const loadAge = time.Second
 
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -89,7 +89,7 @@
 	// work is the mean work of a queue's jobs.
 	work map[string]*mean
 	// model knows which images disturb which.
-	model interfere.Model
+	model interfere.Crowding
 }
 
 // New returns an empty scheduler.
--- a/pkg/decide/schedule/share.go
+++ b/pkg/decide/schedule/share.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"math"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
@@ -11,84 +10,176 @@
 
 const (
 	// ShareUnit is the processor time that counts as a share of 1 in the
-	// interference model, in thousandths of a core: at twice that the
-	// strongest disturbers known stay below the model's largest weight.
+	// interference model, in thousandths of a core: about that of two tasks.
 	ShareUnit = 4000
-	// priorWeight is the weight of a pair of which nothing is known: half that of a strong disturber.
-	priorWeight = 0.6
-	// sureEvidence is the evidence at which a learned weight counts as much as the prior.
-	sureEvidence = 0.4
 	// tailRoom is the share of its target that a tail may be expected to reach by a placement;
 	// the rest is for the serving task's own load, which swings by half.
-	tailRoom = 0.6
+	tailRoom = 0.7
 	// tailAge is how long a measured tail is believed.
 	tailAge = 2 * time.Second
 	// effectAge is how long the effect of a start isn't in the tails yet: the worker's window and a look.
 	effectAge = time.Second
+	// follow is the part by which a tail follows a change of what works beside it, each window.
+	follow = 0.5
+	// unmeasured is the occupancy assumed of a serving task whose tail wasn't measured lately: the middle of its swing.
+	unmeasured = 0.5
 )
 
-// pressure returns by how much the logarithm of the victim's tail grows with
-// each unit of the disturber's share.
-func (s *Scheduler) pressure(now time.Time, victim, disturber string) float64 {
-	w, e := s.model.Weight(now, fleet.Kind(victim), fleet.Kind(disturber))
-	return (w*e + priorWeight*sureEvidence) / (e + sureEvidence)
-}
-
 // tail is the last tail latency measured of a serving task.
 type tail struct {
 	value time.Duration
 	at    time.Time
 }
 
+// window is a time in which a worker measured its runs.
+const window = 500 * time.Millisecond
+
+// alone returns what the tail of t would be with nothing that fills beside it:
+// the tasks of a step share their load, so the least of them is the nearest.
+func (t *task) alone(now time.Time) time.Duration {
+	least := t.tail.value
+	for _, o := range t.step.tasks {
+		if o.worker != nil && o.tail.value > 0 && now.Sub(o.tail.at) <= 2*window {
+			least = min(least, o.tail.value)
+		}
+	}
+	return least
+}
+
 // learn takes in how the runs of a worker did in the last window.
 func (s *Scheduler) learn(now time.Time, w *worker, runs []batch.Run) {
+	if now.Sub(w.learned) < window*4/5 {
+		return
+	}
+	w.learned = now
 	beside := interfere.Shares{}
+	for k, v := range w.shares {
+		if v *= 1 - follow; v > 0.01 {
+			beside[k] = v
+		}
+	}
 	for _, r := range runs {
 		t := w.tasks[r.Task]
-		if t != nil && t.step.Fills && t.run == r.Number && t.step.Image != "" {
-			if now.Sub(t.started) < effectAge {
-				// Its work is in a part of the window only.
-				return
-			}
-			beside[fleet.Kind(t.step.Image)] += float64(r.Load) / ShareUnit
+		if t != nil && t.step.Fills && t.run == r.Number && t.step.Image != "" && r.Load > 0 {
+			beside[fleet.Kind(t.step.Image)] += follow * float64(r.Load) / ShareUnit
 		}
 	}
+	w.shares = beside
 	for _, r := range runs {
 		t := w.tasks[r.Task]
-		if t == nil || t.run != r.Number || t.step.TailTarget <= 0 || r.Load <= 0 {
+		if t == nil || t.run != r.Number || t.step.TailTarget <= 0 || r.Load <= 0 || now.Sub(t.started) < warmUp {
 			continue
 		}
-		s.model.Observe(now, fleet.Kind(t.step.Image), time.Duration(r.Load)*time.Millisecond, beside)
+		s.model.Observe(fleet.Kind(t.step.Image), t.tail.value, t.alone(now), beside)
 	}
 }
 
-// Pressures returns the n best known pairs, for the hosts that pace.
-func (s *Scheduler) Pressures(now time.Time, n int) []interfere.Entry { return s.model.Entries(now, n) }
+// warmUp is how long the tail of a serving task tells of its own start.
+const warmUp = 2 * time.Second
 
-// strain returns the highest share of its target that a serving task of w is
-// expected to reach with st beside it, and how much st adds to all of them.
-func (s *Scheduler) strain(now time.Time, w *worker, st *step) (worst, added float64) {
+// Pressures returns the n best known pairs and the victims' least tails, for the hosts that pace.
+func (s *Scheduler) Pressures(now time.Time, n int) ([]interfere.Entry, map[fleet.Kind]time.Duration) {
+	return s.model.Entries(now, n), s.model.Victims()
+}
+
+// strain returns whether each serving task of w is expected to stay within its
+// room with st beside it, and how much of their rooms st takes together.
+func (s *Scheduler) strain(now time.Time, w *worker, st *step) (fits bool, taken float64) {
 	share := float64(st.Need.MilliCPU) / ShareUnit
+	fits = true
 	for _, v := range w.tasks {
 		if v.step.TailTarget <= 0 {
 			continue
 		}
-		now0 := unmeasuredTail
+		image := fleet.Kind(v.step.Image)
+		mine := s.model.Weight(image, fleet.Kind(st.Image)) * share
+		taken += mine
+		if mine < harmless {
+			continue
+		}
+		has := unmeasured
 		if now.Sub(v.tail.at) < tailAge {
-			now0 = float64(v.tail.value) / float64(v.step.TailTarget)
+			has = s.model.Occupancy(image, v.tail.value)
 		}
-		grow := 0.0
 		for _, t := range w.tasks {
 			if t.step.Fills && now.Sub(t.started) < effectAge {
-				grow += s.pressure(now, v.step.Image, t.step.Image) * float64(t.step.Need.MilliCPU) / ShareUnit
+				has += s.model.Weight(image, fleet.Kind(t.step.Image)) * float64(t.step.Need.MilliCPU) / ShareUnit
+			}
+		}
+		if has+mine > s.model.Occupancy(image, time.Duration(tailRoom*float64(v.step.TailTarget))) {
+			fits = false
+		}
+	}
+	return fits, taken
+}
+
+// harmless is the part of a victim's room that a disturber may always take.
+const harmless = 0.03
+
+const (
+	// heldBack is the pace in percent below which a filling task makes too little headway.
+	heldBack = 50
+	// movePause is how long a task is held back before it's moved: two windows, as a tail that swings falls again.
+	movePause = 800 * time.Millisecond
+	// lateLoss is the progress in percent from which a task without checkpoints stays where it is.
+	lateLoss = 60
+	// moveEvery keeps a task from being moved again and again.
+	moveEvery = 3 * time.Second
+)
+
+// held takes in the pace of a filling task.
+func (t *task) held(now time.Time, pace int) {
+	switch {
+	case pace >= heldBack:
+		t.slow = time.Time{}
+	case t.slow.IsZero():
+		t.slow = now
+	}
+}
+
+// move stops filling tasks that are held back where another worker would let
+// them work; they go on from what they saved.
+func (s *Scheduler) move(now time.Time, o *Orders) {
+	for _, w := range s.workers {
+		if w.silent {
+			continue
+		}
+		for _, t := range w.tasks {
+			if t.slow.IsZero() || t.stopping || !t.there || now.Sub(t.slow) < movePause || now.Sub(t.step.moved) < movePause/4 {
+				continue
+			}
+			if !t.step.Checkpoints && t.percent >= lateLoss || now.Before(t.unmoved) || t.step.Gang {
+				continue
+			}
+			if to := s.place(now, t.step, t, o); to == nil || to == w {
+				continue
+			}
+			t.unmoved = now.Add(moveEvery)
+			t.step.moved = now
+			s.stop(t, "held back by serving tasks")
+		}
+	}
+}
+
+// openness returns how much of the filling work known wouldn't disturb what
+// serves on w, from 0 to 1. Harmless work leaves the open workers to the rest.
+func (s *Scheduler) openness(w *worker) float64 {
+	images := s.model.Disturbers()
+	if len(images) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, i := range images {
+		grow := 0.0
+		for _, v := range w.tasks {
+			if v.step.TailTarget > 0 {
+				grow = max(grow, s.model.Weight(fleet.Kind(v.step.Image), i))
 			}
 		}
-		mine := s.pressure(now, v.step.Image, st.Image) * share
-		worst = max(worst, now0*math.Exp(grow+mine))
-		added += now0 * (math.Exp(mine) - 1)
+		sum += 1 - min(grow/openWeight, 1)
 	}
-	return worst, added
+	return sum / float64(len(images))
 }
 
-// unmeasuredTail is the share of its target assumed of a tail that wasn't measured lately; most tails stand there undisturbed.
-const unmeasuredTail = 0.4
+// openWeight is the weight from which a worker is closed to a disturber: a task of it takes a fifth of the victim's room.
+const openWeight = 0.4
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 )
 
 // worker is a worker with what runs on it.
@@ -22,6 +23,9 @@
 	squeezed bool
 	health   health
 	leftover leftover
+	// shares is what filling images used lately, as the tails follow it.
+	shares  interfere.Shares
+	learned time.Time
 }
 
 // health is what a worker's outcomes tell.
