--- a/internal/hostagent/order.go
+++ b/internal/hostagent/order.go
@@ -78,13 +78,54 @@
 	}
 	a.Log.Warning(eventlog.RunRefused).Str("job", string(s.Task.Job)).Str("task", s.Task.String()).Int("run", s.Number).
 		Str("worker", s.Key.ID).Str("why", string(refusal)).Bool("unanswered", open).Int64("fence", fence).Msg("")
-	if open && !h.stop(s.Task, s.Number, fence) {
-		// Only a new fence or the end of the lease tells what became of it.
-		return
+	if open {
+		if !h.stop(s.Task, s.Number, fence) {
+			// Only a new fence or the end of the lease tells what became of it.
+			return
+		}
+		there, ok := h.find(s.Task, s.Number, fence)
+		if !ok {
+			return
+		}
+		if there {
+			// An unanswered start was carried out; its end will be listed.
+			a.Send(link.Message{Started: &link.Started{Key: s.Key, Task: s.Task, Number: s.Number}})
+			return
+		}
 	}
 	a.Send(link.Message{Started: &link.Started{Key: s.Key, Task: s.Task, Number: s.Number, Refusal: refusal}})
 }
 
+// find reports whether the worker lists a run, at work or over; false as the
+// second value where it doesn't say under this fence.
+func (h *held) find(t batch.Task, run int, fence int64) (there, ok bool) {
+	a := h.agent
+	for {
+		a.mu.Lock()
+		ok, noted := h.current(fence), h.noted
+		a.mu.Unlock()
+		if !ok {
+			return false, false
+		}
+		c, cancel := context.WithTimeout(h.ctx, orderTimeout)
+		_, l, err := h.client.Hold(c, HoldOrder{Fence: fence, Noted: noted})
+		cancel()
+		if err == nil {
+			for _, r := range l.Running {
+				there = there || r.Task == t && r.Number == run
+			}
+			for _, e := range l.Ended {
+				there = there || e.Task == t && e.Number == run
+			}
+			return there, true
+		}
+		if errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherLife) {
+			return false, false
+		}
+		h.pause(orderPause)
+	}
+}
+
 func (h *held) pause(t time.Duration) {
 	select {
 	case <-h.ctx.Done():
