Bind each stored progress to its revision; refuse jobs before a write leaves them open

Each record is now written under its own revision. The lead is confirmed by reading its key where an answer to its renewal is lost. Entries read before they write when the store wasn't reached just now, so that a job can be refused for sure.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -98,19 +98,23 @@
 	fences  int64
 	lapses  map[batch.WorkerKey]time.Time
 	notes   map[batch.WorkerKey]int64
-	flushed time.Time
-	writing bool
-	loaded  bool
-	swept   time.Time
-	taught  time.Time
-	told    time.Time
-	ctx     context.Context
-	stopped sync.WaitGroup
+	// revisions are those of the stored progress.
+	revisions map[batch.JobID]kv.Revision
+	flushed   time.Time
+	writing   bool
+	loaded    bool
+	swept     time.Time
+	taught    time.Time
+	told      time.Time
+	ctx       context.Context
+	stopped   sync.WaitGroup
 }
 
 type node struct {
 	Address string `json:"address"`
 	Host    bool   `json:"host"`
+	// revision is that of its key.
+	revision kv.Revision
 }
 
 // session is the link of one node.
@@ -135,6 +139,7 @@
 	d.begun = time.Now()
 	d.plan = schedule.New(d.Settings)
 	d.sessions, d.nodes, d.unheard = map[string]*session{}, map[string]node{}, map[string]bool{}
+	d.revisions = map[batch.JobID]kv.Revision{}
 	d.lapses, d.notes = map[batch.WorkerKey]time.Time{}, map[batch.WorkerKey]int64{}
 	var g errgroup.Group
 	g.Go(func() error { return d.load(ctx) })
@@ -236,9 +241,12 @@
 		var p schedule.Progress
 		if err := json.Unmarshal(i.Value, &p); err != nil {
 			d.Log.Warning(eventlog.ReportRejected).Str("key", i.Key).Err(err).Msg("stored progress can't be read")
+			d.revisions[batch.JobID(strings.TrimPrefix(i.Key, StatePrefix))] = i.Revision
 			continue
 		}
-		progress[strings.TrimPrefix(i.Key, StatePrefix)] = &p
+		id := strings.TrimPrefix(i.Key, StatePrefix)
+		progress[id] = &p
+		d.revisions[batch.JobID(id)] = i.Revision
 	}
 	for _, i := range nodes {
 		var n node
@@ -246,6 +254,7 @@
 			d.Log.Warning(eventlog.ReportRejected).Str("key", i.Key).Err(err).Msg("stored node can't be read")
 			continue
 		}
+		n.revision = i.Revision
 		name := strings.TrimPrefix(i.Key, nodePrefix)
 		d.nodes[name] = n
 		if n.Host {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sesamestream/sesamestream/internal/election"
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/hostagent"
@@ -59,9 +61,8 @@
 // welcome opens the session; a host's name has to be in the store first, so
 // that the next scheduler knows whom to wait for.
 func (d *Dispatcher) welcome(now time.Time, name string, s *session) {
-	want := node{Address: s.hello.Address, Host: s.hello.Host}
-	if d.nodes[name] != want {
-		d.register(name, want, s)
+	if n := d.nodes[name]; n.Address != s.hello.Address || n.Host != s.hello.Host {
+		d.register(name, node{Address: s.hello.Address, Host: s.hello.Host, revision: n.revision}, s)
 		return
 	}
 	d.fences++
@@ -84,12 +85,21 @@
 	d.stopped.Go(func() {
 		for d.ctx.Err() == nil {
 			c, cancel := context.WithTimeout(d.ctx, storeCall)
-			_, err := d.Store.Apply(c, kv.Change{
-				Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}},
+			r, err := d.Store.Apply(c, kv.Change{
+				Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}, {Key: nodePrefix + name, Revision: n.revision}},
 				Puts:       []kv.Put{{Key: nodePrefix + name, Value: v}},
 			})
 			cancel()
+			var conflict *kv.Conflict
+			if errors.As(err, &conflict) {
+				for _, i := range conflict.Items {
+					if i.Key == nodePrefix+name {
+						n.revision = i.Revision
+					}
+				}
+			}
 			if err == nil {
+				n.revision = r
 				d.post(func(now time.Time) {
 					d.nodes[name] = n
 					if d.sessions[name] == s {
@@ -169,8 +179,8 @@
 	if age > rideThrough {
 		return false
 	}
-	for _, s := range d.sessions {
-		if s.storeOK {
+	for name, s := range d.sessions {
+		if name != d.Node && s.storeOK {
 			return false
 		}
 	}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -74,7 +74,7 @@
 		return
 	}
 	for name, s := range d.sessions {
-		if s.storeOK && s.heard.After(d.Term.Contact().Add(storeFresh)) {
+		if name != d.Node && s.storeOK && s.heard.After(d.Term.Contact().Add(storeFresh)) {
 			d.Log.Warning(eventlog.LeadLost).Str("why", "another node reaches the store").Str("peer", name).
 				Dur("storeAge", now.Sub(d.Term.Contact())).Msg("")
 			d.Term.Lose()
@@ -133,12 +133,7 @@
 	}
 	d.notes = map[batch.WorkerKey]int64{}
 	d.flushed = now
-	type record struct {
-		id batch.JobID
-		p  *schedule.Progress
-	}
 	var records []record
-	var puts []kv.Put
 	for _, id := range dirty {
 		p, ok := d.plan.Progress(id)
 		if !ok {
@@ -149,40 +144,56 @@
 			d.Log.Error().Err(err).Str("job", string(id)).Msg("progress can't be encoded")
 			continue
 		}
-		records = append(records, record{id, p})
-		puts = append(puts, kv.Put{Key: StatePrefix + string(id), Value: v})
+		records = append(records, record{id: id, progress: p, value: v, revision: d.revisions[id]})
 	}
-	if len(puts) == 0 {
+	if len(records) == 0 {
 		d.noted(notes)
 		return
 	}
 	d.writing = true
 	d.stopped.Go(func() {
-		err := d.write(puts)
+		err := d.write(records)
 		d.post(func(now time.Time) {
 			d.writing = false
-			if err != nil {
-				d.Log.Warning(eventlog.ProgressNotStored).Int("jobs", len(puts)).Err(err).Msg("")
-				for _, r := range records {
+			for _, r := range records {
+				if r.revision == 0 && !r.stored {
+					delete(d.revisions, r.id)
+				} else {
+					d.revisions[r.id] = r.revision
+				}
+				if !r.stored {
 					d.plan.Redo(r.id)
+					continue
 				}
+				d.plan.Stored(r.id, r.progress)
+				if r.progress.State.Final() {
+					d.Log.Event(eventlog.JobEnded).Str("job", string(r.id)).Str("state", string(r.progress.State)).
+						Dur("stored", now.Sub(r.progress.Ended)).Msg("")
+				}
+			}
+			if err != nil {
+				d.Log.Warning(eventlog.ProgressNotStored).Int("jobs", len(records)).Err(err).Msg("")
 				for k, n := range notes {
 					d.notes[k] = max(d.notes[k], n)
 				}
 				return
 			}
-			for _, r := range records {
-				d.plan.Stored(r.id, r.p)
-				if r.p.State.Final() {
-					d.Log.Event(eventlog.JobEnded).Str("job", string(r.id)).Str("state", string(r.p.State)).
-						Dur("stored", now.Sub(r.p.Ended)).Msg("")
-				}
-			}
 			d.noted(notes)
 		})
 	})
 }
 
+// record is the progress of one job on its way to the store.
+type record struct {
+	id       batch.JobID
+	progress *schedule.Progress
+	value    []byte
+	// revision is that of the key as known. A change that was given up may
+	// still be made seconds later; by this it can't undo a newer one.
+	revision kv.Revision
+	stored   bool
+}
+
 func (d *Dispatcher) noted(notes map[batch.WorkerKey]int64) {
 	for k, n := range notes {
 		host, ok := d.plan.Host(k)
@@ -193,26 +204,60 @@
 	}
 }
 
-// write puts all, as many at a time as one change holds.
-func (d *Dispatcher) write(puts []kv.Put) error {
-	for len(puts) > 0 {
-		n := min(len(puts), kv.MaxEntries-1)
-		c, cancel := context.WithTimeout(d.ctx, storeCall)
-		_, err := d.Store.Apply(c, kv.Change{
-			Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}, Puts: puts[:n],
-		})
-		cancel()
-		if errors.Is(err, kv.ErrConflict) {
-			d.Term.Lose()
-		}
-		if err != nil {
+// recordsPerChange is how many records fit into one change: a condition and a put each, and the epoch's condition.
+const recordsPerChange = (kv.MaxEntries - 1) / 2
+
+// write stores the records, as many at a time as one change holds, and notes their revisions.
+func (d *Dispatcher) write(records []record) error {
+	for len(records) > 0 {
+		n := min(len(records), recordsPerChange)
+		if err := d.writeSome(records[:n]); err != nil {
 			return err
 		}
-		puts = puts[n:]
+		records = records[n:]
 	}
 	return nil
 }
 
+func (d *Dispatcher) writeSome(records []record) error {
+	c := kv.Change{Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}}
+	for _, r := range records {
+		key := StatePrefix + string(r.id)
+		c.Conditions = append(c.Conditions, kv.Condition{Key: key, Revision: r.revision})
+		c.Puts = append(c.Puts, kv.Put{Key: key, Value: r.value})
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, storeCall)
+	defer cancel()
+	revision, err := d.Store.Apply(ctx, c)
+	if err == nil {
+		for i := range records {
+			records[i].revision, records[i].stored = revision, true
+		}
+		return nil
+	}
+	var conflict *kv.Conflict
+	if errors.As(err, &conflict) {
+		d.resolve(records, conflict)
+	}
+	return err
+}
+
+// resolve takes in how the keys stand after a change that was given up was made after all.
+func (d *Dispatcher) resolve(records []record, c *kv.Conflict) {
+	now := map[string]kv.Revision{}
+	for _, i := range c.Items {
+		now[i.Key] = i.Revision
+	}
+	if r, ok := now[election.EpochKey]; ok && r != d.Term.Epoch {
+		d.Log.Warning(eventlog.LeadLost).Str("why", "newer epoch in the store").Int64("epoch", int64(r)).Msg("")
+		d.Term.Lose()
+		return
+	}
+	for i := range records {
+		records[i].revision = now[StatePrefix+string(records[i].id)]
+	}
+}
+
 // collect removes the jobs that ended long ago.
 func (d *Dispatcher) collect(now time.Time) {
 	ids := d.plan.Expired(now.Add(-d.Keep))
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -88,6 +88,7 @@
 	Epoch   kv.Revision
 	elector *Elector
 
+	taking  sync.Mutex
 	mu      sync.Mutex
 	lease   kv.LeaseID
 	contact time.Time
@@ -160,6 +161,8 @@
 func (t *Term) Keep(ctx context.Context) {
 	tick := time.NewTicker(t.elector.TTL / renewals)
 	defer tick.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -168,7 +171,8 @@
 			return
 		case <-tick.C:
 		}
-		t.renew(ctx)
+		// A call whose answer is lost delays no other.
+		calls.Go(func() { t.renew(ctx) })
 	}
 }
 
@@ -182,17 +186,43 @@
 	err := t.elector.Store.Renew(c, lease)
 	switch {
 	case err == nil:
-		t.mu.Lock()
-		t.contact = at
-		t.mu.Unlock()
+		t.reached(at)
 	case errors.Is(err, kv.ErrNoLease):
-		c, cancel := context.WithTimeout(ctx, 3*callTimeout)
+		t.retake(ctx, lease)
+	default:
+		// The answer may be lost alone: the key tells whether the lease goes on.
+		c, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		if _, err := t.take(c, t.Epoch, false); errors.Is(err, ErrTaken) {
-			i, err := t.elector.Store.Get(c, epochKey)
-			if err == nil && i.Revision != t.Epoch {
-				t.Lose()
-			}
+		at := time.Now()
+		if i, err := t.elector.Store.Get(c, leadKey); err == nil && i.Lease == lease {
+			t.reached(at)
+		}
+	}
+}
+
+func (t *Term) reached(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.contact) {
+		t.contact = at
+	}
+}
+
+// retake takes the lead up again, one call at a time.
+func (t *Term) retake(ctx context.Context, ended kv.LeaseID) {
+	t.taking.Lock()
+	defer t.taking.Unlock()
+	t.mu.Lock()
+	again := t.lease == ended
+	t.mu.Unlock()
+	if !again {
+		return
+	}
+	c, cancel := context.WithTimeout(ctx, 3*callTimeout)
+	defer cancel()
+	if _, err := t.take(c, t.Epoch, false); errors.Is(err, ErrTaken) {
+		if i, err := t.elector.Store.Get(c, epochKey); err == nil && i.Revision != t.Epoch {
+			t.Lose()
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,8 +31,14 @@
 	storeDownAfter = 700 * time.Millisecond
 	// refuseAfter is how long a refusing store is tried again for one request.
 	refuseAfter = 500 * time.Millisecond
-	// storeRetryAfter is what callers are told while the store is away; the gateway looks for it more often.
+	// storeRetryAfter is the least that callers are told while the store is away; the header counts in seconds.
 	storeRetryAfter = time.Second
+	// storeRetryLimit is the most: longer outages are rare, and a caller's objective is a few seconds.
+	storeRetryLimit = 4 * time.Second
+	// contactFresh is how old the last contact with the store may be to trust it with a job unseen.
+	contactFresh = 300 * time.Millisecond
+	// lookCall bounds the read before a job is stored; the farthest store answers in 70 ms.
+	lookCall = 400 * time.Millisecond
 )
 
 // An Outcome says what became of a request.
@@ -76,6 +82,8 @@
 	next   uint64
 	failed time.Time
 	failAt time.Time
+	// contact is when the store was reached last.
+	contact time.Time
 }
 
 // Run follows the configuration until ctx ends.
@@ -116,7 +124,7 @@
 		if !g.failed.IsZero() && now.Sub(g.failed) > storeDownAfter {
 			g.Log.Event(eventlog.StoreRegained).Dur("away", now.Sub(g.failed)).Msg("")
 		}
-		g.failed = time.Time{}
+		g.failed, g.contact = time.Time{}, now
 		return
 	}
 	if errors.Is(err, context.Canceled) {
@@ -168,18 +176,18 @@
 }
 
 func (g *Gateway) submit(ctx context.Context, deadline time.Time, j *batch.Job) Verdict {
-	if g.StoreDown() {
-		return Verdict{Refused, storeRetryAfter}
-	}
 	j.Accepted = time.Now()
 	b, err := json.Marshal(j)
 	if err != nil {
 		g.Log.Error().Err(err).Str("job", string(j.ID)).Msg("job can't be encoded")
-		return Verdict{Refused, storeRetryAfter}
+		return g.refusal()
 	}
 	key := dispatch.JobPrefix + string(j.ID)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-answerMargin))
 	defer cancel()
+	if v, done := g.look(ctx, key); done {
+		return v
+	}
 	began := time.Now()
 	// open is set once a call may take effect later.
 	open := false
@@ -197,17 +205,57 @@
 			return Verdict{Outcome: Accepted}
 		case errors.Is(err, kv.ErrUnknown):
 			open = true
+			// The answer may be lost alone.
+			if _, err := g.get(ctx, key); err == nil {
+				return Verdict{Outcome: Accepted}
+			}
 		}
 		if !open && (time.Since(began) > refuseAfter || ctx.Err() != nil) {
-			return Verdict{Refused, storeRetryAfter}
+			return g.refusal()
 		}
-		if ctx.Err() != nil || open && g.StoreDown() {
+		if ctx.Err() != nil {
 			return Verdict{Outcome: Unknown}
 		}
 		wait(ctx, retryPause)
 	}
 }
 
+// look reads the key where the store wasn't reached just now: a read that
+// fails leaves nothing open, so that the job can be refused for sure.
+func (g *Gateway) look(ctx context.Context, key string) (Verdict, bool) {
+	g.mu.Lock()
+	fresh := g.failed.IsZero() && time.Since(g.contact) < contactFresh
+	g.mu.Unlock()
+	if fresh {
+		return Verdict{}, false
+	}
+	c, cancel := context.WithTimeout(ctx, lookCall)
+	defer cancel()
+	_, err := g.Store.Get(c, key)
+	if ctx.Err() == nil {
+		g.reached(err)
+	}
+	switch {
+	case err == nil:
+		return Verdict{Outcome: Accepted}, true
+	case errors.Is(err, kv.ErrNotFound):
+		return Verdict{}, false
+	}
+	return g.refusal(), true
+}
+
+// refusal tells a caller to come back after as long as the store has been
+// away: with a few tries a caller then outlasts an outage that began before.
+func (g *Gateway) refusal() Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	away := time.Duration(0)
+	if !g.failed.IsZero() {
+		away = time.Since(g.failed)
+	}
+	return Verdict{Refused, min(max(away.Round(time.Second), storeRetryAfter), storeRetryLimit)}
+}
+
 func wait(ctx context.Context, t time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -25,6 +25,18 @@
 	ErrUnknown = errors.New("kv: outcome unknown")
 )
 
+// A Conflict is the ErrConflict of a change: it tells how the keys of its conditions stand.
+type Conflict struct {
+	// Items has a revision of 0 for a key that doesn't exist.
+	Items []Item
+}
+
+// Error implements error.
+func (c *Conflict) Error() string { return ErrConflict.Error() }
+
+// Is makes a Conflict an ErrConflict.
+func (c *Conflict) Is(err error) bool { return err == ErrConflict }
+
 // A Revision counts the changes of the store.
 type Revision int64
 
