--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -100,9 +100,14 @@
 	reported int64
 	noted    int64
 	facts    map[batch.Task]link.Fact
-	pacing   pacing.Machine
-	told     time.Time
-	saved    map[batch.Task]string
+	// found are runs that were there before this process.
+	found  map[batch.Task]bool
+	pacing pacing.Machine
+	// paces wait to be sent to the worker.
+	paces     map[paced]int
+	pacingNow bool
+	told      time.Time
+	saved     map[batch.Task]string
 }
 
 // Run serves until ctx ends.
@@ -185,7 +190,7 @@
 func (a *Agent) hold(r Report) {
 	h := &held{
 		agent: a, info: r.Worker, seq: r.Seq, fence: a.fence,
-		changed: make(chan struct{}, 1), facts: map[batch.Task]link.Fact{}, saved: map[batch.Task]string{},
+		changed: make(chan struct{}, 1), facts: map[batch.Task]link.Fact{}, saved: map[batch.Task]string{}, paces: map[paced]int{}, found: map[batch.Task]bool{},
 	}
 	ad, err := netip.ParseAddrPort(r.Worker.Address)
 	if err != nil {
@@ -264,6 +269,9 @@
 		if h := a.workers[m.Facts.Key]; h != nil && h.joined == h.fence {
 			h.acked = true
 			for _, f := range m.Facts.Facts {
+				if _, ok := h.facts[f.Task]; !ok {
+					h.found[f.Task] = true
+				}
 				h.facts[f.Task] = f
 			}
 		}
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -123,6 +123,7 @@
 		if e.Seq > h.reported {
 			ends = append(ends, e)
 			delete(h.facts, e.Task)
+			delete(h.found, e.Task)
 			delete(h.saved, e.Task)
 		}
 	}
@@ -157,7 +158,7 @@
 	rows := make([]pacing.Row, 0, len(running))
 	for _, r := range running {
 		f := h.facts[r.Task]
-		row := pacing.Row{Task: r.Task, Number: r.Number, Target: f.Target, Fills: f.Fills, Image: f.Image}
+		row := pacing.Row{Task: r.Task, Number: r.Number, Target: f.Target, Fills: f.Fills, Image: f.Image, Need: f.MilliCPU, Found: h.found[r.Task]}
 		if f.Target > 0 {
 			row.Tail = time.Duration(r.Load) * time.Millisecond
 		} else {
@@ -175,12 +176,53 @@
 	for _, c := range h.pacing.Step(now, rows, nil) {
 		h.agent.Log.Event(eventlog.RunPaced).Str("job", string(c.Task.Job)).Str("task", c.Task.String()).Int("run", c.Number).
 			Int("percent", c.Percent).Float64("worstShare", c.Worst).Msg("")
-		h.agent.ended.Go(func() {
-			t, cancel := context.WithTimeout(h.ctx, orderTimeout)
-			defer cancel()
-			if _, err := h.client.Pace(t, c.Task, c.Number, c.Percent, fence); err != nil {
-				h.agent.Log.Warning(eventlog.RunPaced).Str("task", c.Task.String()).Err(err).Msg("not answered")
-			}
-		})
+		h.paces[paced{c.Task, c.Number}] = c.Percent
+	}
+	if len(h.paces) > 0 && !h.pacingNow {
+		h.pacingNow = true
+		h.agent.ended.Go(func() { h.sendPaces(fence) })
+	}
+}
+
+// paced is a run whose pace is set.
+type paced struct {
+	task   batch.Task
+	number int
+}
+
+// sendPaces sets the paces one after the other, so that none overtakes a newer
+// one of the same run; one that isn't answered is sent again.
+func (h *held) sendPaces(fence int64) {
+	a := h.agent
+	for {
+		a.mu.Lock()
+		var next paced
+		percent, found := 0, false
+		for k, p := range h.paces {
+			next, percent, found = k, p, true
+			break
+		}
+		if !found || !h.current(fence) {
+			h.pacingNow = false
+			clear(h.paces)
+			a.mu.Unlock()
+			return
+		}
+		a.mu.Unlock()
+		c, cancel := context.WithTimeout(h.ctx, orderTimeout)
+		_, err := h.client.Pace(c, next.task, next.number, percent, fence)
+		cancel()
+		unanswered := errors.Is(err, ErrNoAnswer) || errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnhealthy)
+		a.mu.Lock()
+		if !unanswered && h.paces[next] == percent {
+			delete(h.paces, next)
+		}
+		a.mu.Unlock()
+		if err != nil {
+			a.Log.Warning(eventlog.RunPaced).Str("task", next.task.String()).Int("run", next.number).Int("percent", percent).Err(err).Msg("")
+		}
+		if unanswered {
+			h.pause(orderPause)
+		}
 	}
 }
--- a/pkg/decide/pacing/pacing.go
+++ b/pkg/decide/pacing/pacing.go
@@ -39,6 +39,11 @@
 	idleShare = 0.2
 	// matters is the part of a victim's room below which a task counts as no disturber.
 	matters = 0.02
+	// obeyed is how long after an order the use of a run shows it: its effect and a whole window.
+	obeyed = 1200 * time.Millisecond
+	// astrayFactor and astraySlack say how much more than its pace a run may use, as the figures are rough.
+	astrayFactor = 1.6
+	astraySlack  = 150
 	// guess is the share that a halted task is taken to come back with.
 	guess = 0.45
 )
@@ -53,8 +58,11 @@
 	Target time.Duration
 	Fills  bool
 	Image  string
-	// MilliCPU is the processor time in use, in thousandths of a core.
+	// MilliCPU is the processor time in use, Need what the run asks for, in thousandths of a core.
 	MilliCPU int
+	Need     int
+	// Found runs were there before this process; their pace isn't known.
+	Found bool
 }
 
 // A Change sets the pace of a run.
@@ -80,6 +88,8 @@
 	Idle func(victim string) time.Duration
 
 	paces map[run]int
+	// set is when a run was told its pace last.
+	set map[run]time.Time
 	// above is since when a tail is over its target.
 	above map[run]time.Time
 	// cut is when the tasks beside a victim gave way last.
@@ -172,27 +182,39 @@
 			p = m.forth(old, r, rows)
 		}
 		m.paces[k] = p
-		if p != old {
+		if p != old || !ok && r.Found || m.astray(now, k, r, p) {
+			m.set[k] = now
 			out = append(out, Change{Task: r.Task, Number: r.Number, Percent: p, Worst: worst})
 		}
 	}
 	return out
 }
 
+// astray reports whether a run works faster than it was told to: an order
+// given earlier may have been carried out after the last one.
+func (m *Machine) astray(now time.Time, k run, r Row, pace int) bool {
+	at, told := m.set[k]
+	if !told || pace >= full || now.Sub(at) < obeyed {
+		return false
+	}
+	return float64(r.MilliCPU) > astrayFactor*float64(r.Need*pace)/full+astraySlack
+}
+
 func (m *Machine) forget(rows []Row) {
 	there := map[run]bool{}
 	for _, r := range rows {
 		there[run{r.Task, r.Number}] = true
 	}
 	if m.paces == nil {
-		m.paces, m.above, m.cut = map[run]int{}, map[run]time.Time{}, map[run]time.Time{}
+		m.paces = map[run]int{}
+		m.above, m.cut, m.set = map[run]time.Time{}, map[run]time.Time{}, map[run]time.Time{}
 	}
 	for k := range m.paces {
 		if !there[k] {
 			delete(m.paces, k)
 		}
 	}
-	for _, x := range []map[run]time.Time{m.above, m.cut} {
+	for _, x := range []map[run]time.Time{m.above, m.cut, m.set} {
 		for k := range x {
 			if !there[k] {
 				delete(x, k)
