--- a/cmd/sesamestream-platform/main.go
+++ b/cmd/sesamestream-platform/main.go
@@ -31,7 +31,9 @@
 	l := eventlog.New(os.Stdout, s.Node)
 	defer l.Close(logLimit)
 	l.Event(eventlog.ProcessStarted).Str("dataCentre", s.DataCentre).Str("region", s.Region).Int("pid", os.Getpid()).Msg("")
-	p := &platform.Process{Settings: s, Log: l}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	p := &platform.Process{Settings: s, Log: l, Reload: reload}
 	err = p.Run(ctx)
 	l.Event(eventlog.ProcessStopped).Err(err).Msg("")
 	if err != nil {
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -121,6 +121,13 @@
 	return nil
 }
 
+// SetMaxLease changes the longest lease that a worker takes.
+func (a *Agent) SetMaxLease(t time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.MaxLease = t
+}
+
 // Workers returns the lives that are held.
 func (a *Agent) Workers() []batch.WorkerKey {
 	a.mu.Lock()
