--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,137 @@
+// Package control puts the parts of one process together: its node, and the
+// gateway or the host agent. What the deployment speaks is given to it.
+package control
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamestream/sesamestream/internal/dispatch"
+	"github.com/sesamestream/sesamestream/internal/election"
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/gateway"
+	"github.com/sesamestream/sesamestream/internal/hostagent"
+	"github.com/sesamestream/sesamestream/internal/kv"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/internal/node"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
+)
+
+// LeadTTL is the store's lease on the lead; a killed scheduler is replaced after it, so it's near the store's least.
+const LeadTTL = 1200 * time.Millisecond
+
+// A Control is one process. Its exported fields are set before Run.
+type Control struct {
+	Name       string
+	Address    netip.AddrPort
+	DataCentre string
+	Region     string
+	// Host is set where a worker runs, Entry where callers come.
+	Host, Entry bool
+	Store       kv.Store
+	Network     link.Network
+	Log         *eventlog.Log
+	// Steady is the clock of the leases.
+	Steady func() time.Duration
+	// Dial returns a client for a life of a worker.
+	Dial func(netip.AddrPort, batch.WorkerKey) hostagent.Worker
+	// Advise asks the policy service; nil where there is none.
+	Advise dispatch.Adviser
+	// Upkeep does the upkeep of machines; nil where there is none.
+	Upkeep func(context.Context, *dispatch.Dispatcher)
+	// ConfigKey and DecodeConfig give the operators' configuration.
+	ConfigKey    string
+	DecodeConfig func([]byte) (batch.Config, error)
+	Schedule     schedule.Settings
+	// MaxLease is the longest lease that a worker takes.
+	MaxLease time.Duration
+	// LeadTTL is the store's lease on the lead.
+	LeadTTL time.Duration
+	// Keep is how long an ended job stays known.
+	Keep time.Duration
+
+	// Gateway and Agent are there after Open.
+	Gateway *gateway.Gateway
+	Agent   *hostagent.Agent
+	node    *node.Node
+}
+
+// Open makes the parts.
+func (c *Control) Open() {
+	life := time.Now().UnixNano()
+	c.node = &node.Node{
+		Elector: &election.Elector{Store: c.Store, Node: c.Name, Address: c.Address, TTL: c.LeadTTL},
+		Log:     c.Log, Network: c.Network, Listen: c.Address, Host: c.Host, Steady: c.Steady,
+		StoreOK: func() bool { return c.Gateway != nil && c.Gateway.StoreOK() },
+		Hello: func() link.Hello {
+			h := link.Hello{
+				Node: c.Name, Life: life, Address: c.Address.String(), DataCentre: c.DataCentre, Region: c.Region, Host: c.Host,
+			}
+			if c.Agent != nil {
+				h.Workers = c.Agent.Workers()
+			}
+			return h
+		},
+		Dispatcher: c.dispatcher,
+		Message:    c.message,
+		Welcomed: func(w link.Welcome) {
+			if c.Agent != nil {
+				c.Agent.Welcomed(w)
+			}
+		},
+		Granted: func(sent, grant time.Duration) {
+			if c.Agent != nil {
+				c.Agent.Granted(sent, grant)
+			}
+		},
+		Lost: func() {
+			if c.Agent != nil {
+				c.Agent.Lost()
+			}
+		},
+	}
+	if c.Host {
+		c.Agent = &hostagent.Agent{Log: c.Log, Send: c.node.Send, Steady: c.Steady, MaxLease: c.MaxLease, Dial: c.Dial}
+	}
+	if c.Entry {
+		c.Gateway = &gateway.Gateway{
+			Store: c.Store, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig, Send: c.node.Send,
+		}
+	}
+}
+
+func (c *Control) dispatcher(t *election.Term) *dispatch.Dispatcher {
+	return &dispatch.Dispatcher{
+		Store: c.Store, Term: t, Node: c.Name, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig,
+		Keep: c.Keep, Settings: c.Schedule, Advise: c.Advise, Upkeep: c.Upkeep,
+	}
+}
+
+func (c *Control) message(m link.Message) {
+	if c.Agent != nil {
+		c.Agent.Message(m)
+	}
+	if c.Gateway != nil {
+		c.Gateway.Message(m)
+	}
+}
+
+// Run serves until ctx ends.
+func (c *Control) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	if c.Agent != nil {
+		g.Go(func() error { return c.Agent.Run(ctx) })
+	}
+	if c.Gateway != nil {
+		g.Go(func() error { return c.Gateway.Run(ctx) })
+	}
+	g.Go(func() error { return c.node.Run(ctx) })
+	return g.Wait()
+}
+
+// Resign gives the lead up, if this process has it.
+func (c *Control) Resign(ctx context.Context) { c.node.Resign(ctx) }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -81,7 +81,9 @@
 	DecodeConfig func([]byte) (batch.Config, error)
 	// Keep is how long an ended job stays known.
 	Keep time.Duration
-	// Upkeep is called with each wave that the operator asks for; nil where nobody does.
+	// Advise asks the policy service; nil where there is none.
+	Advise Adviser
+	// Upkeep does the upkeep of machines while the term lasts; nil where nobody does.
 	Upkeep func(context.Context, *Dispatcher)
 	// Announce tells a node without a session where the scheduler is.
 	Announce func(address string, epoch int64)
@@ -108,6 +110,7 @@
 	told      time.Time
 	ctx       context.Context
 	stopped   sync.WaitGroup
+	wants     chan schedule.Want
 }
 
 type node struct {
@@ -141,8 +144,15 @@
 	d.sessions, d.nodes, d.unheard = map[string]*session{}, map[string]node{}, map[string]bool{}
 	d.revisions = map[batch.JobID]kv.Revision{}
 	d.lapses, d.notes = map[batch.WorkerKey]time.Time{}, map[batch.WorkerKey]int64{}
+	d.wants = make(chan schedule.Want, adviceQueue)
 	var g errgroup.Group
 	g.Go(func() error { return d.load(ctx) })
+	if d.Advise != nil {
+		d.stopped.Go(func() { d.advise(ctx) })
+	}
+	if d.Upkeep != nil {
+		d.stopped.Go(func() { d.Upkeep(ctx, d) })
+	}
 	d.loop(ctx)
 	cancel()
 	for _, s := range d.sessions {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -13,7 +13,6 @@
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/pkg/batch"
-	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
 
 // Accept serves the link of a node that said hello, until it ends.
@@ -150,9 +149,6 @@
 		d.plan.Progressed(now, m.Progress.Key, m.Progress.Runs, m.Progress.Squeezed)
 	case m.Ask != nil:
 		d.answer(s, m.Ask)
-	case m.Advised != nil:
-		a := m.Advised
-		d.plan.Advised(now, schedule.Want{Job: a.Job, Occurrence: a.Occurrence, Step: a.Step, Workers: a.Asked}, a.Tickets, a.Valid, a.Failed)
 	}
 }
 
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -108,19 +108,6 @@
 	d.flush(now)
 }
 
-// ask passes a question for the policy service to a node that isn't a host, if there is one.
-func (d *Dispatcher) ask(w schedule.Want) {
-	var to *session
-	for _, s := range d.sessions {
-		if s.fence != 0 && (to == nil || to.hello.Host && !s.hello.Host) {
-			to = s
-		}
-	}
-	if to != nil {
-		to.conn.Send(link.Message{Advice: &link.Advice{Job: w.Job, Occurrence: w.Occurrence, Step: w.Step, Workers: w.Workers}})
-	}
-}
-
 // flush stores the progress that changed, and lets the workers forget the ends that are in it.
 func (d *Dispatcher) flush(now time.Time) {
 	if d.writing || now.Sub(d.flushed) < flushEvery {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -4,11 +4,9 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/binary"
 	"io"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -28,8 +26,6 @@
 	maxFrame = 2 << 20
 	// queueLength is how many messages may wait for a slow reader before the link is closed.
 	queueLength = 4096
-	// dialTimeout bounds the opening; the slowest link known takes 30 ms one way.
-	dialTimeout = 700 * time.Millisecond
 	// writeTimeout closes a link whose reader takes nothing; it's above the time in which a session ends by silence.
 	writeTimeout = 3 * time.Second
 )
@@ -49,16 +45,6 @@
 	return l
 }
 
-// Dial opens a link to a.
-func Dial(ctx context.Context, a netip.AddrPort) (*Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", a.String())
-	if err != nil {
-		return nil, errors.Wrap(err, "link: dial")
-	}
-	return New(c), nil
-}
-
 // Send queues m; a link that can't keep up is closed.
 func (l *Conn) Send(m Message) {
 	select {
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -26,9 +26,6 @@
 	Ask      *Ask      `cbor:"14,keyasint,omitempty"`
 	Reply    *Reply    `cbor:"15,keyasint,omitempty"`
 	Facts    *Facts    `cbor:"16,keyasint,omitempty"`
-	Room     *Room     `cbor:"17,keyasint,omitempty"`
-	Advice   *Advice   `cbor:"18,keyasint,omitempty"`
-	Advised  *Advised  `cbor:"19,keyasint,omitempty"`
 	Pressure *Pressure `cbor:"20,keyasint,omitempty"`
 }
 
@@ -184,31 +181,6 @@
 	Pending int            `cbor:"4,keyasint,omitempty"`
 }
 
-// Room tells the entries how much work waits.
-type Room struct {
-	// Waits is by priority how long new work waits for its first start.
-	Waits map[int]time.Duration `cbor:"1,keyasint"`
-}
-
-// Advice asks the host to ask the policy service for a step.
-type Advice struct {
-	Job        batch.JobID `cbor:"1,keyasint"`
-	Occurrence int         `cbor:"2,keyasint"`
-	Step       int         `cbor:"3,keyasint"`
-	Workers    []string    `cbor:"4,keyasint"`
-}
-
-// Advised answers it with tickets by worker.
-type Advised struct {
-	Job        batch.JobID       `cbor:"1,keyasint"`
-	Occurrence int               `cbor:"2,keyasint"`
-	Step       int               `cbor:"3,keyasint"`
-	Tickets    map[string]string `cbor:"4,keyasint"`
-	Asked      []string          `cbor:"5,keyasint"`
-	Valid      time.Duration     `cbor:"6,keyasint"`
-	Failed     bool              `cbor:"7,keyasint"`
-}
-
 // Pressure tells the hosts which images disturb which.
 type Pressure struct {
 	Entries []interfere.Entry `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/link/network.go
@@ -0,0 +1,48 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+)
+
+// A Network connects nodes.
+type Network interface {
+	// Listen takes connections at a.
+	Listen(ctx context.Context, a netip.AddrPort) (net.Listener, error)
+	// Dial opens a connection to a.
+	Dial(ctx context.Context, a netip.AddrPort) (net.Conn, error)
+	// Packets sends and takes datagrams at a.
+	Packets(a netip.AddrPort) (Packets, error)
+}
+
+// Packets is a socket for datagrams, which may be lost.
+type Packets interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
+// IP is the network of the machine.
+type IP struct{}
+
+// Listen implements Network.
+func (IP) Listen(ctx context.Context, a netip.AddrPort) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", a.String())
+	return l, errors.Wrap(err, "link: listen")
+}
+
+// Dial implements Network.
+func (IP) Dial(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1}
+	c, err := d.DialContext(ctx, "tcp", a.String())
+	return c, errors.Wrap(err, "link: dial")
+}
+
+// Packets implements Network.
+func (IP) Packets(a netip.AddrPort) (Packets, error) {
+	p, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	return p, errors.Wrap(err, "link: listen for datagrams")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,8 @@
 	sessionTimeout = 2 * time.Second
 	// welcomeTimeout covers the load of a scheduler's state and the registration of a node in the store.
 	welcomeTimeout = 3 * time.Second
+	// dialTimeout bounds the opening of a link; the slowest known takes 30 ms one way.
+	dialTimeout = 700 * time.Millisecond
 	// seekPause is the pause between two looks for the scheduler.
 	seekPause = 150 * time.Millisecond
 	// hostDelay lets nodes that run no work take the lead first.
@@ -46,6 +48,7 @@
 type Node struct {
 	Elector *election.Elector
 	Log     *eventlog.Log
+	Network link.Network
 	// Listen is where other nodes reach this one.
 	Listen netip.AddrPort
 	// Host is set on nodes with a worker.
@@ -64,27 +67,27 @@
 	// StoreOK reports whether the store was reached lately.
 	StoreOK func() bool
 
-	mu    sync.Mutex
-	conn  *link.Conn
-	lead  *dispatch.Dispatcher
-	term  *election.Term
-	epoch int64
-	known election.Leader
-	hint  chan struct{}
-	udp   *net.UDPConn
+	mu      sync.Mutex
+	conn    *link.Conn
+	lead    *dispatch.Dispatcher
+	term    *election.Term
+	epoch   int64
+	known   election.Leader
+	hint    chan struct{}
+	packets link.Packets
 }
 
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	n.hint = make(chan struct{}, 1)
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.Listen.String())
+	l, err := n.Network.Listen(ctx, n.Listen)
 	if err != nil {
-		return errors.Wrap(err, "node: listen")
+		return err
 	}
-	n.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(n.Listen))
+	n.packets, err = n.Network.Packets(n.Listen)
 	if err != nil {
 		_ = l.Close()
-		return errors.Wrap(err, "node: listen for announcements")
+		return err
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return n.accept(ctx, l) })
@@ -92,7 +95,7 @@
 	g.Go(func() error { return n.seek(ctx) })
 	<-ctx.Done()
 	_ = l.Close()
-	_ = n.udp.Close()
+	_ = n.packets.Close()
 	return g.Wait()
 }
 
@@ -170,7 +173,7 @@
 func (n *Node) hear(ctx context.Context) error {
 	b := make([]byte, announcement)
 	for {
-		k, _, err := n.udp.ReadFromUDPAddrPort(b)
+		k, _, err := n.packets.ReadFromUDPAddrPort(b)
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
@@ -219,7 +222,7 @@
 			return
 		}
 		// A lost announcement is repeated.
-		_, _ = n.udp.WriteToUDPAddrPort(b, a)
+		_, _ = n.packets.WriteToUDPAddrPort(b, a)
 	}
 }
 
@@ -297,10 +300,13 @@
 
 // session stays with the scheduler until it isn't heard any more.
 func (n *Node) session(ctx context.Context, l election.Leader) {
-	c, err := link.Dial(ctx, l.Address)
+	opening, cancel := context.WithTimeout(ctx, dialTimeout)
+	raw, err := n.Network.Dial(opening, l.Address)
+	cancel()
 	if err != nil {
 		return
 	}
+	c := link.New(raw)
 	defer c.Close()
 	c.Send(link.Message{Hello: ptr(n.Hello())})
 	heard := make(chan link.Message, 1024)
