--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -67,6 +67,7 @@
 		Elector: &election.Elector{Store: c.Store, Node: c.Name, Address: c.Address, TTL: c.LeadTTL},
 		Log:     c.Log, Network: c.Network, Listen: c.Address, Host: c.Host, Steady: c.Steady,
 		StoreOK: func() bool { return c.Gateway != nil && c.Gateway.StoreOK() },
+		Clear:   func() bool { return c.Agent != nil && c.Agent.Clear() },
 		Hello: func() link.Hello {
 			h := link.Hello{
 				Node: c.Name, Life: life, Address: c.Address.String(), DataCentre: c.DataCentre, Region: c.Region, Host: c.Host,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,9 @@
 	// silentHost is how long a takeover waits for a host that it doesn't hear:
 	// the last grant of the scheduler before it, and the time that one takes to notice.
 	silentHost = Grant + Grant/20 + 1500*time.Millisecond
+	// unawareTime is how long the scheduler before may go on without knowing of
+	// this term while it still hears of new jobs: until its next renewal fails.
+	unawareTime = 1500 * time.Millisecond
 	// sessionTimeout ends a session by silence; three pings fit.
 	sessionTimeout = 2 * time.Second
 	// tickEvery is the resolution of the scheduler's own times.
@@ -344,7 +347,7 @@
 		d.post(func(now time.Time) {
 			for _, i := range items {
 				if strings.HasPrefix(i.Key, JobPrefix) && !i.Removed {
-					d.add(now, i, nil, false)
+					d.add(now, i, nil, now.Sub(d.begun) < unawareTime)
 				}
 			}
 			for _, i := range items {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -155,6 +155,10 @@
 // ping grants the session's lease, unless another scheduler may have begun.
 func (d *Dispatcher) ping(now time.Time, s *session, p *link.Ping) {
 	s.storeOK = p.Store
+	if p.Clear && d.unheard[s.hello.Node] {
+		clear(s.wanted)
+		d.heardHost(now, s)
+	}
 	if s.fence == 0 {
 		return
 	}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -210,7 +210,9 @@
 
 // retake takes the lead up again, one call at a time.
 func (t *Term) retake(ctx context.Context, ended kv.LeaseID) {
-	t.taking.Lock()
+	if !t.taking.TryLock() {
+		return
+	}
 	defer t.taking.Unlock()
 	t.mu.Lock()
 	again := t.lease == ended
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -59,6 +59,7 @@
 
 	mu      sync.Mutex
 	ctx     context.Context
+	begun   time.Duration
 	workers map[batch.WorkerKey]*held
 	gone    []batch.WorkerKey
 	// fence is that of the session; 0 without one.
@@ -113,7 +114,7 @@
 // Run serves until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	a.mu.Lock()
-	a.ctx = ctx
+	a.ctx, a.begun = ctx, a.Steady()
 	a.workers = map[batch.WorkerKey]*held{}
 	a.mu.Unlock()
 	<-ctx.Done()
@@ -139,6 +140,14 @@
 	return ks
 }
 
+// Clear reports whether nothing that was started before can run on this host:
+// it has no worker, and the leases that the process before it renewed are over.
+func (a *Agent) Clear() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ctx != nil && len(a.workers) == 0 && a.Steady()-a.begun > a.MaxLease+lapseSlack
+}
+
 // Report takes a heartbeat.
 func (a *Agent) Report(r Report) bool {
 	a.mu.Lock()
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -59,6 +59,9 @@
 	Sent int64 `cbor:"1,keyasint"`
 	// Store tells whether the sender reached the store lately.
 	Store bool `cbor:"2,keyasint"`
+	// Clear tells that no worker of this host can run anything that was
+	// started before: it has none, and leases of before are over.
+	Clear bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Pong grants the lease of the session, counted from the ping's sending.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,8 @@
 	Lost     func()
 	// Steady is the clock of the leases.
 	Steady func() time.Duration
+	// Clear reports whether nothing that was started before can run on this host.
+	Clear func() bool
 	// StoreOK reports whether the store was reached lately.
 	StoreOK func() bool
 
@@ -378,7 +380,7 @@
 }
 
 func (n *Node) ping(c *link.Conn) {
-	c.Send(link.Message{Ping: &link.Ping{Sent: int64(n.Steady()), Store: n.StoreOK()}})
+	c.Send(link.Message{Ping: &link.Ping{Sent: int64(n.Steady()), Store: n.StoreOK(), Clear: n.Clear()}})
 }
 
 func ptr[T any](v T) *T { return &v }
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -51,6 +51,8 @@
 	failures []int
 	saved    string
 	advice   advice
+	// idle is since when it's ready and none of its tasks has a worker.
+	idle time.Time
 	// moved is when one of its tasks was moved last.
 	moved time.Time
 }
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -242,7 +242,7 @@
 		if t.avoid != "" && w.Machine == t.avoid && len(s.workers) > 1 {
 			continue
 		}
-		if st.Fills {
+		if st.Fills && !st.patienceOver(now) {
 			if w.spare(now) < fillFloor(st) {
 				continue
 			}
@@ -270,6 +270,23 @@
 	return best
 }
 
+// patience is how long filling work with nothing at work waits for a worker
+// that it doesn't strain. Then one of its tasks goes where it strains least, and
+// the host paces it: half the time in which a job has to have something running.
+const patience = 1500 * time.Millisecond
+
+// patienceOver reports whether the step has waited long enough with nothing at work.
+func (s *step) patienceOver(now time.Time) bool {
+	if s.waiting < s.left {
+		s.idle = time.Time{}
+		return false
+	}
+	if s.idle.IsZero() {
+		s.idle = now
+	}
+	return now.Sub(s.idle) >= patience
+}
+
 // fillFloor is the least processor time that makes a filling task worth its start.
 func fillFloor(st *step) int { return st.Need.MilliCPU / 2 }
 
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -135,11 +135,14 @@
 		// Each failed run counts, whoever started it.
 		s.failed(now, w, t, e.Number)
 	}
-	// An earlier scheduler may have started it: what nobody runs now may have ended there.
-	if !mine && (t.worker != nil || t.done || e.Number < t.run && e.How != batch.Done) {
+	// An earlier scheduler may have started it: what nobody runs now may have
+	// ended there. Work that is done stays done, whatever else was started since.
+	if !mine && (t.done || e.How != batch.Done && (t.worker != nil || e.Number < t.run)) {
 		return
 	}
-	t.run = max(t.run, e.Number)
+	if mine || t.worker == nil {
+		t.run = max(t.run, e.Number)
+	}
 	t.step.run = max(t.step.run, e.Number)
 	if e.Saved != "" {
 		t.saved = e.Saved
@@ -165,6 +168,9 @@
 		return
 	}
 	t.complete()
+	if t.worker != nil && !t.stopping {
+		s.stop(t, "done elsewhere")
+	}
 	if t.step.Gang {
 		// One end stands for all members.
 		for _, o := range t.step.tasks {
--- a/pkg/decide/schedule/share.go
+++ b/pkg/decide/schedule/share.go
@@ -23,6 +23,8 @@
 	follow = 0.5
 	// unmeasured is the occupancy assumed of a serving task whose tail wasn't measured lately: the middle of its swing.
 	unmeasured = 0.5
+	// unmeasuredRoom is the occupancy that a victim may reach of which nothing was measured: targets are five times the least tail.
+	unmeasuredRoom = 0.7
 )
 
 // tail is the last tail latency measured of a serving task.
@@ -106,7 +108,11 @@
 				has += s.model.Weight(image, fleet.Kind(t.step.Image)) * float64(t.step.Need.MilliCPU) / ShareUnit
 			}
 		}
-		if has+mine > s.model.Occupancy(image, time.Duration(tailRoom*float64(v.step.TailTarget))) {
+		may := unmeasuredRoom
+		if s.model.Idle(image) > 0 {
+			may = s.model.Occupancy(image, time.Duration(tailRoom*float64(v.step.TailTarget)))
+		}
+		if has+mine > may {
 			fits = false
 		}
 	}
--- /dev/null
+++ b/test/fleet/fleet_test.go
@@ -0,0 +1,200 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/gateway"
+	"github.com/sesamestream/sesamestream/internal/hostagent/standin"
+	"github.com/sesamestream/sesamestream/internal/kv/memory"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// state asks an entry until it knows.
+func (r *rig) state(id batch.JobID) (batch.JobState, bool) {
+	for range 5 {
+		s, o := r.entry().gateway().State(context.Background(), time.Now().Add(2*time.Second), id)
+		switch o {
+		case gateway.Known:
+			return s, true
+		case gateway.Absent:
+			return "", false
+		}
+	}
+	return "", false
+}
+
+func (r *rig) cancel(id batch.JobID) {
+	for range 10 {
+		if r.entry().gateway().Cancel(context.Background(), time.Now().Add(2*time.Second), id) == gateway.Known {
+			r.history.cancelled(id)
+			return
+		}
+	}
+}
+
+// faults are what may happen, one after the other and at the same time.
+var faults = []struct {
+	name string
+	do   func(r *rig, p *proc, d time.Duration)
+}{
+	{"kill", func(r *rig, p *proc, d time.Duration) {
+		p.kill()
+		time.Sleep(d / 2)
+		p.start()
+	}},
+	{"killAll", func(r *rig, _ *proc, d time.Duration) {
+		for _, p := range r.procs {
+			p.kill()
+		}
+		time.Sleep(d / 4)
+		for _, p := range r.procs {
+			p.start()
+		}
+	}},
+	{"workerCrash", func(r *rig, p *proc, d time.Duration) {
+		if !p.host {
+			return
+		}
+		p.worker.Crash()
+		time.Sleep(d / 2)
+		p.newWorker()
+	}},
+	{"cut", func(r *rig, p *proc, d time.Duration) {
+		for _, o := range r.procs {
+			if o != p {
+				r.net.Cut(p.addr.Addr(), o.addr.Addr(), true)
+			}
+		}
+		p.store.Set(memory.Faults{Down: true})
+		time.Sleep(d)
+		p.store.Set(memory.Faults{})
+		for _, o := range r.procs {
+			r.net.Cut(p.addr.Addr(), o.addr.Addr(), false)
+		}
+	}},
+	{"storeCut", func(r *rig, p *proc, d time.Duration) {
+		p.store.Set(memory.Faults{Down: true})
+		time.Sleep(d)
+		p.store.Set(memory.Faults{})
+	}},
+	{"storeDown", func(r *rig, _ *proc, d time.Duration) { r.storeFault(memory.Faults{Down: true}, d) }},
+	{"storeBusy", func(r *rig, _ *proc, d time.Duration) { r.storeFault(memory.Faults{Refuse: true}, d) }},
+	{"storeLost", func(r *rig, _ *proc, d time.Duration) { r.storeFault(memory.Faults{LoseAnswers: true}, d/2) }},
+	{"storeLate", func(r *rig, _ *proc, d time.Duration) { r.storeFault(memory.Faults{Late: d}, d/2) }},
+	{"storeForgets", func(r *rig, _ *proc, _ time.Duration) { r.store.Compact() }},
+	{"leasesEnd", func(r *rig, _ *proc, _ time.Duration) { r.store.EndLeases() }},
+	{"lateOrders", func(r *rig, p *proc, d time.Duration) {
+		if !p.host {
+			return
+		}
+		w := p.worker
+		w.Set(standin.Faults{Late: 2 * d})
+		time.Sleep(d / 4)
+		w.Set(standin.Faults{})
+	}},
+	{"lostOrders", func(r *rig, p *proc, d time.Duration) {
+		if !p.host {
+			return
+		}
+		w := p.worker
+		w.Set(standin.Faults{LoseAnswers: true})
+		time.Sleep(d / 4)
+		w.Set(standin.Faults{})
+	}},
+	{"silentWorker", func(r *rig, p *proc, d time.Duration) {
+		if !p.host {
+			return
+		}
+		w := p.worker
+		w.Set(standin.Faults{Silent: true})
+		time.Sleep(2 * d)
+		w.Set(standin.Faults{})
+	}},
+}
+
+func (r *rig) storeFault(f memory.Faults, d time.Duration) {
+	for _, p := range r.procs {
+		p.store.Set(f)
+	}
+	time.Sleep(d)
+	for _, p := range r.procs {
+		p.store.Set(memory.Faults{})
+	}
+}
+
+// TestFaults runs deployments under random faults. SEEDS=FROM-TO runs others than the fixed seeds.
+func TestFaults(t *testing.T) {
+	from, to := uint64(0), uint64(seeds)
+	if v := os.Getenv("SEEDS"); v != "" {
+		if _, err := fmt.Sscanf(v, "%d-%d", &from, &to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for seed := from; seed < to; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { run(t, seed) })
+	}
+}
+
+// seeds is how many seeds run each time.
+const seeds = 12
+
+// run plays one seed: jobs come for a while among faults, then all has to settle.
+func run(t *testing.T, seed uint64) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, seed, 2, 4)
+		r.history.failRate = 10
+		time.Sleep(5 * time.Second)
+		finished := make(chan struct{})
+		const jobs = 40
+		for n := range jobs {
+			go func() {
+				defer func() { finished <- struct{}{} }()
+				time.Sleep(time.Duration(r.intn(20000)) * time.Millisecond)
+				j := r.job(n)
+				r.submit(j)
+				if n%8 == 7 {
+					time.Sleep(time.Duration(r.intn(1500)) * time.Millisecond)
+					r.cancel(j.ID)
+				}
+			}()
+		}
+		for range 8 {
+			time.Sleep(time.Duration(r.intn(2500)) * time.Millisecond)
+			f := faults[r.intn(len(faults))]
+			p := r.procs[r.intn(len(r.procs))]
+			d := 500*time.Millisecond + time.Duration(r.intn(4000))*time.Millisecond
+			t.Logf("%.3f s: %s %s for %v", time.Since(r.begin).Seconds(), f.name, p.name, d)
+			f.do(r, p, d)
+		}
+		for range jobs {
+			<-finished
+		}
+		time.Sleep(30 * time.Second)
+		r.history.settled(r.state)
+		r.close()
+	})
+}
+
+// TestCalm runs a deployment without faults: each job is done, each task once.
+func TestCalm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 2, 3)
+		time.Sleep(5 * time.Second)
+		for n := range 10 {
+			r.submit(r.job(n))
+		}
+		time.Sleep(15 * time.Second)
+		r.history.settled(r.state)
+		for task := range r.history.done {
+			if got := r.history.starts[task.Job]; got == 0 {
+				t.Errorf("%s has no start", task)
+			}
+		}
+		r.close()
+	})
+}
