--- a/cmd/sesamestream-platform/main.go
+++ b/cmd/sesamestream-platform/main.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"math"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -18,13 +21,31 @@
 // logLimit is how long the end of the process waits for a slow reader of its log.
 const logLimit = 100 * time.Millisecond
 
+// exitUsage is the exit code for arguments and settings that don't hold.
+const exitUsage = 2
+
 func main() { os.Exit(run()) }
 
 func run() int {
+	f := flag.NewFlagSet("sesamestream-platform", flag.ContinueOnError)
+	port := f.Uint("metrics", 0, "port on which the figures are served; 0 is none")
+	check := f.Bool("check", false, "read the settings, say whether they hold, and end")
+	// The role is for the reader of the process list; the settings say what the process serves.
+	args := os.Args[1:]
+	if len(args) > 0 && !strings.HasPrefix(args[0], "-") {
+		args = args[1:]
+	}
+	if err := f.Parse(args); err != nil || *port > math.MaxUint16 {
+		return exitUsage
+	}
 	s, err := platform.ReadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return 2
+		return exitUsage
+	}
+	if *check {
+		fmt.Printf("settings of %s hold\n", s.Node)
+		return 0
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -33,7 +54,7 @@
 	l.Event(eventlog.ProcessStarted).Str("dataCentre", s.DataCentre).Str("region", s.Region).Int("pid", os.Getpid()).Msg("")
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	p := &platform.Process{Settings: s, Log: l, Reload: reload}
+	p := &platform.Process{Settings: s, Log: l, Reload: reload, Metrics: uint16(*port)}
 	err = p.Run(ctx)
 	l.Event(eventlog.ProcessStopped).Err(err).Msg("")
 	if err != nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/internal/node"
+	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
@@ -95,6 +96,9 @@
 			}
 		},
 	}
+	m := c.Log.Metrics
+	m.Read(telemetry.Leading, func() float64 { return number(c.node.Leads()) })
+	m.Read(telemetry.SessionUp, func() float64 { return number(c.node.Connected()) })
 	if c.Host {
 		c.Agent = &hostagent.Agent{Log: c.Log, Send: c.node.Send, Steady: c.Steady, MaxLease: c.MaxLease, Dial: c.Dial}
 	}
@@ -102,9 +106,17 @@
 		c.Gateway = &gateway.Gateway{
 			Store: c.Store, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig, Send: c.node.Send,
 		}
+		m.Read(telemetry.StoreUp, func() float64 { return number(c.Gateway.StoreOK()) })
 	}
 }
 
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (c *Control) dispatcher(t *election.Term) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
 		Store: c.Store, Term: t, Node: c.Name, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig,
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -12,6 +12,7 @@
 	"github.com/sesamestream/sesamestream/internal/hostagent"
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
@@ -243,6 +244,7 @@
 func (d *Dispatcher) ends(now time.Time, k batch.WorkerKey, ends []batch.End) {
 	d.plan.Ended(now, k, ends)
 	for _, e := range ends {
+		d.Log.Metrics.Count(telemetry.Ends, "how", string(e.How))
 		d.Log.Event(eventlog.RunEnded).Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Int("run", e.Number).
 			Str("how", string(e.How)).Str("worker", k.ID).Int64("seq", e.Seq).Msg("")
 	}
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -11,6 +11,7 @@
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
@@ -95,8 +96,11 @@
 		d.send(x.Host, link.Message{Stop: &link.Stop{Key: x.Key, Task: x.Task, Number: x.Number}})
 	}
 	for _, x := range o.Starts {
+		if x.First {
+			d.Log.Metrics.Observe(telemetry.FirstStartSeconds, x.Waited)
+		}
 		d.Log.Event(eventlog.RunOrdered).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Int("run", x.Number).
-			Str("worker", x.Key.ID).Str("image", x.Step.Image).Int("tier", x.Why.Tier).Dur("slack", x.Why.Slack).Int("roomMilliCpu", x.Why.Room.MilliCPU).
+			Str("worker", x.Key.ID).Str("peer", x.Host).Str("image", x.Step.Image).Int("tier", x.Why.Tier).Dur("slack", x.Why.Slack).Int("roomMilliCpu", x.Why.Room.MilliCPU).
 			Int("roomMb", x.Why.Room.MemoryMB).Int("leftoverMilliCpu", x.Why.Leftover).Msg("")
 		d.send(x.Host, link.Message{Start: &link.Start{
 			Key: x.Key, Task: x.Task, Number: x.Number, Spec: x.Spec, Saved: x.Saved, Ticket: x.Ticket, Fact: fact(x.Task, x.Step),
@@ -154,6 +158,7 @@
 				}
 				d.plan.Stored(r.id, r.progress)
 				if r.progress.State.Final() {
+					d.ended(now, r)
 					d.Log.Event(eventlog.JobEnded).Str("job", string(r.id)).Str("state", string(r.progress.State)).
 						Dur("stored", now.Sub(r.progress.Ended)).Msg("")
 				}
@@ -170,6 +175,14 @@
 	})
 }
 
+// ended notes how long a job took.
+func (d *Dispatcher) ended(now time.Time, r record) {
+	d.Log.Metrics.Observe(telemetry.EndStoredSeconds, now.Sub(r.progress.Ended))
+	if j, ok := d.plan.Job(r.id); ok && !j.Accepted.IsZero() {
+		d.Log.Metrics.Observe(telemetry.JobSeconds, now.Sub(j.Accepted), "queue", j.Queue)
+	}
+}
+
 // record is the progress of one job on its way to the store.
 type record struct {
 	id       batch.JobID
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -9,9 +9,14 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/sesamestream/sesamestream/internal/telemetry"
 )
 
-// The events, by their name in the field "event".
+// The events, by their name in the field "event". Fields that several of them
+// have: job, task and run name the work; worker and born a life of a worker;
+// peer another node; epoch the scheduler's term; fence that of a session; why
+// the reason; took, age, slack and other times are in milliseconds.
 const (
 	ProcessStarted    = "processStarted"
 	ProcessStopping   = "processStopping"
@@ -63,6 +68,9 @@
 // A Log writes events.
 type Log struct {
 	*log.Logger
+	// Metrics are the figures of the process; each event is counted there.
+	Metrics *telemetry.Set
+
 	lines   chan []byte
 	stop    chan struct{}
 	done    chan struct{}
@@ -74,21 +82,28 @@
 
 // New returns a log of the node that writes to w.
 func New(w io.Writer, node string) *Log {
-	l := &Log{lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{})}
+	l := &Log{Metrics: &telemetry.Set{}, lines: make(chan []byte, queueLines), stop: make(chan struct{}), done: make(chan struct{})}
 	l.Logger = &log.Logger{
 		Level: log.InfoLevel, TimeField: "time", TimeFormat: "2006-01-02T15:04:05.000000Z07:00",
 		Context: log.NewContext(nil).Str("node", node).Value(),
 		Writer:  log.IOWriter{Writer: (*queue)(l)},
 	}
+	l.Metrics.Read(telemetry.LinesDropped, func() float64 { return float64(l.Dropped()) })
 	go l.write(w)
 	return l
 }
 
 // Event opens the line of an event; Send writes it.
-func (l *Log) Event(name string) *log.Entry { return l.Info().Str("event", name) }
+func (l *Log) Event(name string) *log.Entry {
+	l.Metrics.Count(telemetry.Events, "event", name)
+	return l.Info().Str("event", name)
+}
 
 // Warning opens the line of an event that someone should look at.
-func (l *Log) Warning(name string) *log.Entry { return l.Warn().Str("event", name) }
+func (l *Log) Warning(name string) *log.Entry {
+	l.Metrics.Count(telemetry.Events, "event", name)
+	return l.Warn().Str("event", name)
+}
 
 // Dropped returns how many lines were dropped.
 func (l *Log) Dropped() uint64 { return l.dropped.Load() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
@@ -167,9 +168,11 @@
 	switch v.Outcome {
 	case Refused:
 		e = eventlog.JobRefused
+		g.Log.Metrics.Count(telemetry.Refusals, "reason", "storeAway")
 	case Unknown:
 		e = eventlog.JobUnknown
 	}
+	g.Log.Metrics.Observe(telemetry.AcceptSeconds, time.Since(began))
 	g.Log.Event(e).Str("job", string(j.ID)).Str("queue", j.Queue).Dur("took", time.Since(began)).
 		Dur("retryAfter", v.RetryAfter).Bool("storeDown", g.StoreDown()).Msg("")
 	return v
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,13 @@
 	return n.conn != nil
 }
 
+// Leads reports whether this node schedules.
+func (n *Node) Leads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lead != nil
+}
+
 // Resign gives the lead up, if this node has it.
 func (n *Node) Resign(ctx context.Context) {
 	n.mu.Lock()
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -154,11 +154,12 @@
 	if c.step.Gang {
 		saved = c.step.saved
 	}
+	first := !c.step.job.begun
 	t.assign(w, run, now)
 	c.step.run = max(c.step.run, run)
 	o.Starts = append(o.Starts, Start{
 		Key: w.Key(), Host: w.host, Task: t.id, Number: run, Saved: saved, Ticket: c.step.advice.ticket(now, w),
-		Step: c.step.Step, Spec: c.step.job.Spec,
+		Step: c.step.Step, Spec: c.step.job.Spec, First: first, Waited: now.Sub(c.step.job.arrived),
 		Why: Reason{Tier: c.tier, Slack: c.slack, Room: room, Leftover: left},
 	})
 }
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -36,6 +36,9 @@
 	Ticket string
 	Step   *batch.Step
 	Spec   string
+	// First is set on the first start of a job, which Waited that long.
+	First  bool
+	Waited time.Duration
 	// Why is for the log: what the choice was made by.
 	Why Reason
 }
