--- a/cmd/sesamestream/main.go
+++ b/cmd/sesamestream/main.go
@@ -35,7 +35,7 @@
 		Usage: "schedule latency-critical and batch work on the same hosts",
 		Commands: []*cli.Command{
 			entryCommand(), agentCommand(), tableCommand(), jobCommand(), statusCommand(), demoCommand(), localCommand(), checkCommand(), keysCommand(),
-			storeCommand(), targetCommand(), workerCommand(), reportCommand(),
+			storeCommand(), targetCommand(), workerCommand(), reportCommand(), explainCommand(),
 		},
 	}
 	err := c.Run(ctx, os.Args)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -134,7 +134,7 @@
 	case m.Snapshot != nil:
 		d.snapshot(now, s, m.Snapshot)
 	case m.Worker != nil:
-		d.plan.Update(m.Worker.Worker)
+		d.plan.Update(now, m.Worker.Worker)
 		d.Log.Event(eventlog.WorkerChanged).Str("worker", m.Worker.Worker.ID).Bool("draining", m.Worker.Worker.Draining).
 			Dur("drainLeft", m.Worker.Worker.DrainLeft).Msg("")
 	case m.Gone != nil:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,14 +69,16 @@
 	// StoreOK reports whether the store was reached lately.
 	StoreOK func() bool
 
-	mu      sync.Mutex
-	conn    *link.Conn
-	lead    *dispatch.Dispatcher
-	term    *election.Term
-	epoch   int64
-	known   election.Leader
-	hint    chan struct{}
-	packets link.Packets
+	mu    sync.Mutex
+	conn  *link.Conn
+	lead  *dispatch.Dispatcher
+	term  *election.Term
+	epoch int64
+	// resigned nodes are about to end.
+	resigned bool
+	known    election.Leader
+	hint     chan struct{}
+	packets  link.Packets
 }
 
 // Run serves until ctx ends.
@@ -128,10 +130,11 @@
 	return n.lead != nil
 }
 
-// Resign gives the lead up, if this node has it.
+// Resign gives the lead up, if this node has it, and doesn't take it again.
 func (n *Node) Resign(ctx context.Context) {
 	n.mu.Lock()
 	t := n.term
+	n.resigned = true
 	n.mu.Unlock()
 	if t != nil {
 		t.Resign(ctx)
@@ -280,6 +283,12 @@
 
 // try takes the lead where nobody has it.
 func (n *Node) try(ctx context.Context, lead *sync.WaitGroup) {
+	n.mu.Lock()
+	resigned := n.resigned
+	n.mu.Unlock()
+	if resigned {
+		return
+	}
 	if _, err := n.Elector.Current(ctx); !errors.Is(err, kv.ErrNotFound) {
 		return
 	}
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -36,6 +36,7 @@
 		s.serve(now, c, &o)
 	}
 	s.move(now, &o)
+	s.evacuate(now, &o)
 	o.Stops = append(o.Stops, s.stops...)
 	s.stops = nil
 	return o
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -15,6 +15,7 @@
 		s.workers[b.Key()] = w
 	}
 	w.Worker, w.host, w.silent = b, host, false
+	w.drains(now)
 	for _, e := range ended {
 		s.end(now, w, e)
 	}
@@ -70,10 +71,13 @@
 }
 
 // Update takes in what a worker says of itself.
-func (s *Scheduler) Update(b batch.Worker) {
-	if w := s.workers[b.Key()]; w != nil {
-		w.Worker = b
+func (s *Scheduler) Update(now time.Time, b batch.Worker) {
+	w := s.workers[b.Key()]
+	if w == nil {
+		return
 	}
+	w.Worker = b
+	w.drains(now)
 }
 
 // Silent says that a host isn't heard; its runs stay where they are.
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -23,6 +23,8 @@
 	squeezed bool
 	health   health
 	leftover leftover
+	// leaves is when a draining worker may be gone.
+	leaves time.Time
 	// shares is what filling images used lately, as the tails follow it.
 	shares  interfere.Shares
 	learned time.Time
