--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -219,7 +219,7 @@
 		if ctx.Err() != nil {
 			return Verdict{Outcome: Unknown}
 		}
-		wait(ctx, retryPause)
+		wait(ctx)
 	}
 }
 
@@ -259,10 +259,11 @@
 	return Verdict{Refused, min(max(away.Round(time.Second), storeRetryAfter), storeRetryLimit)}
 }
 
-func wait(ctx context.Context, t time.Duration) {
+// wait waits for the pause before the store is asked again.
+func wait(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(t):
+	case <-time.After(retryPause):
 	}
 }
 
@@ -315,7 +316,7 @@
 		if r, ok := g.ask(ctx, link.Ask{Queue: queue}); ok {
 			return r.Pending, true
 		}
-		wait(ctx, retryPause)
+		wait(ctx)
 	}
 	return 0, false
 }
@@ -336,7 +337,7 @@
 			g.Log.Warning(eventlog.StateUnknown).Str("job", string(id)).Err(err).Msg("")
 			return "", Unknown
 		}
-		wait(ctx, retryPause)
+		wait(ctx)
 	}
 }
 
@@ -421,6 +422,6 @@
 		if ctx.Err() != nil {
 			return Unknown
 		}
-		wait(ctx, retryPause)
+		wait(ctx)
 	}
 }
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -222,7 +222,7 @@
 			a.Log.Warning(eventlog.RunPaced).Str("task", next.task.String()).Int("run", next.number).Int("percent", percent).Err(err).Msg("")
 		}
 		if unanswered {
-			h.pause(orderPause)
+			h.pause()
 		}
 	}
 }
--- a/internal/hostagent/order.go
+++ b/internal/hostagent/order.go
@@ -74,7 +74,7 @@
 			refusal = r
 			break
 		}
-		h.pause(orderPause)
+		h.pause()
 	}
 	a.Log.Warning(eventlog.RunRefused).Str("job", string(s.Task.Job)).Str("task", s.Task.String()).Int("run", s.Number).
 		Str("worker", s.Key.ID).Str("why", string(refusal)).Bool("unanswered", open).Int64("fence", fence).Msg("")
@@ -122,14 +122,15 @@
 		if errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherLife) {
 			return false, false
 		}
-		h.pause(orderPause)
+		h.pause()
 	}
 }
 
-func (h *held) pause(t time.Duration) {
+// pause waits before an unanswered order is sent again.
+func (h *held) pause() {
 	select {
 	case <-h.ctx.Done():
-	case <-time.After(t):
+	case <-time.After(orderPause):
 	}
 }
 
@@ -176,6 +177,6 @@
 			a.Log.Warning(eventlog.RunRefused).Str("task", t.String()).Int("run", run).Err(err).Msg("stop")
 			return true
 		}
-		h.pause(orderPause)
+		h.pause()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,18 +143,16 @@
 
 // accept serves the nodes that connect while this one leads.
 func (n *Node) accept(ctx context.Context, l net.Listener) error {
-	for {
+	for ctx.Err() == nil {
 		c, err := l.Accept()
 		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
 			n.Log.Warn().Err(err).Msg("accept")
-			time.Sleep(seekPause)
+			n.pause(ctx, seekPause)
 			continue
 		}
 		go n.serve(link.New(c))
 	}
+	return nil
 }
 
 func (n *Node) serve(c *link.Conn) {
@@ -184,12 +182,11 @@
 // hear takes announcements: a node that the store turns away learns from them.
 func (n *Node) hear(ctx context.Context) error {
 	b := make([]byte, announcement)
-	for {
+	for ctx.Err() == nil {
 		k, _, err := n.packets.ReadFromUDPAddrPort(b)
 		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
+			n.Log.Warn().Err(err).Msg("announcement")
+			n.pause(ctx, seekPause)
 			continue
 		}
 		var a struct {
@@ -218,6 +215,7 @@
 		default:
 		}
 	}
+	return nil
 }
 
 func (n *Node) announce(leader election.Leader) func(string, int64) {
--- /dev/null
+++ b/pkg/decide/schedule/load_test.go
@@ -0,0 +1,167 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// replay plays a flood of jobs on one worker and returns how many ended
+// within their objective.
+func replay(jobs int, every time.Duration, width func(int) int) int {
+	f := newBench(aWorker("1", 8000))
+	type running struct {
+		s   Start
+		end time.Time
+	}
+	var at []running
+	inTime := 0
+	begun := map[batch.JobID]time.Time{}
+	for now := time.Duration(0); now < 60*time.Second; now += 50 * time.Millisecond {
+		f.now = begin.Add(now)
+		if n := int(now / every); n < jobs && now%every == 0 {
+			j := aJob(fmt.Sprintf("j%03d", n), "wide", aStep(width(n), 1000))
+			j.Accepted = f.now
+			begun[j.ID] = f.now
+			f.Add(f.now, j, nil, false)
+		}
+		var left []running
+		for _, r := range at {
+			if f.now.Before(r.end) {
+				left = append(left, r)
+				continue
+			}
+			f.end(r.s, batch.Done)
+			if p, _ := f.Progress(r.s.Task.Job); p.State == batch.Completed && f.now.Sub(begun[r.s.Task.Job]) <= 3*time.Second {
+				inTime++
+			}
+		}
+		at = left
+		o := f.Schedule(f.now)
+		for _, s := range o.Starts {
+			f.there(s)
+			at = append(at, running{s, f.now.Add(time.Second)})
+		}
+	}
+	return inTime
+}
+
+// first is what first come, first served does with the same load: the
+// objective is missed by all that come once a queue of 2 s has built up.
+func first(jobs int, every time.Duration, width func(int) int) int {
+	const slots = 8
+	free := make([]time.Duration, slots)
+	inTime := 0
+	for n := range jobs {
+		at := time.Duration(n) * every
+		var end time.Duration
+		for range width(n) {
+			best := 0
+			for i := range free {
+				if free[i] < free[best] {
+					best = i
+				}
+			}
+			free[best] = max(free[best], at) + time.Second
+			end = max(end, free[best])
+		}
+		if end-at <= 3*time.Second {
+			inTime++
+		}
+	}
+	return inTime
+}
+
+// Under a flood of one and a half times the room, work that can still be done
+// in time goes before what is late already: more callers are served than by
+// the order in which they came.
+func TestFloodServesMoreInTimeThanFirstComeFirstServed(t *testing.T) {
+	width := func(n int) int { return 2 + (n*7)%9 }
+	const jobs, every = 40, 500 * time.Millisecond
+	base := first(jobs, every, width)
+	got := replay(jobs, every, width)
+	t.Logf("in time: %d of %d, first come first served %d", got, jobs, base)
+	NewWithT(t).Expect(got).To(BeNumerically(">", base))
+}
+
+// Serving tasks with a heavy neighbour: filling work learns where it disturbs
+// and stays away, and harmless work goes on.
+func TestFillingWorkKeepsAwayFromWhatItDisturbs(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 16000), aWorker("2", 16000))
+	serve := func(s *batch.Step) {
+		s.Lasting, s.Image, s.TailTarget, s.MaxPerWorker = true, "serve", 50*time.Millisecond, 1
+	}
+	f.Add(f.now, aJob("l", "urgent", aStep(2, 8000, serve)), nil, false)
+	for _, s := range f.after(0).Starts {
+		f.there(s)
+	}
+	key := func(id string) batch.WorkerKey { return batch.WorkerKey{ID: id, Born: 1} }
+	fill := func(image string) func(*batch.Step) {
+		return func(s *batch.Step) { s.Fills, s.Image = true, image }
+	}
+	f.after(3 * time.Second)
+	f.Add(f.now, aJob("heavy", "wide", aStep(1, 2000, fill("heavy"))), nil, false)
+	h := f.after(0).Starts[0]
+	f.there(h)
+	other := "1"
+	if h.Key.ID == "1" {
+		other = "2"
+	}
+	at := map[string]batch.Task{}
+	for _, w := range f.workers {
+		for id, x := range w.tasks {
+			if x.step.Lasting {
+				at[w.ID] = id
+			}
+		}
+	}
+	for range 20 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.Progressed(f.now, key(other), []batch.Run{{Task: at[other], Number: 1, Load: 15, Percent: 100}}, false)
+		f.Progressed(f.now, key(h.Key.ID), []batch.Run{
+			{Task: at[h.Key.ID], Number: 1, Load: 60, Percent: 100}, {Task: h.Task, Number: 1, Load: 2000, Percent: 50, Pace: 100},
+		}, false)
+	}
+	g.Expect(f.model.Weight("serve", "heavy")).To(BeNumerically(">", 0.5))
+	f.end(h, batch.Done)
+	f.now = f.now.Add(500 * time.Millisecond)
+	for _, id := range []string{"1", "2"} {
+		f.Progressed(f.now, key(id), []batch.Run{{Task: at[id], Number: 1, Load: 24, Percent: 100}}, false)
+	}
+	f.Add(f.now, aJob("again", "wide", aStep(1, 2000, fill("heavy"))), nil, false)
+	f.Add(f.now, aJob("harmless", "wide", aStep(1, 2000, fill("light"))), nil, false)
+	var placed []string
+	for _, s := range f.after(0).Starts {
+		placed = append(placed, string(s.Task.Job))
+	}
+	g.Expect(placed).To(Equal([]string{"harmless"}))
+	g.Expect(f.after(patience).Starts).To(HaveLen(1), "nothing of it was at work for longer than it may wait")
+}
+
+// A filling task that its host holds back goes where it may work.
+func TestHeldBackWorkMoves(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 16000))
+	f.Add(f.now, aJob("j", "wide", aStep(1, 2000, func(s *batch.Step) { s.Fills, s.Image, s.Checkpoints = true, "x", true })), nil, false)
+	s := f.after(0).Starts[0]
+	f.there(s)
+	f.Join(f.now, "h2", aWorker("2", 16000), nil, nil)
+	look := func(pace int) Orders {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.Progressed(f.now, s.Key, []batch.Run{{Task: s.Task, Number: 1, Pace: pace, Percent: 20, Saved: "half"}}, true)
+		return f.Schedule(f.now)
+	}
+	g.Expect(look(100).Stops).To(BeEmpty())
+	g.Expect(look(10).Stops).To(BeEmpty())
+	g.Expect(look(10).Stops).To(BeEmpty())
+	g.Expect(look(10).Stops).To(HaveLen(1))
+	f.end(s, batch.Stopped)
+	next := f.after(0).Starts
+	g.Expect(next).To(HaveLen(1))
+	g.Expect(next[0].Saved).To(Equal("half"))
+}
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -232,7 +232,8 @@
 	bestScore := math.Inf(-1)
 	var unasked []string
 	for _, w := range s.workers {
-		if w.Service != q.Service || !w.takes(now) || !n.Fits(w.room()) {
+		// A task that is looked at for a move goes elsewhere.
+		if w == t.worker || w.Service != q.Service || !w.takes(now) || !n.Fits(w.room()) {
 			continue
 		}
 		if st.Requires != "" && !w.Has(st.Requires) || rack != "" && w.Rack() != rack {
--- /dev/null
+++ b/pkg/decide/schedule/schedule_test.go
@@ -0,0 +1,336 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+var begin = time.Unix(1_800_000_000, 0)
+
+// bench is a scheduler with what its workers were told.
+type bench struct {
+	*Scheduler
+	now    time.Time
+	orders Orders
+}
+
+func newBench(workers ...batch.Worker) *bench {
+	f := &bench{Scheduler: New(Settings{}), now: begin}
+	f.Configure(&batch.Config{
+		Routes: []batch.Route{
+			{Queue: batch.Queue{Name: "urgent", Service: "s", MaxAttempts: 2, Stretch: 1.5, Objective: 600 * time.Millisecond}},
+			{Queue: batch.Queue{Name: "wide", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 2, Objective: time.Second}},
+		},
+		Services: []batch.Service{{Name: "s", Guards: true}},
+	})
+	f.Settle()
+	for _, w := range workers {
+		f.Join(f.now, "host-"+w.ID, w, nil, nil)
+	}
+	return f
+}
+
+func aWorker(id string, milliCPU int, labels ...string) batch.Worker {
+	return batch.Worker{
+		ID: id, Born: 1, Machine: "m-" + id, Service: "s", Room: batch.Resources{MilliCPU: milliCPU, MemoryMB: 64000},
+		Labels: append([]string{"a"}, labels...),
+	}
+}
+
+func aJob(id, queue string, steps ...batch.Step) *batch.Job {
+	return &batch.Job{ID: batch.JobID(id), Queue: queue, Steps: steps, Accepted: begin}
+}
+
+func aStep(count, milliCPU int, change ...func(*batch.Step)) batch.Step {
+	s := batch.Step{Count: count, Need: batch.Resources{MilliCPU: milliCPU, MemoryMB: 100}, Estimate: time.Second}
+	for _, c := range change {
+		c(&s)
+	}
+	return s
+}
+
+// after lets time pass and returns what was ordered then.
+func (f *bench) after(d time.Duration) Orders {
+	f.now = f.now.Add(d)
+	f.orders = f.Schedule(f.now)
+	return f.orders
+}
+
+// end lists the end of a start.
+func (f *bench) end(s Start, how batch.EndKind) {
+	f.Ended(f.now, s.Key, []batch.End{{Seq: 1, Task: s.Task, Number: s.Number, How: how}})
+}
+
+func (f *bench) there(s Start) { f.Started(f.now, s.Key, s.Task, s.Number, false, false, false) }
+
+func TestPlacement(t *testing.T) {
+	lasting := func(image string) func(*batch.Step) {
+		return func(s *batch.Step) { s.Lasting, s.Image, s.TailTarget = true, image, 50*time.Millisecond }
+	}
+	for name, c := range map[string]struct {
+		workers []batch.Worker
+		job     *batch.Job
+		want    []string
+	}{
+		"all tasks at once":      {[]batch.Worker{aWorker("1", 4000)}, aJob("j", "urgent", aStep(3, 1000)), []string{"1", "1", "1"}},
+		"what doesn't fit waits": {[]batch.Worker{aWorker("1", 2500)}, aJob("j", "urgent", aStep(3, 1000)), []string{"1", "1"}},
+		"spread over the room":   {[]batch.Worker{aWorker("1", 4000), aWorker("2", 4000)}, aJob("j", "urgent", aStep(2, 1000)), []string{"1", "2"}},
+		"label": {
+			[]batch.Worker{aWorker("1", 4000), aWorker("2", 4000, "gpu")},
+			aJob("j", "urgent", aStep(1, 1000, func(s *batch.Step) { s.Requires = "gpu" })), []string{"2"},
+		},
+		"no label, no start": {
+			[]batch.Worker{aWorker("1", 4000)}, aJob("j", "urgent", aStep(1, 1000, func(s *batch.Step) { s.Requires = "gpu" })), nil,
+		},
+		"rack of the data": {
+			[]batch.Worker{aWorker("1", 9000, "r1-1"), aWorker("2", 4000, "r1-2")},
+			aJob("j", "urgent", aStep(2, 1000, func(s *batch.Step) { s.DataRack = "r1-2" })), []string{"2", "2"},
+		},
+		"bound on a worker": {
+			[]batch.Worker{aWorker("1", 9000), aWorker("2", 9000)},
+			aJob("j", "urgent", aStep(5, 100, func(s *batch.Step) { s.MaxPerWorker = 2 })), []string{"1", "2", "1", "2"},
+		},
+		"lasting tasks together": {
+			[]batch.Worker{aWorker("1", 8000), aWorker("2", 8000)}, aJob("j", "urgent", aStep(2, 1000, lasting("x"))), []string{"1", "1"},
+		},
+		"other service": {
+			[]batch.Worker{{ID: "1", Service: "other", Room: batch.Resources{MilliCPU: 9000, MemoryMB: 9000}}},
+			aJob("j", "urgent", aStep(1, 100)), nil,
+		},
+		"draining": {
+			[]batch.Worker{func() batch.Worker { w := aWorker("1", 9000); w.Draining = true; return w }()}, aJob("j", "urgent", aStep(1, 100)), nil,
+		},
+		"filling work takes no reservation": {
+			[]batch.Worker{aWorker("1", 4000)}, aJob("j", "wide", aStep(2, 2000, func(s *batch.Step) { s.Fills = true })), []string{"1", "1"},
+		},
+		"a gang goes whole": {
+			[]batch.Worker{aWorker("1", 2000), aWorker("2", 2000)},
+			aJob("j", "wide", aStep(3, 1000, func(s *batch.Step) { s.Gang = true })), []string{"1", "2", "1"},
+		},
+		"or not at all": {
+			[]batch.Worker{aWorker("1", 2000)}, aJob("j", "wide", aStep(3, 1000, func(s *batch.Step) { s.Gang = true })), nil,
+		},
+		"a gang on one rack": {
+			[]batch.Worker{aWorker("1", 1000, "r1-1"), aWorker("2", 2000, "r1-2"), aWorker("3", 2000, "r1-2")},
+			aJob("j", "wide", aStep(3, 1000, func(s *batch.Step) { s.Gang, s.SameRack = true, true })), []string{"2", "3", "2"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newBench(c.workers...)
+			f.Add(f.now, c.job, nil, false)
+			var got []string
+			for _, s := range f.after(0).Starts {
+				got = append(got, s.Key.ID)
+				g.Expect(s.Number).To(Equal(1))
+			}
+			g.Expect(got).To(Equal(c.want))
+		})
+	}
+}
+
+func TestStepsWaitForThoseBefore(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 9000))
+	second := aStep(1, 100)
+	second.After = []int{0}
+	f.Add(f.now, aJob("j", "urgent", aStep(2, 100), second), nil, false)
+	first := f.after(0).Starts
+	g.Expect(first).To(HaveLen(2))
+	f.end(first[0], batch.Done)
+	g.Expect(f.after(time.Second).Starts).To(BeEmpty())
+	f.end(first[1], batch.Done)
+	last := f.after(0).Starts
+	g.Expect(last).To(HaveLen(1))
+	g.Expect(last[0].Task.Step).To(Equal(1))
+	f.end(last[0], batch.Done)
+	s, _ := f.State("j")
+	g.Expect(s).To(Equal(batch.Running), "the end isn't stored yet")
+	p, _ := f.Progress("j")
+	f.Stored("j", p)
+	s, _ = f.State("j")
+	g.Expect(s).To(Equal(batch.Completed))
+}
+
+// A run that failed before a failover counts once, whoever hears of it
+// (seen: BUDGET broken on a day that ended with all processes killed).
+func TestFailedRunsCountOnceOverAFailover(t *testing.T) {
+	g := NewWithT(t)
+	w := aWorker("1", 9000)
+	f := newBench(w, aWorker("2", 9000))
+	f.Add(f.now, aJob("j", "urgent", aStep(1, 100)), nil, false)
+	one := f.after(0).Starts[0]
+	f.end(one, batch.Failed)
+	two := f.after(time.Second).Starts[0]
+	g.Expect(two.Number).To(Equal(2))
+	p, _ := f.Progress("j")
+
+	next := newBench()
+	next.settled = false
+	next.Add(next.now, aJob("j", "urgent", aStep(1, 100)), p, true)
+	// The second run failed while nobody scheduled; its end and the first one's are still listed.
+	key := aWorker(two.Key.ID, 9000)
+	next.Join(next.now, "h", key, nil, []batch.End{
+		{Seq: 1, Task: one.Task, Number: 1, How: batch.Failed}, {Seq: 2, Task: two.Task, Number: 2, How: batch.Failed},
+	})
+	next.Settle()
+	g.Expect(next.after(time.Second).Starts).To(BeEmpty())
+	q, _ := next.Progress("j")
+	g.Expect(q.State).To(Equal(batch.JobFailed))
+}
+
+func TestEarlierWorkWaitsForItsHosts(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench()
+	f.settled = false
+	j := aJob("j", "urgent", aStep(1, 100))
+	f.Add(f.now, j, nil, true)
+	f.Join(f.now, "h2", aWorker("2", 9000), nil, nil)
+	g.Expect(f.after(0).Starts).To(BeEmpty(), "another host may run it")
+	id := batch.Task{Job: "j"}
+	kept := f.Join(f.now, "h1", aWorker("1", 9000), []batch.Run{{Task: id, Number: 3}}, nil)
+	g.Expect(kept).To(Equal([]batch.Task{id}))
+	f.Settle()
+	g.Expect(f.after(0).Starts).To(BeEmpty())
+	f.Gone(batch.WorkerKey{ID: "1", Born: 1})
+	again := f.after(0).Starts
+	g.Expect(again).To(HaveLen(1))
+	g.Expect(again[0].Number).To(BeNumerically(">", 3))
+}
+
+// A run that nobody started under the present scheduler is stopped, unless its
+// task needs it.
+func TestUnassignedRunsAreStopped(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 9000))
+	f.Add(f.now, aJob("j", "urgent", aStep(1, 100)), nil, false)
+	s := f.after(0).Starts[0]
+	f.Join(f.now, "h2", aWorker("2", 9000), []batch.Run{{Task: s.Task, Number: 9}, {Task: batch.Task{Job: "unknown"}, Number: 1}}, nil)
+	var stopped []int
+	for _, x := range f.after(0).Stops {
+		stopped = append(stopped, x.Number)
+	}
+	g.Expect(stopped).To(ConsistOf(9, 1))
+}
+
+// Work that an earlier scheduler's run finished is done, and isn't run again.
+func TestDoneElsewhereIsDone(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 9000))
+	f.Add(f.now, aJob("j", "urgent", aStep(1, 100)), nil, false)
+	s := f.after(0).Starts[0]
+	f.there(s)
+	f.Join(f.now, "h2", aWorker("2", 9000), nil, []batch.End{{Seq: 1, Task: s.Task, Number: 1, How: batch.Done}})
+	o := f.after(0)
+	g.Expect(o.Stops).To(HaveLen(1))
+	f.end(s, batch.Stopped)
+	g.Expect(f.after(time.Second).Starts).To(BeEmpty())
+	p, _ := f.Progress("j")
+	g.Expect(p.State).To(Equal(batch.Completed))
+}
+
+func TestCancelStopsAllRuns(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 9000))
+	f.Add(f.now, aJob("j", "urgent", aStep(2, 100)), nil, false)
+	g.Expect(f.after(0).Starts).To(HaveLen(2))
+	f.Cancel(f.now, "j")
+	g.Expect(f.after(0).Stops).To(HaveLen(2))
+	for _, s := range []int{0, 1} {
+		f.Ended(f.now, batch.WorkerKey{ID: "1", Born: 1}, []batch.End{{Task: batch.Task{Job: "j", Index: s}, Number: 1, How: batch.Stopped}})
+	}
+	g.Expect(f.after(time.Second).Starts).To(BeEmpty())
+	s, _ := f.State("j")
+	g.Expect(s).To(Equal(batch.Cancelled))
+}
+
+func TestLastingTasksStartAgainHoweverTheyEnd(t *testing.T) {
+	for _, how := range []batch.EndKind{batch.Done, batch.Failed, batch.Lapsed, batch.Stopped} {
+		t.Run(string(how), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newBench(aWorker("1", 9000), aWorker("2", 9000))
+			f.Add(f.now, aJob("j", "urgent", aStep(1, 100, func(s *batch.Step) { s.Lasting = true })), nil, false)
+			for run := 1; run < 6; run++ {
+				o := f.after(time.Second).Starts
+				g.Expect(o).To(HaveLen(1))
+				g.Expect(o[0].Number).To(Equal(run))
+				f.there(o[0])
+				f.end(o[0], how)
+			}
+		})
+	}
+}
+
+// A worker that fails what it's given, of several jobs, is set aside, so that
+// attempts aren't spent on it.
+func TestGreyWorkerIsSetAside(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 90000), aWorker("2", 1000))
+	for i := range 4 {
+		f.Add(f.now, aJob(fmt.Sprint("j", i), "urgent", aStep(1, 400)), nil, false)
+	}
+	for _, s := range f.after(0).Starts {
+		f.there(s)
+		if s.Key.ID == "1" {
+			f.end(s, batch.Failed)
+		}
+	}
+	for _, s := range f.after(time.Second).Starts {
+		g.Expect(s.Key.ID).To(Equal("2"))
+	}
+}
+
+func TestTimedOccurrencesStartWhenDue(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 9000))
+	j := aJob("j", "urgent", aStep(1, 100))
+	j.Repeat, j.Start, j.Interval = 3, begin.Add(2*time.Second), time.Second
+	f.Add(f.now, j, nil, false)
+	g.Expect(f.after(1900 * time.Millisecond).Starts).To(BeEmpty())
+	for k := range 3 {
+		o := f.after(time.Second).Starts
+		g.Expect(o).To(HaveLen(1))
+		g.Expect(o[0].Task.Occurrence).To(Equal(k))
+	}
+}
+
+// A worker that leaves hands over what lasts, and lets what ends in time end.
+func TestDrainHandsOver(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 9000))
+	f.Add(f.now, aJob("l", "urgent", aStep(1, 100, func(s *batch.Step) { s.Lasting = true })), nil, false)
+	f.Add(f.now, aJob("s", "urgent", aStep(1, 100)), nil, false)
+	for _, s := range f.after(0).Starts {
+		f.there(s)
+	}
+	f.Join(f.now, "h2", aWorker("2", 9000), nil, nil)
+	w := aWorker("1", 9000)
+	w.Draining, w.DrainLeft = true, 3*time.Second
+	f.Update(f.now, w)
+	o := f.after(0)
+	g.Expect(o.Stops).To(HaveLen(1))
+	g.Expect(string(o.Stops[0].Task.Job)).To(Equal("l"))
+}
+
+// Advised queues start nothing without the policy's ticket, and ask once.
+func TestAdviceIsAskedAndUsed(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 9000), aWorker("2", 9000))
+	c := batch.Config{Routes: []batch.Route{{Queue: batch.Queue{Name: "urgent", Service: "s", MaxAttempts: 2, Advised: true}}}}
+	f.Configure(&c)
+	f.Add(f.now, aJob("j", "urgent", aStep(1, 100)), nil, false)
+	o := f.after(0)
+	g.Expect(o.Starts).To(BeEmpty())
+	g.Expect(o.Wants).To(HaveLen(1))
+	g.Expect(f.after(100 * time.Millisecond).Wants).To(BeEmpty())
+	f.Advised(f.now, o.Wants[0], map[string]string{"2": "t"}, 3*time.Second, false)
+	s := f.after(0).Starts
+	g.Expect(s).To(HaveLen(1))
+	g.Expect(s[0].Key.ID).To(Equal("2"))
+	g.Expect(s[0].Ticket).To(Equal("t"))
+}
--- a/pkg/decide/schedule/share.go
+++ b/pkg/decide/schedule/share.go
@@ -157,7 +157,7 @@
 			if !t.step.Checkpoints && t.percent >= lateLoss || now.Before(t.unmoved) || t.step.Gang {
 				continue
 			}
-			if to := s.place(now, t.step, t, o); to == nil || to == w {
+			if s.place(now, t.step, t, o) == nil {
 				continue
 			}
 			t.unmoved = now.Add(moveEvery)
