--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 GO ?= go
 PACKAGES := ./...
 
-.PHONY: examples ci format lint vet build model test fuzz soak known-red
+.PHONY: wire-names examples ci format lint vet build model test fuzz soak known-red
 
-ci: format lint vet build examples model fuzz known-red test
+ci: format wire-names lint vet build examples model fuzz known-red test
 
 format:
 	@out="$$(gofmt -l cmd internal pkg test 2>/dev/null)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
@@ -35,3 +35,6 @@
 
 soak: build
 	@scripts/soak
+
+wire-names:
+	@scripts/wire-names
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,52 @@
+package explain_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/internal/explain"
+)
+
+const scheduler = `  1.0 edge-1 {"time":"2026-01-01T10:00:00.100Z","node":"edge-1","event":"jobAccepted","job":"aa","took":12}
+{"time":"2026-01-01T10:00:00.110Z","node":"edge-2","event":"jobQueued","job":"aa","queue":"q"}
+{"time":"2026-01-01T10:00:00.120Z","node":"edge-2","event":"runOrdered","job":"aa","task":"aa.0.0.0","run":1,"worker":"w1"}
+not a line
+{"time":"2026-01-01T10:00:01.000Z","node":"edge-2","event":"workerGone","worker":"w2","why":"left"}
+{"time":"2026-01-01T10:00:01.100Z","node":"edge-2","event":"workerGone","worker":"w1","why":"lease lapsed"}
+{"time":"2026-01-01T10:00:01.110Z","node":"edge-2","event":"runOrdered","job":"aa","task":"aa.0.0.0","run":2,"worker":"w3"}
+{"time":"2026-01-01T10:00:02.110Z","node":"edge-2","event":"runEnded","job":"aa","task":"aa.0.0.0","run":2,"how":"done","worker":"w3"}
+{"time":"2026-01-01T10:00:02.200Z","node":"edge-2","event":"jobEnded","job":"aa","state":"completed","stored":80}
+{"time":"2026-01-01T10:00:02.300Z","node":"edge-1","event":"jobRefused","job":"bb","storeDown":true,"retryAfter":2000}`
+
+// The host's clock is two seconds behind.
+const host = `{"time":"2026-01-01T09:59:58.130Z","node":"side-1","event":"runStarted","job":"aa","task":"aa.0.0.0","run":1,"worker":"w1"}`
+
+func TestStoryOfALateJob(t *testing.T) {
+	g := NewWithT(t)
+	s, err := explain.Read("aa", strings.NewReader(scheduler), strings.NewReader(host))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Unread).To(Equal(1))
+	g.Expect(s.Lines[0].Event).To(Equal("jobAccepted"))
+	g.Expect(s.Lines[3].Event).To(Equal("runStarted"), "a run doesn't start before it was ordered")
+	g.Expect(s.Lines[3].Shift).To(Equal(1990 * time.Millisecond))
+	g.Expect(s.Gaps).To(HaveLen(2))
+	g.Expect(s.Gaps[0].During).To(HaveLen(1), "only what concerns the job's workers")
+	g.Expect(s.Gaps[0].During[0].Why).To(Equal("lease lapsed"))
+	g.Expect(s.Outcome).To(HavePrefix("ended as completed"))
+	var b bytes.Buffer
+	g.Expect(s.Write(&b)).To(Succeed())
+	g.Expect(b.String()).To(ContainSubstring("lease lapsed"))
+}
+
+func TestOutcomes(t *testing.T) {
+	for id, want := range map[string]string{"bb": "refused: the store was away", "cc": "no log tells"} {
+		s, err := explain.Read(id, strings.NewReader(scheduler))
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.Outcome).To(HavePrefix(want))
+	}
+}
--- /dev/null
+++ b/pkg/decide/interfere/crowding_test.go
@@ -0,0 +1,55 @@
+package interfere
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// The load answered: the tail of a victim whose own load swings by half within
+// 14 s, beside disturbers that come and go, one of them heavy.
+func TestCrowdingFindsTheDisturberInSeconds(t *testing.T) {
+	g := NewWithT(t)
+	r := rand.New(rand.NewPCG(3, 4))
+	var c Crowding
+	const idle, heavy = 10 * time.Millisecond, 0.5
+	swing := func(window int) float64 { return 0.35 + 0.3*float64(window%28)/28 }
+	for window := range 40 {
+		shares := Shares{}
+		own := swing(window)
+		taken := own
+		for _, k := range []fleet.Kind{"heavy", "light", "other"} {
+			if s := r.Float64(); s > 0.4 {
+				shares[k] = s * 0.5
+				if k == "heavy" {
+					taken += heavy * shares[k]
+				}
+			}
+		}
+		tail := func(u float64) time.Duration { return time.Duration(float64(idle) / (1 - min(u, 0.98))) }
+		c.Observe("victim", tail(taken), tail(own), shares)
+	}
+	g.Expect(c.Weight("victim", "heavy")).To(BeNumerically(">", 0.3))
+	g.Expect(c.Weight("victim", "light")).To(BeNumerically("<", 0.12))
+	g.Expect(c.Weight("victim", "unseen")).To(Equal(priorCrowding))
+	g.Expect(c.Weight("unseen", "heavy")).To(Equal(priorCrowding))
+	g.Expect(c.Disturbers()).To(Equal([]fleet.Kind{"heavy", "light", "other"}))
+}
+
+// A tail far above its idle one tells only that there's no room left.
+func TestCrowdingDoesNotLearnLessFromAFullHost(t *testing.T) {
+	g := NewWithT(t)
+	var c Crowding
+	for range 20 {
+		c.Observe("v", 40*time.Millisecond, 10*time.Millisecond, Shares{"d": 0.5})
+	}
+	before := c.Weight("v", "d")
+	for range 20 {
+		c.Observe("v", 400*time.Millisecond, 300*time.Millisecond, Shares{"d": 0.5})
+	}
+	g.Expect(c.Weight("v", "d")).To(BeNumerically(">=", before))
+}
--- /dev/null
+++ b/pkg/decide/pacing/pacing_test.go
@@ -0,0 +1,96 @@
+package pacing
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+func row(name string, change func(*Row)) Row {
+	r := Row{Task: batch.Task{Job: batch.JobID(name)}, Number: 1, Image: name}
+	change(&r)
+	return r
+}
+
+func serving(tail time.Duration) Row {
+	return row("serve", func(r *Row) { r.Tail, r.Target = tail, 50*time.Millisecond })
+}
+
+func filling(name string, use int) Row {
+	return row(name, func(r *Row) { r.Fills, r.MilliCPU, r.Need = true, use, 2000 })
+}
+
+func newMachine() *Machine {
+	return &Machine{
+		Idle: func(string) time.Duration { return 10 * time.Millisecond },
+		Pressure: func(_, by string) (float64, bool) {
+			return map[string]float64{"heavy": 0.6, "light": 0}[by], true
+		},
+	}
+}
+
+// The load answered: a serving task's own load rises while two tasks fill
+// beside it, of which one disturbs it.
+func TestOnlyTheDisturberGivesWay(t *testing.T) {
+	g := NewWithT(t)
+	m := newMachine()
+	now := time.Unix(0, 0)
+	look := func(tail time.Duration, heavy int) []Change {
+		now = now.Add(stepEvery)
+		return m.Step(now, []Row{serving(tail), filling("heavy", heavy), filling("light", 2000)}, nil)
+	}
+	g.Expect(look(20*time.Millisecond, 2000)).To(BeEmpty())
+	c := look(48*time.Millisecond, 2000)
+	g.Expect(c).To(HaveLen(1))
+	g.Expect(string(c[0].Task.Job)).To(Equal("heavy"))
+	g.Expect(c[0].Percent).To(BeNumerically("<", 100))
+	down := c[0].Percent
+	g.Expect(look(47*time.Millisecond, 20*down)).To(BeEmpty(), "what was done isn't in the tail yet")
+	back := look(15*time.Millisecond, 20*down)
+	g.Expect(back).To(HaveLen(1))
+	g.Expect(back[0].Percent).To(BeNumerically(">", down))
+}
+
+// A tail that stays over its target for a second halts all, known or not.
+func TestAllGiveWayWhereTheDisturberIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	m := newMachine()
+	m.Pressure = func(string, string) (float64, bool) { return 0, true }
+	now := time.Unix(0, 0)
+	for range 8 {
+		now = now.Add(stepEvery)
+		m.Step(now, []Row{serving(80 * time.Millisecond), filling("light", 2000)}, nil)
+	}
+	g.Expect(m.Pace(batch.Task{Job: "light"}, 1)).To(Equal(0))
+	g.Expect(m.Squeezed()).To(BeTrue())
+}
+
+// An order carried out late may undo a newer one: the use shows it.
+func TestPaceIsToldAgainWhereItIsNotObeyed(t *testing.T) {
+	g := NewWithT(t)
+	m := newMachine()
+	now := time.Unix(0, 0)
+	look := func(tail time.Duration, use int) []Change {
+		now = now.Add(stepEvery)
+		return m.Step(now, []Row{serving(tail), filling("heavy", use)}, nil)
+	}
+	g.Expect(look(300*time.Millisecond, 2000)).To(HaveLen(1))
+	p := m.Pace(batch.Task{Job: "heavy"}, 1)
+	for range 3 {
+		look(40*time.Millisecond, 20*p)
+	}
+	g.Expect(look(40*time.Millisecond, 2000)).To(ContainElement(HaveField("Percent", m.Pace(batch.Task{Job: "heavy"}, 1))))
+}
+
+// The pace of a run that was there before this process isn't known.
+func TestFoundRunsAreToldTheirPace(t *testing.T) {
+	g := NewWithT(t)
+	r := filling("light", 0)
+	r.Found = true
+	c := newMachine().Step(time.Unix(1, 0), []Row{r}, nil)
+	g.Expect(c).To(HaveLen(1))
+	g.Expect(c[0].Percent).To(Equal(full))
+}
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -25,7 +25,7 @@
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
 
-const configKey = "op/config"
+const configKey = "config"
 
 var room = batch.Resources{MilliCPU: 4000, MemoryMB: 8000}
 
