Give open jobs up once the store has been away for 1.2 s

Jobs that were written right before an outage were held to the caller's deadline and then answered as open. A caller is told at once now, and a job isn't written where the store wasn't reached in the last 100 ms without a read before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,8 +36,11 @@
 	storeRetryAfter = time.Second
 	// storeRetryLimit is the most: longer outages are rare, and a caller's objective is a few seconds.
 	storeRetryLimit = 4 * time.Second
-	// contactFresh is how old the last contact with the store may be to trust it with a job unseen.
-	contactFresh = 300 * time.Millisecond
+	// contactFresh is how old the last contact with the store may be to trust it with a job unseen; near one call to the farthest store.
+	contactFresh = 100 * time.Millisecond
+	// giveUpAfter is how long the store may be away before an open job is
+	// given up: shorter breaks pass within a caller's deadline, longer ones rarely do.
+	giveUpAfter = 1200 * time.Millisecond
 	// lookCall bounds the read before a job is stored; the farthest store answers in 70 ms.
 	lookCall = 400 * time.Millisecond
 )
@@ -216,13 +219,23 @@
 		if !open && (time.Since(began) > refuseAfter || ctx.Err() != nil) {
 			return g.refusal()
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || g.away() > giveUpAfter {
 			return Verdict{Outcome: Unknown}
 		}
 		wait(ctx)
 	}
 }
 
+// away returns how long calls to the store have failed.
+func (g *Gateway) away() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.failed.IsZero() {
+		return 0
+	}
+	return time.Since(g.failed)
+}
+
 // look reads the key where the store wasn't reached just now: a read that
 // fails leaves nothing open, so that the job can be refused for sure.
 func (g *Gateway) look(ctx context.Context, key string) (Verdict, bool) {
@@ -250,13 +263,7 @@
 // refusal tells a caller to come back after as long as the store has been
 // away: with a few tries a caller then outlasts an outage that began before.
 func (g *Gateway) refusal() Verdict {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	away := time.Duration(0)
-	if !g.failed.IsZero() {
-		away = time.Since(g.failed)
-	}
-	return Verdict{Refused, min(max(away.Round(time.Second), storeRetryAfter), storeRetryLimit)}
+	return Verdict{Refused, min(max(g.away().Round(time.Second), storeRetryAfter), storeRetryLimit)}
 }
 
 // wait waits for the pause before the store is asked again.
