--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -242,8 +242,12 @@
 	g.mu.Lock()
 	fresh := g.failed.IsZero() && time.Since(g.contact) < contactFresh
 	g.mu.Unlock()
-	if fresh {
+	switch {
+	case fresh:
 		return Verdict{}, false
+	case g.StoreDown():
+		// The configuration's watch looks for the store; callers needn't wait for it.
+		return g.refusal(), true
 	}
 	c, cancel := context.WithTimeout(ctx, lookCall)
 	defer cancel()
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -299,3 +299,12 @@
 	}
 	return len(t.failures)
 }
+
+// works reports whether a task of the job was done.
+func (j *job) works() bool {
+	total := 0
+	for i := range j.Steps {
+		total += j.Steps[i].Count
+	}
+	return j.left < total*j.Occurrences()
+}
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -198,7 +198,7 @@
 		return
 	}
 	t.avoid = w.Machine
-	w.health.fail(now, j.ID)
+	w.health.fail(now, j.ID, j.works())
 	s.dirty[j.ID] = true
 	if t.step.Lasting || j.state.Final() {
 		return
@@ -225,7 +225,7 @@
 		t.step.run = max(t.step.run, t.run)
 	}
 	if unhealthy {
-		t.worker.health.fail(now, id.Job)
+		t.worker.health.fail(now, id.Job, false)
 		t.avoid = t.worker.Machine
 	}
 	t.release()
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -43,20 +43,23 @@
 
 // The bounds of setting a worker aside.
 const (
-	// failuresToSuspect is how many failed runs without one done set a worker aside, if they are of two jobs.
-	failuresToSuspect = 3
+	// failuresToSuspect is how many failed runs without one done set a worker
+	// aside, if they are of two jobs or of one that works elsewhere.
+	failuresToSuspect = 2
 	// suspectTime is how long the first time; it doubles up to suspectLimit.
 	suspectTime  = 2 * time.Second
 	suspectLimit = 8 * time.Second
 )
 
-func (h *health) fail(now time.Time, id batch.JobID) {
+// fail takes in a failed run of a job; works tells that other tasks of the job
+// were done, so that the job can't be to blame.
+func (h *health) fail(now time.Time, id batch.JobID, works bool) {
 	h.failures++
 	if h.job != id {
 		h.job = id
 		h.jobs++
 	}
-	if h.failures >= failuresToSuspect && h.jobs >= 2 && !now.Before(h.until) {
+	if h.failures >= failuresToSuspect && (h.jobs >= 2 || works) && !now.Before(h.until) {
 		h.until = now.Add(min(suspectTime<<h.round, suspectLimit))
 		h.round = min(h.round+1, 4)
 	}
