--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sesamestream/sesamestream/internal/codec"
 	"github.com/sesamestream/sesamestream/internal/election"
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/kv"
@@ -110,6 +111,7 @@
 	loaded    bool
 	swept     time.Time
 	taught    time.Time
+	keptPairs time.Time
 	told      time.Time
 	ctx       context.Context
 	stopped   sync.WaitGroup
@@ -131,8 +133,9 @@
 	heard   time.Time
 	granted time.Time
 	// storeOK tells whether the node reached the store lately.
-	storeOK bool
-	workers map[batch.WorkerKey]bool
+	storeOK    bool
+	storeSince time.Time
+	workers    map[batch.WorkerKey]bool
 	// wanted are the workers of which a snapshot is due.
 	wanted map[batch.WorkerKey]bool
 }
@@ -206,7 +209,7 @@
 // load reads all that the store holds and then follows its changes.
 func (d *Dispatcher) load(ctx context.Context) error {
 	var in, states, nodes []kv.Item
-	var config kv.Item
+	var config, pairs kv.Item
 	var from kv.Revision
 	for {
 		c, cancel := context.WithTimeout(ctx, 4*storeCall)
@@ -220,6 +223,12 @@
 			}
 			return err
 		})
+		g.Go(func() (err error) {
+			if pairs, err = d.Store.Get(c, pairsKey); errors.Is(err, kv.ErrNotFound) {
+				return nil
+			}
+			return err
+		})
 		err := g.Wait()
 		cancel()
 		if err == nil {
@@ -230,7 +239,7 @@
 			return ctx.Err()
 		}
 	}
-	d.post(func(now time.Time) { d.take(now, in, states, nodes, config) })
+	d.post(func(now time.Time) { d.take(now, in, states, nodes, config, pairs) })
 	d.stopped.Go(func() { d.followConfig(ctx, config.Revision) })
 	return d.follow(ctx, from)
 }
@@ -245,7 +254,8 @@
 }
 
 // take takes in what the store held when the term began.
-func (d *Dispatcher) take(now time.Time, in, states, nodes []kv.Item, config kv.Item) {
+func (d *Dispatcher) take(now time.Time, in, states, nodes []kv.Item, config, pairs kv.Item) {
+	d.learn(pairs)
 	if len(config.Value) > 0 {
 		d.configure(config)
 	}
@@ -293,6 +303,19 @@
 	d.settle(now)
 }
 
+// learn takes in what the scheduler before knew of images.
+func (d *Dispatcher) learn(pairs kv.Item) {
+	if len(pairs.Value) == 0 {
+		return
+	}
+	p, err := codec.Decode[link.Pressure](pairs.Value)
+	if err != nil {
+		d.Log.Warning(eventlog.ReportRejected).Str("key", pairsKey).Err(err).Msg("stored pairs can't be read")
+		return
+	}
+	d.plan.Learn(p.Entries, p.Idle)
+}
+
 func (d *Dispatcher) add(now time.Time, i kv.Item, p *schedule.Progress, earlier bool) {
 	var j batch.Job
 	if err := json.Unmarshal(i.Value, &j); err != nil {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -155,6 +155,9 @@
 
 // ping grants the session's lease, unless another scheduler may have begun.
 func (d *Dispatcher) ping(now time.Time, s *session, p *link.Ping) {
+	if p.Store && !s.storeOK {
+		s.storeSince = now
+	}
 	s.storeOK = p.Store
 	if p.Clear && d.unheard[s.hello.Node] {
 		clear(s.wanted)
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sesamestream/sesamestream/internal/codec"
 	"github.com/sesamestream/sesamestream/internal/election"
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/kv"
@@ -31,11 +32,39 @@
 	if len(e) == 0 {
 		return
 	}
+	p := link.Pressure{Entries: e, Idle: idle}
 	for _, s := range d.sessions {
 		if s.hello.Host && s.fence != 0 {
-			s.conn.Send(link.Message{Pressure: &link.Pressure{Entries: e, Idle: idle}})
+			s.conn.Send(link.Message{Pressure: &p})
 		}
 	}
+	if now.Sub(d.keptPairs) > keepPairsEvery {
+		d.keptPairs = now
+		d.stopped.Go(func() { d.keepPairs(p) })
+	}
+}
+
+const (
+	// pairsKey holds what was learned of images, for the next scheduler.
+	pairsKey = "sesame/pairs"
+	// keepPairsEvery is how often it's stored: what is learned in that time is learned again.
+	keepPairsEvery = 3 * time.Second
+)
+
+// keepPairs stores what was learned; a loss costs the next scheduler some seconds of learning.
+func (d *Dispatcher) keepPairs(p link.Pressure) {
+	v, err := codec.Encode(p)
+	if err != nil {
+		d.Log.Error().Err(err).Msg("pairs can't be encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, storeCall)
+	defer cancel()
+	if _, err := d.Store.Apply(ctx, kv.Change{
+		Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}, Puts: []kv.Put{{Key: pairsKey, Value: v}},
+	}); err != nil {
+		d.Log.Warning(eventlog.ProgressNotStored).Str("key", pairsKey).Err(err).Msg("")
+	}
 }
 
 func (d *Dispatcher) tick(now time.Time) {
@@ -75,7 +104,7 @@
 		return
 	}
 	for name, s := range d.sessions {
-		if name != d.Node && s.storeOK && s.heard.After(d.Term.Contact().Add(storeFresh)) {
+		if name != d.Node && s.reaches(now, reachedFor) {
 			d.Log.Warning(eventlog.LeadLost).Str("why", "another node reaches the store").Str("peer", name).
 				Dur("storeAge", now.Sub(d.Term.Contact())).Msg("")
 			d.Term.Lose()
@@ -84,6 +113,15 @@
 	}
 }
 
+// reachedFor is how long another node has to reach the store before a
+// scheduler that doesn't gives up: several of its own renewals come in between.
+const reachedFor = time.Second
+
+// reaches reports whether the node has said for a while that it reaches the store.
+func (s *session) reaches(now time.Time, t time.Duration) bool {
+	return s.storeOK && now.Sub(s.storeSince) >= t
+}
+
 // schedule carries the decision's orders out and stores what changed.
 func (d *Dispatcher) schedule(now time.Time) {
 	if !d.loaded {
--- a/pkg/decide/interfere/crowding.go
+++ b/pkg/decide/interfere/crowding.go
@@ -218,6 +218,29 @@
 	return out
 }
 
+// keptEvidence is how much of what another learner knew counts here, in
+// windows at a share of 1: some seconds of own windows outweigh it.
+const keptEvidence = 3
+
+// Learn takes in what another learner knew, as far as nothing is known here.
+func (c *Crowding) Learn(entries []Entry, idle map[fleet.Kind]time.Duration) {
+	for k, d := range idle {
+		if n := c.victim(k); d > 0 && (n.idle == 0 || d < n.idle) {
+			n.idle = d
+		}
+	}
+	for _, e := range entries {
+		n := c.victim(e.Victim)
+		if _, known := n.columns[e.Disturber]; known || !e.valid() || len(n.names) >= maxDisturbers {
+			continue
+		}
+		i := n.add(e.Disturber)
+		v := min(float64(e.Evidence), keptEvidence)
+		n.a[i][i] += v
+		n.b[i] += v * float64(e.Weight)
+	}
+}
+
 // Entries returns up to n pairs, those with the most evidence first.
 func (c *Crowding) Entries(now time.Time, n int) []Entry {
 	var out []Entry
--- a/pkg/decide/schedule/share.go
+++ b/pkg/decide/schedule/share.go
@@ -84,6 +84,11 @@
 	return s.model.Entries(now, n), s.model.Victims()
 }
 
+// Learn takes in what the scheduler before knew of images.
+func (s *Scheduler) Learn(entries []interfere.Entry, idle map[fleet.Kind]time.Duration) {
+	s.model.Learn(entries, idle)
+}
+
 // strain returns whether each serving task of w is expected to stay within its
 // room with st beside it, and how much of their rooms st takes together.
 func (s *Scheduler) strain(now time.Time, w *worker, st *step) (fits bool, taken float64) {
