--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,7 +19,6 @@
 	"github.com/sesamestream/sesamestream/internal/node"
 	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
-	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
 
 // LeadTTL is the store's lease on the lead; a killed scheduler is replaced after it, so it's near the store's least.
@@ -42,12 +41,9 @@
 	Dial func(netip.AddrPort, batch.WorkerKey) hostagent.Worker
 	// Advise asks the policy service; nil where there is none.
 	Advise dispatch.Adviser
-	// Upkeep does the upkeep of machines; nil where there is none.
-	Upkeep func(context.Context, *dispatch.Dispatcher)
 	// ConfigKey and DecodeConfig give the operators' configuration.
 	ConfigKey    string
 	DecodeConfig func([]byte) (batch.Config, error)
-	Schedule     schedule.Settings
 	// MaxLease is the longest lease that a worker takes.
 	MaxLease time.Duration
 	// LeadTTL is the store's lease on the lead.
@@ -120,7 +116,7 @@
 func (c *Control) dispatcher(t *election.Term) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
 		Store: c.Store, Term: t, Node: c.Name, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig,
-		Keep: c.Keep, Settings: c.Schedule, Advise: c.Advise, Upkeep: c.Upkeep,
+		Keep: c.Keep, Advise: c.Advise,
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,11 +71,10 @@
 
 // A Dispatcher is one term of the scheduler. Its exported fields are set before Run.
 type Dispatcher struct {
-	Store    kv.Store
-	Term     *election.Term
-	Node     string
-	Log      *eventlog.Log
-	Settings schedule.Settings
+	Store kv.Store
+	Term  *election.Term
+	Node  string
+	Log   *eventlog.Log
 	// ConfigKey and DecodeConfig give the operators' configuration.
 	ConfigKey    string
 	DecodeConfig func([]byte) (batch.Config, error)
@@ -83,8 +82,6 @@
 	Keep time.Duration
 	// Advise asks the policy service; nil where there is none.
 	Advise Adviser
-	// Upkeep does the upkeep of machines while the term lasts; nil where nobody does.
-	Upkeep func(context.Context, *Dispatcher)
 	// Announce tells a node without a session where the scheduler is.
 	Announce func(address string, epoch int64)
 
@@ -149,7 +146,7 @@
 	defer cancel()
 	d.ctx = ctx
 	d.begun = time.Now()
-	d.plan = schedule.New(d.Settings)
+	d.plan = schedule.New()
 	d.sessions, d.nodes, d.unheard = map[string]*session{}, map[string]node{}, map[string]bool{}
 	d.revisions, d.leaving = map[batch.JobID]kv.Revision{}, map[string]time.Time{}
 	d.lapses, d.notes = map[batch.WorkerKey]time.Time{}, map[batch.WorkerKey]int64{}
@@ -159,9 +156,6 @@
 	if d.Advise != nil {
 		d.stopped.Go(func() { d.advise(ctx) })
 	}
-	if d.Upkeep != nil {
-		d.stopped.Go(func() { d.Upkeep(ctx, d) })
-	}
 	d.loop(ctx)
 	cancel()
 	for _, s := range d.sessions {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -71,9 +71,6 @@
 	s.conn.Send(link.Message{Welcome: &link.Welcome{Epoch: int64(d.Term.Epoch), Fence: s.fence}})
 	d.Log.Event(eventlog.HostJoined).Str("peer", name).Int64("life", s.hello.Life).Int64("fence", s.fence).
 		Bool("host", s.hello.Host).Msg("")
-	for _, id := range s.hello.Shown {
-		d.plan.Redo(id)
-	}
 }
 
 // registered reports whether the store names the node as it is.
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -34,8 +34,6 @@
 type Leader struct {
 	Node    string         `json:"node"`
 	Address netip.AddrPort `json:"address"`
-	// Epoch orders the terms; it's the revision of the epoch's key.
-	Epoch kv.Revision `json:"-"`
 }
 
 // An Elector reads and takes the lead.
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,123 @@
+package election_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/internal/election"
+	"github.com/sesamestream/sesamestream/internal/kv"
+	"github.com/sesamestream/sesamestream/internal/kv/memory"
+)
+
+const ttl = 1200 * time.Millisecond
+
+func elector(s *memory.Store, name string) (*election.Elector, *memory.Client) {
+	c := &memory.Client{Store: s}
+	return &election.Elector{Store: c, Node: name, Address: netip.MustParseAddrPort("10.0.0.1:7000"), TTL: ttl}, c
+}
+
+func lost(t *election.Term) bool {
+	select {
+	case <-t.Lost():
+		return true
+	default:
+		return false
+	}
+}
+
+// A killed leader is replaced after its lease, and its epoch is below the next one's.
+func TestNextTermBeginsAfterTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &memory.Store{}
+		a, _ := elector(s, "a")
+		b, _ := elector(s, "b")
+		ctx, cancel := context.WithCancel(t.Context())
+		one, err := a.Try(ctx)
+		g.Expect(err).NotTo(HaveOccurred())
+		go one.Keep(ctx)
+		time.Sleep(5 * time.Second)
+		_, err = b.Try(t.Context())
+		g.Expect(err).To(MatchError(election.ErrTaken))
+		cancel()
+		time.Sleep(ttl + time.Millisecond)
+		_, err = b.Current(t.Context())
+		g.Expect(err).To(MatchError(kv.ErrNotFound))
+		two, err := b.Try(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(two.Epoch).To(BeNumerically(">", one.Epoch))
+		two.Resign(t.Context())
+		_, err = a.Current(t.Context())
+		g.Expect(err).To(MatchError(kv.ErrNotFound), "who resigns leaves the lead at once")
+	})
+}
+
+// Leases that end while the store is away, with nobody else to lead, don't end the term.
+func TestTermGoesOnUnderItsEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &memory.Store{}
+		a, c := elector(s, "a")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		one, err := a.Try(ctx)
+		g.Expect(err).NotTo(HaveOccurred())
+		go one.Keep(ctx)
+		c.Set(memory.Faults{Down: true})
+		time.Sleep(4 * time.Second)
+		g.Expect(time.Since(one.Contact())).To(BeNumerically(">", 3*time.Second))
+		c.Set(memory.Faults{})
+		time.Sleep(2 * time.Second)
+		g.Expect(lost(one)).To(BeFalse())
+		l, err := a.Current(ctx)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(l.Node).To(Equal("a"))
+		g.Expect(time.Since(one.Contact())).To(BeNumerically("<", ttl))
+	})
+}
+
+// Another term that began meanwhile ends the first for good.
+func TestTermEndsWhereAnotherBegan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &memory.Store{}
+		a, c := elector(s, "a")
+		b, _ := elector(s, "b")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		one, err := a.Try(ctx)
+		g.Expect(err).NotTo(HaveOccurred())
+		go one.Keep(ctx)
+		c.Set(memory.Faults{Down: true})
+		time.Sleep(3 * time.Second)
+		two, err := b.Try(ctx)
+		g.Expect(err).NotTo(HaveOccurred())
+		go two.Keep(ctx)
+		c.Set(memory.Faults{})
+		time.Sleep(3 * time.Second)
+		g.Expect(lost(one)).To(BeTrue())
+		g.Expect(lost(two)).To(BeFalse())
+	})
+}
+
+// A renewal whose answer alone is lost is confirmed by the key.
+func TestLostAnswersKeepTheContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &memory.Store{}
+		a, c := elector(s, "a")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		one, err := a.Try(ctx)
+		g.Expect(err).NotTo(HaveOccurred())
+		go one.Keep(ctx)
+		c.Set(memory.Faults{LoseAnswers: true})
+		time.Sleep(4 * time.Second)
+		g.Expect(time.Since(one.Contact())).To(BeNumerically("<", ttl))
+	})
+}
--- a/internal/kv/memory/memory.go
+++ b/internal/kv/memory/memory.go
@@ -36,7 +36,7 @@
 	Down bool
 	// Refuse calls are refused with nothing done.
 	Refuse bool
-	// LoseAnswers of changes, which are made.
+	// LoseAnswers of changes and renewals, which are made.
 	LoseAnswers bool
 	// Late is how much later a change is made, without an answer.
 	Late time.Duration
@@ -312,10 +312,19 @@
 
 // Renew implements kv.Store.
 func (c *Client) Renew(ctx context.Context, id kv.LeaseID) error {
-	if _, err := c.begin(ctx); err != nil {
+	f, err := c.begin(ctx)
+	if err != nil {
 		return err
 	}
-	s := c.Store
+	err = c.Store.renew(id)
+	if f.LoseAnswers {
+		<-ctx.Done()
+		return kv.ErrUnknown
+	}
+	return err
+}
+
+func (s *Store) renew(id kv.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -39,8 +39,6 @@
 	Region     string `cbor:"5,keyasint"`
 	// Host is set on nodes with a worker.
 	Host bool `cbor:"6,keyasint"`
-	// Shown lists the jobs that callers were told to be over while the store was away.
-	Shown []batch.JobID `cbor:"7,keyasint,omitempty"`
 	// Workers are the lives that the host holds; a snapshot of each follows.
 	Workers []batch.WorkerKey `cbor:"8,keyasint,omitempty"`
 }
--- a/pkg/batch/config.go
+++ b/pkg/batch/config.go
@@ -1,9 +1,6 @@
 package batch
 
-import (
-	"strings"
-	"time"
-)
+import "strings"
 
 // A Config is the operators' configuration in force.
 type Config struct {
@@ -12,9 +9,7 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	// MaxBody bounds a request's body in bytes.
-	MaxBody       int64         `json:"maxBody"`
-	HeaderTimeout time.Duration `json:"headerTimeout"`
-	IdleTimeout   time.Duration `json:"idleTimeout"`
+	MaxBody int64 `json:"maxBody"`
 }
 
 // A Route sends the requests of a host and prefix to a queue.
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -241,7 +241,6 @@
 	if w == nil {
 		return
 	}
-	w.squeezed = squeezed
 	used, best := 0, 0.0
 	for _, r := range runs {
 		t := w.tasks[r.Task]
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -14,18 +14,6 @@
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 )
 
-// Settings are the bounds that the deployment sets.
-type Settings struct {
-	// CrossRack is the factor by which work away from its data is slower.
-	CrossRack float64
-	// GangWait is how long a member of a gang waits for the others.
-	GangWait time.Duration
-	// Stop is how long a worker takes to stop a run.
-	Stop time.Duration
-	// Notice is how long a lasting task has to be back before it counts as there.
-	Notice time.Duration
-}
-
 // A Start is an order to start a run.
 type Start struct {
 	Key    batch.WorkerKey
@@ -79,8 +67,6 @@
 
 // A Scheduler holds all jobs and workers. It's used by one goroutine.
 type Scheduler struct {
-	Settings Settings
-
 	jobs    map[batch.JobID]*job
 	workers map[batch.WorkerKey]*worker
 	queues  map[string]batch.Queue
@@ -96,15 +82,14 @@
 }
 
 // New returns an empty scheduler.
-func New(s Settings) *Scheduler {
+func New() *Scheduler {
 	return &Scheduler{
-		Settings: s,
-		jobs:     map[batch.JobID]*job{},
-		workers:  map[batch.WorkerKey]*worker{},
-		queues:   map[string]batch.Queue{},
-		guards:   map[string]bool{},
-		dirty:    map[batch.JobID]bool{},
-		work:     map[string]*mean{},
+		jobs:    map[batch.JobID]*job{},
+		workers: map[batch.WorkerKey]*worker{},
+		queues:  map[string]batch.Queue{},
+		guards:  map[string]bool{},
+		dirty:   map[batch.JobID]bool{},
+		work:    map[string]*mean{},
 	}
 }
 
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -20,7 +20,7 @@
 }
 
 func newBench(workers ...batch.Worker) *bench {
-	f := &bench{Scheduler: New(Settings{}), now: begin}
+	f := &bench{Scheduler: New(), now: begin}
 	f.Configure(&batch.Config{
 		Routes: []batch.Route{
 			{Queue: batch.Queue{Name: "urgent", Service: "s", MaxAttempts: 2, Stretch: 1.5, Objective: 600 * time.Millisecond}},
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -18,9 +18,7 @@
 	// serving is the processor time reserved by tasks that last, in thousandths of a core.
 	serving int
 	// filling is the processor time asked for by tasks that fill.
-	filling int
-	// squeezed workers have serving tasks near their target.
-	squeezed bool
+	filling  int
 	health   health
 	leftover leftover
 	// leaves is when a draining worker may be gone.
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -22,7 +22,6 @@
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
 	network "github.com/sesamestream/sesamestream/internal/link/memory"
 	"github.com/sesamestream/sesamestream/pkg/batch"
-	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
 
 const configKey = "config"
@@ -97,7 +96,7 @@
 		Store: p.store, Network: network.Host{Net: &p.r.net, Addr: p.addr.Addr()}, Log: eventlog.New(io.Discard, p.name),
 		Steady:    func() time.Duration { return time.Since(p.r.begin) },
 		Dial:      func(_ netip.AddrPort, k batch.WorkerKey) hostagent.Worker { return p.dial(k) },
-		ConfigKey: configKey, DecodeConfig: decode, Schedule: schedule.Settings{},
+		ConfigKey: configKey, DecodeConfig: decode,
 		MaxLease: 6 * time.Second, LeadTTL: control.LeadTTL, Keep: 10 * time.Minute,
 	}
 	c.Open()
