--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -48,6 +48,8 @@
 	watchSlack = 700 * time.Millisecond
 	// storeCall bounds other calls to the store.
 	storeCall = 900 * time.Millisecond
+	// storePause is the pause before the store is asked again: ten calls a second for one process.
+	storePause = 100 * time.Millisecond
 	// fenceStep is how many sessions one term numbers.
 	fenceStep = 100000
 	// collectEvery is how often ended jobs are looked for.
@@ -232,7 +234,7 @@
 			break
 		}
 		d.Log.Warning(eventlog.StoreLost).Str("call", "load").Err(err).Msg("")
-		if !sleep(ctx, 100*time.Millisecond) {
+		if !sleep(ctx) {
 			return ctx.Err()
 		}
 	}
@@ -241,11 +243,12 @@
 	return d.follow(ctx, from)
 }
 
-func sleep(ctx context.Context, t time.Duration) bool {
+// sleep waits before the store is asked again.
+func sleep(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(t):
+	case <-time.After(storePause):
 		return true
 	}
 }
@@ -353,11 +356,11 @@
 			items, upto, err = d.Store.Range(c, InPrefix)
 			cancel()
 			if err != nil {
-				sleep(ctx, 100*time.Millisecond)
+				sleep(ctx)
 				continue
 			}
 		case err != nil:
-			sleep(ctx, 100*time.Millisecond)
+			sleep(ctx)
 			continue
 		}
 		from = max(from, upto)
@@ -400,12 +403,12 @@
 			cancel()
 			if errors.Is(err, kv.ErrNotFound) {
 				reached(nil)
-				sleep(ctx, 100*time.Millisecond)
+				sleep(ctx)
 				continue
 			}
 			reached(err)
 			if err != nil {
-				sleep(ctx, 100*time.Millisecond)
+				sleep(ctx)
 				continue
 			}
 			from, read = i.Revision, false
@@ -418,7 +421,7 @@
 		if err != nil {
 			// What was missed meanwhile is in the key itself.
 			read = true
-			sleep(ctx, 100*time.Millisecond)
+			sleep(ctx)
 			continue
 		}
 		from = max(from, upto)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -115,7 +115,7 @@
 				return
 			}
 			d.Log.Warning(eventlog.ProgressNotStored).Str("key", nodePrefix+name).Err(err).Msg("")
-			sleep(d.ctx, 200*time.Millisecond)
+			sleep(d.ctx)
 		}
 	})
 }
