Take a lease back only if no other was asked for since

A look that couldn't be sent put the end of the lease back to what it was before, also where a start had asked for a longer one meanwhile; the agent could then take a worker's runs for lapsed too early. Found by reading. Fields of the dispatcher and of a worker's health are explained.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -96,23 +96,23 @@
 	nodes map[string]node
 	// unheard are the hosts that may run earlier work.
 	unheard map[string]bool
-	fences  int64
-	lapses  map[batch.WorkerKey]time.Time
+	// fences counts the sessions of the term.
+	fences int64
+	// lapses are the workers of lost sessions, and when their leases are over.
+	lapses map[batch.WorkerKey]time.Time
 	// leaving are the hosts without a session, and when their leases are over.
 	leaving map[string]time.Time
-	notes   map[batch.WorkerKey]int64
+	// notes are the ends that a worker may forget after the next flush.
+	notes map[batch.WorkerKey]int64
 	// revisions are those of the stored progress.
 	revisions map[batch.JobID]kv.Revision
-	flushed   time.Time
-	writing   bool
-	loaded    bool
-	swept     time.Time
-	taught    time.Time
-	keptPairs time.Time
-	told      time.Time
-	ctx       context.Context
-	stopped   sync.WaitGroup
-	wants     chan schedule.Want
+	// writing is set while a flush is under way, loaded once the store was read.
+	writing, loaded bool
+	// These are the last times of what is done now and then.
+	flushed, swept, taught, keptPairs, told time.Time
+	ctx                                     context.Context
+	stopped                                 sync.WaitGroup
+	wants                                   chan schedule.Want
 }
 
 type node struct {
@@ -127,15 +127,18 @@
 
 // session is the link of one node.
 type session struct {
-	hello   link.Hello
-	conn    *link.Conn
-	fence   int64
-	heard   time.Time
+	hello link.Hello
+	conn  *link.Conn
+	// fence is 0 until the session is welcomed.
+	fence int64
+	heard time.Time
+	// granted is when the lease granted last is over at the latest.
 	granted time.Time
 	// before is when the lease of the session before is over.
 	before time.Time
 	// storeOK tells whether the node reached the store lately.
-	storeOK    bool
+	storeOK bool
+	// storeSince is since when it says so.
 	storeSince time.Time
 	workers    map[batch.WorkerKey]bool
 	// wanted are the workers of which a snapshot is due.
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -48,8 +48,7 @@
 			o.Until = until
 		}
 	}
-	// The clock is all that a look without a lease is needed for.
-	before := h.before
+	before, leases := h.before, h.leases
 	c, cancel := context.WithTimeout(h.ctx, o.Wait+holdSlack)
 	h.look = cancel
 	a.mu.Unlock()
@@ -61,7 +60,8 @@
 		return true
 	}
 	if err != nil {
-		if errors.Is(err, ErrNotSent) && o.Until != 0 {
+		if errors.Is(err, ErrNotSent) && o.Until != 0 && h.leases == leases {
+			// The worker can't have got this lease, and none was asked for since.
 			h.until = before
 		}
 		h.missed(err)
--- a/internal/hostagent/order.go
+++ b/internal/hostagent/order.go
@@ -21,6 +21,7 @@
 	}
 	end := min(a.granted, now+a.MaxLease)
 	h.before = h.until
+	h.leases++
 	h.until = max(h.until, end)
 	return h.clock + (end - h.clockAt), true
 }
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -32,10 +32,12 @@
 type health struct {
 	// failures counts the failed runs since the last one done.
 	failures int
-	job      batch.JobID
-	jobs     int
+	// job is the one that failed last, jobs how many did in turn.
+	job  batch.JobID
+	jobs int
 	// until is when the worker may be tried again.
 	until time.Time
+	// round is how often it was set aside without a run done since.
 	round int
 }
 
