--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -100,7 +100,9 @@
 	// until is the latest end of a lease that was asked for, by Steady.
 	until time.Duration
 	// before is what until was before the last order that asked for a lease.
-	before   time.Duration
+	before time.Duration
+	// leases counts the orders that asked for one.
+	leases   int
 	lapsed   bool
 	failing  bool
 	reported int64
