--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -62,7 +62,9 @@
 	// MaxLease is the longest lease that a worker takes.
 	MaxLease time.Duration
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// closed is set once nothing more begins.
+	closed  bool
 	ctx     context.Context
 	begun   time.Duration
 	workers map[batch.WorkerKey]*held
@@ -125,6 +127,10 @@
 	a.workers = map[batch.WorkerKey]*held{}
 	a.mu.Unlock()
 	<-ctx.Done()
+	// Nothing begins after this, so that all that has begun can be waited for.
+	a.mu.Lock()
+	a.closed = true
+	a.mu.Unlock()
 	a.ended.Wait()
 	return nil
 }
@@ -159,7 +165,7 @@
 func (a *Agent) Report(r Report) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ctx == nil || a.ctx.Err() != nil {
+	if a.ctx == nil || a.closed {
 		return false
 	}
 	k := r.Worker.Key()
@@ -287,6 +293,9 @@
 func (a *Agent) Message(m link.Message) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.ctx == nil || a.closed {
+		return
+	}
 	switch {
 	case m.Facts != nil:
 		if h := a.workers[m.Facts.Key]; h != nil && h.joined == h.fence {
