Wait out the leases of the agent before; ask a worker that answers seldom more often

Cause: an agent that had just started again took its worker for gone at the first look without an answer, as it had asked for no lease itself, while the lease that its process before had asked for went on for two more seconds; the scheduler started the runs elsewhere. Now a new agent counts a whole grant from its start.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -219,6 +219,8 @@
 func (a *Agent) hold(r Report) {
 	h := &held{
 		agent: a, info: r.Worker, seq: r.Seq, fence: a.fence,
+		// The process before this one may have asked for a lease just before it ended.
+		until:   a.Steady() + Grant,
 		changed: make(chan struct{}, 1), facts: map[batch.Task]link.Fact{}, saved: map[batch.Task]string{}, paces: map[paced]int{}, found: map[batch.Task]bool{},
 	}
 	ad, err := netip.ParseAddrPort(r.Worker.Address)
--- a/internal/hostagent/agent_test.go
+++ b/internal/hostagent/agent_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sesamestream/sesamestream/internal/eventlog"
@@ -43,3 +45,60 @@
 		g.Wait()
 	}
 }
+
+// forgetful leaves four of five looks unanswered.
+type forgetful struct {
+	*standin.Worker
+	calls atomic.Int64
+}
+
+func (f *forgetful) Hold(ctx context.Context, o hostagent.HoldOrder) (hostagent.Answer, hostagent.Lists, error) {
+	if f.calls.Add(1)%5 != 1 {
+		<-ctx.Done()
+		return hostagent.Answer{}, hostagent.Lists{}, hostagent.ErrNoAnswer
+	}
+	return f.Worker.Hold(ctx, o)
+}
+
+// A worker that answers one look of five isn't taken for gone: an unanswered
+// look may lengthen its lease seconds later (seen: TWICE on late-orders).
+func TestWorkerThatAnswersSeldomIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := eventlog.New(io.Discard, "n")
+		defer l.Close(0)
+		begin := time.Now()
+		now := func() time.Duration { return time.Since(begin) }
+		info := batch.Worker{ID: "w", Born: 1, Address: "10.0.0.1:80"}
+		w := &forgetful{Worker: &standin.Worker{Info: info, Duration: func(batch.Task) time.Duration { return 0 }}}
+		var a *hostagent.Agent
+		var gone atomic.Int64
+		a = &hostagent.Agent{
+			Log: l, MaxLease: 6 * time.Second, Steady: now,
+			Dial: func(netip.AddrPort, batch.WorkerKey) hostagent.Worker { return w },
+			Send: func(m link.Message) bool {
+				if m.Gone != nil {
+					gone.Add(1)
+				}
+				if m.Snapshot != nil {
+					go a.Message(link.Message{Facts: &link.Facts{Key: info.Key()}})
+				}
+				return true
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = a.Run(ctx) }()
+		synctest.Wait()
+		a.Welcomed(link.Welcome{Epoch: 1, Fence: 64})
+		a.Report(hostagent.Report{Worker: info})
+		for range 60 {
+			a.Granted(now(), hostagent.Grant)
+			time.Sleep(500 * time.Millisecond)
+		}
+		cancel()
+		<-done
+		if n := gone.Load(); n != 0 {
+			t.Errorf("taken for gone %d times", n)
+		}
+	})
+}
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -49,7 +49,13 @@
 		}
 	}
 	before, leases := h.before, h.leases
-	c, cancel := context.WithTimeout(h.ctx, o.Wait+holdSlack)
+	limit := o.Wait + holdSlack
+	if h.failing {
+		// A worker that leaves some calls unanswered is asked often, so that
+		// it's heard long before its lease would be taken for over.
+		o.Wait, limit = 0, orderTimeout
+	}
+	c, cancel := context.WithTimeout(h.ctx, limit)
 	h.look = cancel
 	a.mu.Unlock()
 	answer, lists, err := h.client.Hold(c, o)
