Remove what the scheduling decision doesn't use; count a job's work once

Read once more: Scheduler.Lapse, guards, the services of a configuration, the time of a task's last progress and Model.Weight had no reader left. The work of a job and the time from a step to its end were computed for each claim in each pass, of estimates that never change; newJob keeps them now. The same values, no change of behaviour. Test inputs that named the services lose that line; no assertion changed.

--- a/pkg/batch/config.go
+++ b/pkg/batch/config.go
@@ -6,8 +6,7 @@
 type Config struct {
 	Version int64 `json:"version"`
 	// Routes are ordered by the length of their prefix, longest first.
-	Routes   []Route   `json:"routes"`
-	Services []Service `json:"services"`
+	Routes []Route `json:"routes"`
 	// MaxBody bounds a request's body in bytes.
 	MaxBody int64 `json:"maxBody"`
 }
@@ -19,14 +18,6 @@
 	Queue  Queue  `json:"queue"`
 }
 
-// A Service is a pool of workers.
-type Service struct {
-	Name string `json:"name"`
-	// Guards is set where the workers refuse what doesn't fit.
-	Guards  bool `json:"guards"`
-	Standby bool `json:"standby"`
-}
-
 // Find returns the route of host with the longest prefix of path.
 func (c *Config) Find(host, path string) (Route, bool) {
 	for _, r := range c.Routes {
--- a/pkg/decide/interfere/query.go
+++ b/pkg/decide/interfere/query.go
@@ -89,13 +89,3 @@
 func (f *Fleet) Penalty(k fleet.Kind, on fleet.ID) float64 {
 	return f.Model.Penalty(f.Now, k, f.Share(k), f.Beside(on))
 }
-
-// Weight returns how much the logarithm of the victim's latency grows with a
-// share of the disturber, and the evidence for it.
-func (m *Model) Weight(now time.Time, victim, disturber fleet.Kind) (weight, evidence float64) {
-	e, ok := m.pairs[Pair{victim, disturber}]
-	if !ok {
-		return 0, 0
-	}
-	return float64(e.Weight), e.evidence(now)
-}
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -21,8 +21,8 @@
 	runs    []*occurrence
 	// left counts the tasks that aren't done.
 	left int
-	// remaining is the estimated work that is left, in core-seconds.
-	remaining float64
+	// total is the estimated work of the job, remaining what is left of it, in core-seconds.
+	total, remaining float64
 	// chain is the estimated time of its longest chain of steps.
 	chain time.Duration
 }
@@ -40,6 +40,8 @@
 	job   *job
 	at    *occurrence
 	index int
+	// ahead is the estimated time from its start to the end of the occurrence.
+	ahead time.Duration
 	tasks []*task
 	left  int
 	// waiting counts the tasks that have no worker and aren't done.
@@ -75,7 +77,6 @@
 	there    bool
 	stopping bool
 	percent  int
-	moved    time.Time
 	// avoid is the machine on which it failed or stood still last.
 	avoid string
 	// again is when it may be tried again.
@@ -90,7 +91,7 @@
 			o.due = b.Start.Add(time.Duration(k) * b.Interval)
 		}
 		for i := range b.Steps {
-			st := &step{Step: &b.Steps[i], job: j, at: o, index: i, left: b.Steps[i].Count, waiting: b.Steps[i].Count}
+			st := &step{Step: &b.Steps[i], job: j, at: o, index: i, ahead: ahead(b, i), left: b.Steps[i].Count, waiting: b.Steps[i].Count}
 			if st.MaxPerWorker > 0 {
 				st.counts = map[*worker]int{}
 			}
@@ -103,7 +104,8 @@
 		j.runs = append(j.runs, o)
 		j.left += o.left
 	}
-	j.remaining = j.totalWork()
+	j.total = totalWork(b)
+	j.remaining = j.total
 	j.chain = chain(b)
 	return j
 }
@@ -128,12 +130,29 @@
 	return float64(s.Need.MilliCPU) / 1000 * s.Estimate.Seconds()
 }
 
-func (j *job) totalWork() float64 {
+// totalWork returns the estimated core-seconds of a job.
+func totalWork(b *batch.Job) float64 {
 	w := 0.0
-	for i := range j.Steps {
-		w += work(&j.Steps[i]) * float64(j.Steps[i].Count)
+	for i := range b.Steps {
+		w += work(&b.Steps[i]) * float64(b.Steps[i].Count)
 	}
-	return w * float64(j.Occurrences())
+	return w * float64(b.Occurrences())
+}
+
+// ahead returns the estimated time from the start of a step to the end of its occurrence.
+func ahead(b *batch.Job, step int) time.Duration {
+	ends := make([]time.Duration, len(b.Steps))
+	ends[step] = b.Steps[step].Estimate
+	longest := ends[step]
+	for i := step + 1; i < len(b.Steps); i++ {
+		for _, a := range b.Steps[i].After {
+			if ends[a] > 0 {
+				ends[i] = max(ends[i], ends[a]+b.Steps[i].Estimate)
+			}
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
 }
 
 func (j *job) each(f func(*task)) {
@@ -187,7 +206,7 @@
 	if t.worker == nil && !t.done {
 		t.step.waiting--
 	}
-	t.worker, t.run, t.started, t.moved = w, run, now, now
+	t.worker, t.run, t.started = w, run, now
 	t.there, t.stopping, t.percent, t.slow = false, false, 0, time.Time{}
 	w.take(t)
 	if t.step.counts != nil {
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -69,20 +69,18 @@
 					continue
 				}
 				objective := time.Duration(q.Stretch*float64(j.chain)) + q.Objective
-				ahead := st.aheadOf()
 				c := claim{step: st, priority: q.Priority}
-				c.slack = begin.Add(objective).Sub(now) - ahead
+				c.slack = begin.Add(objective).Sub(now) - st.ahead
 				switch {
 				case c.slack >= 0:
 					c.tier = tierInTime
-				case begin.Add(lateFactor*objective).Sub(now)-ahead >= 0:
+				case begin.Add(lateFactor*objective).Sub(now)-st.ahead >= 0:
 					c.tier = tierLate
 				default:
 					c.tier = tierHopeless
 				}
 				mean := s.work[j.Queue].value()
-				total := j.totalWork()
-				c.density = (0.3*mean + 0.7*total) / math.Max(j.remaining, 0.05*mean+1e-3)
+				c.density = (0.3*mean + 0.7*j.total) / math.Max(j.remaining, 0.05*mean+1e-3)
 				cs = append(cs, c)
 			}
 		}
@@ -111,23 +109,6 @@
 // dueMargin keeps a timed start from being early on a clock that runs ahead.
 const dueMargin = 100 * time.Millisecond
 
-// aheadOf returns the estimated time from the start of s to the end of its occurrence.
-func (s *step) aheadOf() time.Duration {
-	ends := make([]time.Duration, len(s.at.steps))
-	ends[s.index] = s.Estimate
-	longest := s.Estimate
-	for i := s.index + 1; i < len(s.at.steps); i++ {
-		st := s.at.steps[i]
-		for _, a := range st.After {
-			if ends[a] > 0 {
-				ends[i] = max(ends[i], ends[a]+st.Estimate)
-			}
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 func (s *Scheduler) serve(now time.Time, c claim, o *Orders) {
 	if c.step.Gang {
 		s.serveGang(now, c, o)
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -36,7 +36,7 @@
 		}
 		there[r.Task] = true
 		kept = append(kept, r.Task)
-		t.see(now, r)
+		t.see(r)
 	}
 	for id, t := range w.tasks {
 		if !there[id] {
@@ -58,10 +58,8 @@
 }
 
 // see takes in a row of a worker's list.
-func (t *task) see(now time.Time, r batch.Run) {
-	if r.Percent != t.percent {
-		t.percent, t.moved = r.Percent, now
-	}
+func (t *task) see(r batch.Run) {
+	t.percent = r.Percent
 	if r.Saved != "" {
 		t.saved = r.Saved
 		if t.step.Gang {
@@ -103,20 +101,6 @@
 	return n
 }
 
-// Lapse says that all leases of a host have run out.
-func (s *Scheduler) Lapse(host string) []batch.WorkerKey {
-	var keys []batch.WorkerKey
-	for k, w := range s.workers {
-		if w.host == host {
-			keys = append(keys, k)
-		}
-	}
-	for _, k := range keys {
-		s.Gone(k)
-	}
-	return keys
-}
-
 // Ended takes in the ends that a worker lists.
 func (s *Scheduler) Ended(now time.Time, k batch.WorkerKey, ends []batch.End) {
 	w := s.workers[k]
@@ -158,11 +142,9 @@
 		t.release()
 	}
 	s.dirty[j.ID] = true
-	switch e.How {
-	case batch.Done:
+	if e.How == batch.Done {
 		w.health.done()
 		s.done(now, t)
-	case batch.Failed, batch.Alone, batch.Broken, batch.Stopped, batch.Lapsed:
 	}
 }
 
@@ -217,7 +199,7 @@
 	}
 	if !refused {
 		t.there = true
-		t.started, t.moved = now, now
+		t.started = now
 		return
 	}
 	if old {
@@ -247,7 +229,7 @@
 		if t == nil || t.run != r.Number {
 			continue
 		}
-		t.see(now, r)
+		t.see(r)
 		if t.step.TailTarget > 0 && r.Load > 0 {
 			t.tail = tail{time.Duration(r.Load) * time.Millisecond, now}
 		}
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -70,7 +70,6 @@
 	jobs    map[batch.JobID]*job
 	workers map[batch.WorkerKey]*worker
 	queues  map[string]batch.Queue
-	guards  map[string]bool
 	// settled is set once each host that may run earlier work has been heard or waited out.
 	settled bool
 	stops   []Stop
@@ -87,7 +86,6 @@
 		jobs:    map[batch.JobID]*job{},
 		workers: map[batch.WorkerKey]*worker{},
 		queues:  map[string]batch.Queue{},
-		guards:  map[string]bool{},
 		dirty:   map[batch.JobID]bool{},
 		work:    map[string]*mean{},
 	}
@@ -111,10 +109,6 @@
 // Configure takes the configuration in force.
 func (s *Scheduler) Configure(c *batch.Config) {
 	s.queues = c.Queues()
-	s.guards = map[string]bool{}
-	for _, v := range c.Services {
-		s.guards[v.Name] = v.Guards
-	}
 }
 
 // terms returns the queue of j as configured now, or as it was when the queue is gone.
@@ -143,7 +137,7 @@
 		m = &mean{}
 		s.work[b.Queue] = m
 	}
-	m.add(j.totalWork())
+	m.add(j.total)
 }
 
 // Knows reports whether the job was added.
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -26,7 +26,6 @@
 			{Queue: batch.Queue{Name: "urgent", Service: "s", MaxAttempts: 2, Stretch: 1.5, Objective: 600 * time.Millisecond}},
 			{Queue: batch.Queue{Name: "wide", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 2, Objective: time.Second}},
 		},
-		Services: []batch.Service{{Name: "s", Guards: true}},
 	})
 	f.Settle()
 	for _, w := range workers {
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -72,7 +72,7 @@
 }
 
 func (r *rig) configure(version int64) {
-	c := batch.Config{Version: version, Services: []batch.Service{{Name: "s", Guards: true}}}
+	c := batch.Config{Version: version}
 	for i, q := range []string{"urgent", "wide"} {
 		c.Routes = append(c.Routes, batch.Route{Host: "h", Prefix: "/" + q + "/", Queue: batch.Queue{
 			Name: q, Service: "s", Priority: i, MaxAttempts: 3, Stretch: 2, Objective: time.Second,
