Weigh what filling work takes once for each worker; keep the list of disturbers

Each candidate worker was strained twice, to see whether the work fits and to score it, and the list of all disturbers was collected, sorted and compacted anew for each candidate. Both are on the path of every start and grow with the workers. The same choices as before.

--- a/pkg/decide/interfere/crowding.go
+++ b/pkg/decide/interfere/crowding.go
@@ -33,6 +33,8 @@
 // are known after some seconds. Its zero value knows nothing.
 type Crowding struct {
 	victims map[fleet.Kind]*normal
+	// disturbers are the names of all columns, in order.
+	disturbers []fleet.Kind
 }
 
 // normal holds the normal equations of one victim.
@@ -59,7 +61,11 @@
 	return n
 }
 
-func (n *normal) add(k fleet.Kind) int {
+// add opens a column for a disturber of n.
+func (c *Crowding) add(n *normal, k fleet.Kind) int {
+	if at, known := slices.BinarySearch(c.disturbers, k); !known {
+		c.disturbers = slices.Insert(c.disturbers, at, k)
+	}
 	i := len(n.names)
 	n.names = append(n.names, k)
 	n.columns[k] = i
@@ -96,7 +102,7 @@
 			if len(n.names) >= maxDisturbers {
 				continue
 			}
-			i = n.add(k)
+			i = c.add(n, k)
 		}
 		x[i] = s
 	}
@@ -199,15 +205,8 @@
 	return min(max(n.w[i], 0), maxCrowding)
 }
 
-// Disturbers returns all that was seen beside a victim, in order.
-func (c *Crowding) Disturbers() []fleet.Kind {
-	var out []fleet.Kind
-	for _, n := range c.victims {
-		out = append(out, n.names...)
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
+// Disturbers returns all that was seen beside a victim, in order. The slice is the learner's own.
+func (c *Crowding) Disturbers() []fleet.Kind { return c.disturbers }
 
 // Victims returns the least tail of each victim.
 func (c *Crowding) Victims() map[fleet.Kind]time.Duration {
@@ -234,7 +233,7 @@
 		if _, known := n.columns[e.Disturber]; known || !e.valid() || len(n.names) >= maxDisturbers {
 			continue
 		}
-		i := n.add(e.Disturber)
+		i := c.add(n, e.Disturber)
 		v := min(float64(e.Evidence), keptEvidence)
 		n.a[i][i] += v
 		n.b[i] += v * float64(e.Weight)
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -226,11 +226,14 @@
 		if t.avoid != "" && w.Machine == t.avoid && len(s.workers) > 1 {
 			continue
 		}
-		if st.Fills && !st.patienceOver(now) {
-			if w.spare(now) < fillFloor(st) {
+		taken := 0.0
+		if st.Fills {
+			patient := !st.patienceOver(now)
+			if patient && w.spare(now) < fillFloor(st) {
 				continue
 			}
-			if fits, _ := s.strain(now, w, st); !fits {
+			var fits bool
+			if fits, taken = s.strain(now, w, st); patient && !fits {
 				continue
 			}
 		}
@@ -244,7 +247,7 @@
 			case adviceYes:
 			}
 		}
-		if v := s.score(now, st, w); v > bestScore || v == bestScore && w.ID < best.ID {
+		if v := s.score(now, st, w, taken); v > bestScore || v == bestScore && w.ID < best.ID {
 			best, bestScore = w, v
 		}
 	}
@@ -274,12 +277,11 @@
 // fillFloor is the least processor time that makes a filling task worth its start.
 func fillFloor(st *step) int { return st.Need.MilliCPU / 2 }
 
-// score is higher for a better worker.
-func (s *Scheduler) score(now time.Time, st *step, w *worker) float64 {
+// score is higher for a better worker; taken is the room that filling work takes there.
+func (s *Scheduler) score(now time.Time, st *step, w *worker, taken float64) float64 {
 	v := 0.0
 	switch {
 	case st.Fills:
-		_, taken := s.strain(now, w, st)
 		v = min(float64(w.spare(now))/float64(max(st.Need.MilliCPU, 1)), speedEnough) - strainCost*taken - openCost*s.openness(w)
 	case st.Lasting:
 		// Like tasks together, on as few workers as they fit: filling work
