Keep the crowding model's unit, prior and occupancy in one place

Pacing on the hosts and placement by the scheduler have to read the same weights alike, and each had its own copy of the unit, the prior and the formula of occupancy.

--- a/pkg/decide/interfere/crowding.go
+++ b/pkg/decide/interfere/crowding.go
@@ -8,10 +8,24 @@
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
+// CrowdingUnit is the processor time that counts as a share of 1 in a
+// Crowding, in thousandths of a core: about that of two tasks.
+const CrowdingUnit = 4000
+
+// PriorCrowding is the weight of a pair of which nothing is known: half that of a strong disturber.
+const PriorCrowding = 0.25
+
+// Occupancy returns how much of its room a victim with a tail lacks, from 0 to
+// 1, where idle is its tail on an idle host.
+func Occupancy(idle, tail time.Duration) float64 {
+	if idle == 0 || tail <= idle {
+		return 0
+	}
+	return 1 - float64(idle)/float64(tail)
+}
+
 // The parameters of a Crowding.
 const (
-	// priorCrowding is the weight of a pair of which nothing is known: half that of a strong disturber.
-	priorCrowding = 0.25
 	// priorEvidence is how much the prior counts, in windows at a share of 1.
 	priorEvidence = 0.3
 	// keep is the part of the evidence that each window leaves, so that changes are followed in about a thousand windows.
@@ -74,7 +88,7 @@
 	}
 	n.a = append(n.a, make([]float64, i+1))
 	n.a[i][i] = priorEvidence
-	n.b = append(n.b, priorEvidence*priorCrowding)
+	n.b = append(n.b, priorEvidence*PriorCrowding)
 	n.solved = false
 	return i
 }
@@ -124,7 +138,7 @@
 		n.b[i] *= keep
 		// The prior isn't forgotten.
 		n.a[i][i] += (1 - keep) * priorEvidence
-		n.b[i] += (1 - keep) * priorEvidence * priorCrowding
+		n.b[i] += (1 - keep) * priorEvidence * PriorCrowding
 	}
 	for i, u := range x {
 		for j, v := range x {
@@ -135,13 +149,7 @@
 	n.solved = false
 }
 
-// occupancy returns how much of its room a victim with that tail lacks, from 0 to 1.
-func (n *normal) occupancy(tail time.Duration) float64 {
-	if n.idle == 0 || tail <= n.idle {
-		return 0
-	}
-	return 1 - float64(n.idle)/float64(tail)
-}
+func (n *normal) occupancy(tail time.Duration) float64 { return Occupancy(n.idle, tail) }
 
 // solve finds the weights by elimination; the matrix is positive definite.
 func (n *normal) solve() {
@@ -195,11 +203,11 @@
 func (c *Crowding) Weight(victim, disturber fleet.Kind) float64 {
 	n := c.victims[victim]
 	if n == nil {
-		return priorCrowding
+		return PriorCrowding
 	}
 	i, ok := n.columns[disturber]
 	if !ok {
-		return priorCrowding
+		return PriorCrowding
 	}
 	n.solve()
 	return min(max(n.w[i], 0), maxCrowding)
--- a/pkg/decide/interfere/crowding_test.go
+++ b/pkg/decide/interfere/crowding_test.go
@@ -35,8 +35,8 @@
 	}
 	g.Expect(c.Weight("victim", "heavy")).To(BeNumerically(">", 0.3))
 	g.Expect(c.Weight("victim", "light")).To(BeNumerically("<", 0.12))
-	g.Expect(c.Weight("victim", "unseen")).To(Equal(priorCrowding))
-	g.Expect(c.Weight("unseen", "heavy")).To(Equal(priorCrowding))
+	g.Expect(c.Weight("victim", "unseen")).To(Equal(PriorCrowding))
+	g.Expect(c.Weight("unseen", "heavy")).To(Equal(PriorCrowding))
 	g.Expect(c.Disturbers()).To(Equal([]fleet.Kind{"heavy", "light", "other"}))
 }
 
--- a/pkg/decide/pacing/pacing.go
+++ b/pkg/decide/pacing/pacing.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 )
 
 const (
@@ -34,10 +35,6 @@
 	least = 8
 	// full is the pace of a task that starts.
 	full = 100
-	// unit is the processor time of a share of 1, in thousandths of a core.
-	unit = 4000
-	// prior is the weight of a pair of which nothing was told, as at placement.
-	prior = 0.25
 	// idleShare is the share of its target taken for the least tail of a victim of which nothing was told.
 	idleShare = 0.2
 	// matters is the part of a victim's room below which a task counts as no disturber.
@@ -124,7 +121,7 @@
 			return w
 		}
 	}
-	return prior
+	return interfere.PriorCrowding
 }
 
 // room returns how much of its room v lacks now, and how much it may lack to
@@ -137,13 +134,12 @@
 	if idle <= 0 {
 		idle = time.Duration(idleShare * float64(v.Target))
 	}
-	lacks := func(t float64) float64 { return max(1-float64(idle)/t, 0) }
-	return lacks(float64(v.Tail)), lacks(share * float64(v.Target))
+	return interfere.Occupancy(idle, v.Tail), interfere.Occupancy(idle, time.Duration(share*float64(v.Target)))
 }
 
 // takes returns how much of v's room r takes.
 func (m *Machine) takes(v, r Row) float64 {
-	return m.weight(v.Image, r.Image) * float64(r.MilliCPU) / unit
+	return m.weight(v.Image, r.Image) * float64(r.MilliCPU) / interfere.CrowdingUnit
 }
 
 // Step takes the rows of a look and appends the changes that follow to out.
@@ -287,7 +283,7 @@
 	// What the run uses at full pace is known from what it uses now.
 	use := guess
 	if old > 0 && r.MilliCPU > 0 {
-		use = float64(r.MilliCPU) / unit * full / float64(old)
+		use = float64(r.MilliCPU) / interfere.CrowdingUnit * full / float64(old)
 	}
 	step := float64(comeBack)
 	for _, v := range rows {
--- a/pkg/decide/schedule/share.go
+++ b/pkg/decide/schedule/share.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// ShareUnit is the processor time that counts as a share of 1 in the
-	// interference model, in thousandths of a core: about that of two tasks.
-	ShareUnit = 4000
 	// tailRoom is the share of its target that a tail may be expected to reach by a placement;
 	// the rest is for the serving task's own load, which swings by half.
 	tailRoom = 0.7
@@ -63,7 +60,7 @@
 	for _, r := range runs {
 		t := w.tasks[r.Task]
 		if t != nil && t.step.Fills && t.run == r.Number && t.step.Image != "" && r.Load > 0 {
-			beside[fleet.Kind(t.step.Image)] += follow * float64(r.Load) / ShareUnit
+			beside[fleet.Kind(t.step.Image)] += follow * float64(r.Load) / interfere.CrowdingUnit
 		}
 	}
 	w.shares = beside
@@ -92,7 +89,7 @@
 // strain returns whether each serving task of w is expected to stay within its
 // room with st beside it, and how much of their rooms st takes together.
 func (s *Scheduler) strain(now time.Time, w *worker, st *step) (fits bool, taken float64) {
-	share := float64(st.Need.MilliCPU) / ShareUnit
+	share := float64(st.Need.MilliCPU) / interfere.CrowdingUnit
 	fits = true
 	for _, v := range w.tasks {
 		if v.step.TailTarget <= 0 {
@@ -110,7 +107,7 @@
 		}
 		for _, t := range w.tasks {
 			if t.step.Fills && now.Sub(t.started) < effectAge {
-				has += s.model.Weight(image, fleet.Kind(t.step.Image)) * float64(t.step.Need.MilliCPU) / ShareUnit
+				has += s.model.Weight(image, fleet.Kind(t.step.Image)) * float64(t.step.Need.MilliCPU) / interfere.CrowdingUnit
 			}
 		}
 		may := unmeasuredRoom
