Make the scheduler's own changes by one function, and ask a conflict for a key

Five places built the condition of the term's epoch and the time-out of the call by hand, and two looked for a key among the items of a conflict.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -1,13 +1,11 @@
 package dispatch
 
 import (
-	"context"
 	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/sesamestream/sesamestream/internal/election"
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/hostagent"
 	"github.com/sesamestream/sesamestream/internal/kv"
@@ -90,18 +88,14 @@
 	}
 	d.stopped.Go(func() {
 		for d.ctx.Err() == nil {
-			c, cancel := context.WithTimeout(d.ctx, storeCall)
-			r, err := d.Store.Apply(c, kv.Change{
-				Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}, {Key: nodePrefix + name, Revision: n.revision}},
+			r, err := d.apply(kv.Change{
+				Conditions: []kv.Condition{{Key: nodePrefix + name, Revision: n.revision}},
 				Puts:       []kv.Put{{Key: nodePrefix + name, Value: v}},
 			})
-			cancel()
 			var conflict *kv.Conflict
 			if errors.As(err, &conflict) {
-				for _, i := range conflict.Items {
-					if i.Key == nodePrefix+name {
-						n.revision = i.Revision
-					}
+				if r, ok := conflict.Revision(nodePrefix + name); ok {
+					n.revision = r
 				}
 			}
 			if err == nil {
@@ -136,10 +130,8 @@
 	d.nodes[name] = n
 	d.Log.Event(eventlog.HostForgotten).Str("peer", name).Msg("")
 	d.stopped.Go(func() {
-		c, cancel := context.WithTimeout(d.ctx, storeCall)
-		defer cancel()
-		if _, err := d.Store.Apply(c, kv.Change{
-			Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}, {Key: nodePrefix + name, Revision: kept.revision}},
+		if _, err := d.apply(kv.Change{
+			Conditions: []kv.Condition{{Key: nodePrefix + name, Revision: kept.revision}},
 			Removes:    []string{nodePrefix + name},
 		}); err != nil {
 			d.Log.Warning(eventlog.ProgressNotStored).Str("key", nodePrefix+name).Err(err).Msg("")
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -58,11 +58,7 @@
 		d.Log.Error().Err(err).Msg("pairs can't be encoded")
 		return
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, storeCall)
-	defer cancel()
-	if _, err := d.Store.Apply(ctx, kv.Change{
-		Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}, Puts: []kv.Put{{Key: pairsKey, Value: v}},
-	}); err != nil {
+	if _, err := d.apply(kv.Change{Puts: []kv.Put{{Key: pairsKey, Value: v}}}); err != nil {
 		d.Log.Warning(eventlog.ProgressNotStored).Str("key", pairsKey).Err(err).Msg("")
 	}
 }
@@ -226,6 +222,14 @@
 	}
 }
 
+// apply makes a change under the condition that this term is the newest.
+func (d *Dispatcher) apply(c kv.Change) (kv.Revision, error) {
+	c.Conditions = append([]kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}, c.Conditions...)
+	ctx, cancel := context.WithTimeout(d.ctx, storeCall)
+	defer cancel()
+	return d.Store.Apply(ctx, c)
+}
+
 // record is the progress of one job on its way to the store.
 type record struct {
 	id       batch.JobID
@@ -263,15 +267,13 @@
 }
 
 func (d *Dispatcher) writeSome(records []record) error {
-	c := kv.Change{Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}}
+	var c kv.Change
 	for _, r := range records {
 		key := StatePrefix + string(r.id)
 		c.Conditions = append(c.Conditions, kv.Condition{Key: key, Revision: r.revision})
 		c.Puts = append(c.Puts, kv.Put{Key: key, Value: r.value})
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, storeCall)
-	defer cancel()
-	revision, err := d.Store.Apply(ctx, c)
+	revision, err := d.apply(c)
 	if err == nil {
 		for i := range records {
 			records[i].revision, records[i].stored = revision, true
@@ -287,17 +289,13 @@
 
 // resolve takes in how the keys stand after a change that was given up was made after all.
 func (d *Dispatcher) resolve(records []record, c *kv.Conflict) {
-	now := map[string]kv.Revision{}
-	for _, i := range c.Items {
-		now[i.Key] = i.Revision
-	}
-	if r, ok := now[election.EpochKey]; ok && r != d.Term.Epoch {
+	if r, ok := c.Revision(election.EpochKey); ok && r != d.Term.Epoch {
 		d.Log.Warning(eventlog.LeadLost).Str("why", "newer epoch in the store").Int64("epoch", int64(r)).Msg("")
 		d.Term.Lose()
 		return
 	}
 	for i := range records {
-		records[i].revision = now[StatePrefix+string(records[i].id)]
+		records[i].revision, _ = c.Revision(StatePrefix + string(records[i].id))
 	}
 }
 
@@ -311,14 +309,11 @@
 		const keysOfJob = 3
 		for len(ids) > 0 {
 			n := min(len(ids), (kv.MaxEntries-1)/keysOfJob)
-			c := kv.Change{Conditions: []kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}}
+			var c kv.Change
 			for _, id := range ids[:n] {
 				c.Removes = append(c.Removes, JobPrefix+string(id), CancelPrefix+string(id), StatePrefix+string(id))
 			}
-			ctx, cancel := context.WithTimeout(d.ctx, storeCall)
-			_, err := d.Store.Apply(ctx, c)
-			cancel()
-			if err != nil {
+			if _, err := d.apply(c); err != nil {
 				d.Log.Warning(eventlog.ProgressNotStored).Int("removes", n).Err(err).Msg("")
 				return
 			}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -34,6 +34,16 @@
 // Error implements error.
 func (c *Conflict) Error() string { return ErrConflict.Error() }
 
+// Revision returns how a key of a condition stands, where the store told it.
+func (c *Conflict) Revision(key string) (Revision, bool) {
+	for _, i := range c.Items {
+		if i.Key == key {
+			return i.Revision, true
+		}
+	}
+	return 0, false
+}
+
 // Is makes a Conflict an ErrConflict.
 func (c *Conflict) Is(err error) bool { return err == ErrConflict }
 
