Follow a key of the store where the store's interface is

The gateway took the follower of a key from the package of the scheduler, with time-outs that belong to reading the store. The same loop, waits and pauses, in internal/kv.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -42,14 +42,8 @@
 	tickEvery = 100 * time.Millisecond
 	// flushEvery is how long progress is collected for one write; ends are noted only after it.
 	flushEvery = 120 * time.Millisecond
-	// watchWait is how long a watch waits; a connection that went silent is found in this time and a little more.
-	watchWait = time.Second
-	// watchSlack is how much later than asked for a watch may return.
-	watchSlack = 700 * time.Millisecond
 	// storeCall bounds other calls to the store.
 	storeCall = 900 * time.Millisecond
-	// storePause is the pause before the store is asked again: ten calls a second for one process.
-	storePause = 100 * time.Millisecond
 	// fenceStep is how many sessions one term numbers.
 	fenceStep = 100000
 	// collectEvery is how often ended jobs are looked for.
@@ -237,7 +231,7 @@
 			break
 		}
 		d.Log.Warning(eventlog.StoreLost).Str("call", "load").Err(err).Msg("")
-		if !sleep(ctx) {
+		if !kv.Pause(ctx) {
 			return ctx.Err()
 		}
 	}
@@ -246,16 +240,6 @@
 	return d.follow(ctx, from)
 }
 
-// sleep waits before the store is asked again.
-func sleep(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(storePause):
-		return true
-	}
-}
-
 // take takes in what the store held when the term began.
 func (d *Dispatcher) take(now time.Time, in, states, nodes []kv.Item, config, pairs kv.Item) {
 	d.learn(pairs)
@@ -350,20 +334,18 @@
 // follow feeds new jobs and cancellations in.
 func (d *Dispatcher) follow(ctx context.Context, from kv.Revision) error {
 	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		items, upto, err := d.Store.Watch(c, InPrefix, from, watchWait)
-		cancel()
+		items, upto, err := kv.WatchOnce(ctx, d.Store, InPrefix, from)
 		switch {
 		case errors.Is(err, kv.ErrCompacted):
 			c, cancel := context.WithTimeout(ctx, 4*storeCall)
 			items, upto, err = d.Store.Range(c, InPrefix)
 			cancel()
 			if err != nil {
-				sleep(ctx)
+				kv.Pause(ctx)
 				continue
 			}
 		case err != nil:
-			sleep(ctx)
+			kv.Pause(ctx)
 			continue
 		}
 		from = max(from, upto)
@@ -387,51 +369,7 @@
 }
 
 func (d *Dispatcher) followConfig(ctx context.Context, from kv.Revision) {
-	FollowKey(ctx, d.Store, d.ConfigKey, from, func(i kv.Item) {
+	kv.Follow(ctx, d.Store, d.ConfigKey, from, func(i kv.Item) {
 		d.post(func(time.Time) { d.configure(i) })
-	}, nil)
-}
-
-// FollowKey calls f with each new value of a key until ctx ends. After a loss
-// of history it reads the key. Reached is told of each call's outcome.
-func FollowKey(ctx context.Context, s kv.Store, key string, from kv.Revision, f func(kv.Item), reached func(error)) {
-	if reached == nil {
-		reached = func(error) {}
-	}
-	read := from == 0
-	for ctx.Err() == nil {
-		if read {
-			c, cancel := context.WithTimeout(ctx, storeCall)
-			i, err := s.Get(c, key)
-			cancel()
-			if errors.Is(err, kv.ErrNotFound) {
-				reached(nil)
-				sleep(ctx)
-				continue
-			}
-			reached(err)
-			if err != nil {
-				sleep(ctx)
-				continue
-			}
-			from, read = i.Revision, false
-			f(i)
-		}
-		c, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		items, upto, err := s.Watch(c, key, from, watchWait)
-		cancel()
-		reached(err)
-		if err != nil {
-			// What was missed meanwhile is in the key itself.
-			read = true
-			sleep(ctx)
-			continue
-		}
-		from = max(from, upto)
-		for _, i := range items {
-			if i.Key == key && !i.Removed {
-				f(i)
-			}
-		}
-	}
+	}, func(error) {})
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -109,7 +109,7 @@
 				return
 			}
 			d.Log.Warning(eventlog.ProgressNotStored).Str("key", nodePrefix+name).Err(err).Msg("")
-			sleep(d.ctx)
+			kv.Pause(d.ctx)
 		}
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,7 +92,7 @@
 
 // Run follows the configuration until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	dispatch.FollowKey(ctx, g.Store, g.ConfigKey, 0, g.configure, g.reached)
+	kv.Follow(ctx, g.Store, g.ConfigKey, 0, g.configure, g.reached)
 	return nil
 }
 
