State the load window, the session's silence and the stored progress once

The worker's window of 500 ms stood in four places, the time after which a session ends by silence in two, and the entry had a type of its own for the progress that the scheduler stores. A check that lease() makes was made again by its caller.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,8 +36,6 @@
 	// unawareTime is how long the scheduler before may go on without knowing of
 	// this term while it still hears of new jobs: until its next renewal fails.
 	unawareTime = 1500 * time.Millisecond
-	// sessionTimeout ends a session by silence; three pings fit.
-	sessionTimeout = 2 * time.Second
 	// tickEvery is the resolution of the scheduler's own times.
 	tickEvery = 100 * time.Millisecond
 	// flushEvery is how long progress is collected for one write; ends are noted only after it.
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -65,7 +65,7 @@
 
 func (d *Dispatcher) tick(now time.Time) {
 	for _, s := range d.sessions {
-		if now.Sub(s.heard) > sessionTimeout {
+		if now.Sub(s.heard) > link.SessionTimeout {
 			d.leave(now, s, "silent")
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
 
 const (
@@ -359,9 +360,7 @@
 	} else if err != nil {
 		return "", Unknown, err
 	}
-	var p struct {
-		State batch.JobState `json:"state"`
-	}
+	var p schedule.Progress
 	i, err := g.get(ctx, dispatch.StatePrefix+string(id))
 	switch {
 	case err == nil:
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -29,8 +29,8 @@
 	orderPause = 60 * time.Millisecond
 	// startTries is how often a start is sent before it's taken back.
 	startTries = 4
-	// holdWait is how long a look waits for an end; it's the window of the worker's load figures.
-	holdWait = 500 * time.Millisecond
+	// holdWait is how long a look waits for an end: each look brings new load figures.
+	holdWait = batch.LoadWindow
 	// ackWait is the wait of a look while the scheduler hasn't taken the snapshot in.
 	ackWait = 100 * time.Millisecond
 	// lookPause is the pause between looks that would be answered at once.
@@ -40,7 +40,7 @@
 	// lapseSlack covers the worker's clock, which may be 2% slow over a grant.
 	lapseSlack = 150 * time.Millisecond
 	// tellEvery is how often the scheduler is told how runs get on: each window of the load figures.
-	tellEvery = 500 * time.Millisecond
+	tellEvery = batch.LoadWindow
 	// goneKept is how many lives that are over are remembered, as late heartbeats of them may come.
 	goneKept = 64
 	// fenceRoom is how often a host may raise a session's fence by itself.
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -43,8 +43,7 @@
 		o.Wait = ackWait
 	default:
 		o.Wait = holdWait
-		// A worker that doesn't answer gets no longer lease, so that its end is known.
-		if until, ok := h.lease(); ok && !h.failing {
+		if until, ok := h.lease(); ok {
 			o.Until = until
 		}
 	}
--- a/internal/hostagent/order.go
+++ b/internal/hostagent/order.go
@@ -12,7 +12,8 @@
 )
 
 // lease returns the end of the lease to ask for, in the worker's time, or
-// false where the session's lease is over.
+// false where the session's lease is over. A worker that doesn't answer gets no
+// longer lease, so that its end is known.
 func (h *held) lease() (time.Duration, bool) {
 	a := h.agent
 	now := a.Steady()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,8 +24,6 @@
 const (
 	// pingEvery keeps several pings within a session's time-out.
 	pingEvery = 500 * time.Millisecond
-	// sessionTimeout is that of the scheduler: three pings fit.
-	sessionTimeout = 2 * time.Second
 	// welcomeTimeout covers the load of a scheduler's state and the registration of a node in the store.
 	welcomeTimeout = 3 * time.Second
 	// dialTimeout bounds the opening of a link; the slowest known takes 30 ms one way.
@@ -324,7 +322,7 @@
 	}
 	c := link.New(raw)
 	defer c.Close()
-	c.Send(link.Message{Hello: ptr(n.Hello())})
+	c.Send(link.Message{Hello: new(n.Hello())})
 	heard := make(chan link.Message, 1024)
 	go func() {
 		defer close(heard)
@@ -379,7 +377,7 @@
 				n.Message(m)
 			}
 		case <-ping.C:
-			if time.Since(last) > sessionTimeout {
+			if time.Since(last) > link.SessionTimeout {
 				open = false
 				break
 			}
@@ -396,5 +394,3 @@
 func (n *Node) ping(c *link.Conn) {
 	c.Send(link.Message{Ping: &link.Ping{Sent: int64(n.Steady()), Store: n.StoreOK(), Clear: n.Clear()}})
 }
-
-func ptr[T any](v T) *T { return &v }
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -246,14 +247,12 @@
 
 // Has reports whether the worker has the label.
 func (w *Worker) Has(label string) bool {
-	for _, l := range w.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(w.Labels, label)
 }
 
+// LoadWindow is the time over which a worker measures the load of a run.
+const LoadWindow = 500 * time.Millisecond
+
 // A Run is a task at work on a worker.
 type Run struct {
 	Task   Task   `json:"task"`
--- a/pkg/decide/pacing/pacing.go
+++ b/pkg/decide/pacing/pacing.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// stepEvery is the window over which a worker measures a tail.
-	stepEvery = 500 * time.Millisecond
+	// stepEvery is the time between two steps: each has new figures.
+	stepEvery = batch.LoadWindow
 	// high is the share of the target above which filling tasks give way.
 	high = 0.85
 	// wanted is the share of the target that they give way to, and come back to.
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
@@ -303,10 +304,8 @@
 
 // insert adds a run to those that failed, once.
 func insert(runs []int, run int) []int {
-	for _, r := range runs {
-		if r == run {
-			return runs
-		}
+	if slices.Contains(runs, run) {
+		return runs
 	}
 	return append(runs, run)
 }
--- a/pkg/decide/schedule/share.go
+++ b/pkg/decide/schedule/share.go
@@ -30,15 +30,12 @@
 	at    time.Time
 }
 
-// window is a time in which a worker measured its runs.
-const window = 500 * time.Millisecond
-
 // alone returns what the tail of t would be with nothing that fills beside it:
 // the tasks of a step share their load, so the least of them is the nearest.
 func (t *task) alone(now time.Time) time.Duration {
 	least := t.tail.value
 	for _, o := range t.step.tasks {
-		if o.worker != nil && o.tail.value > 0 && now.Sub(o.tail.at) <= 2*window {
+		if o.worker != nil && o.tail.value > 0 && now.Sub(o.tail.at) <= 2*batch.LoadWindow {
 			least = min(least, o.tail.value)
 		}
 	}
@@ -47,7 +44,7 @@
 
 // learn takes in how the runs of a worker did in the last window.
 func (s *Scheduler) learn(now time.Time, w *worker, runs []batch.Run) {
-	if now.Sub(w.learned) < window*4/5 {
+	if now.Sub(w.learned) < batch.LoadWindow*4/5 {
 		return
 	}
 	w.learned = now
