--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -21,6 +21,16 @@
 	return &election.Elector{Store: c, Node: name, Address: netip.MustParseAddrPort("10.0.0.1:7000"), TTL: ttl}, c
 }
 
+// leading starts the term of a new leader on an empty store; it's kept until the test ends.
+func leading(t *testing.T) (*memory.Store, *election.Elector, *memory.Client, *election.Term) {
+	s := &memory.Store{}
+	a, c := elector(s, "a")
+	one, err := a.Try(t.Context())
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	go one.Keep(t.Context())
+	return s, a, c, one
+}
+
 func lost(t *election.Term) bool {
 	select {
 	case <-t.Lost():
@@ -61,20 +71,14 @@
 func TestTermGoesOnUnderItsEpoch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		s := &memory.Store{}
-		a, c := elector(s, "a")
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		one, err := a.Try(ctx)
-		g.Expect(err).NotTo(HaveOccurred())
-		go one.Keep(ctx)
+		_, a, c, one := leading(t)
 		c.Set(memory.Faults{Down: true})
 		time.Sleep(4 * time.Second)
 		g.Expect(time.Since(one.Contact())).To(BeNumerically(">", 3*time.Second))
 		c.Set(memory.Faults{})
 		time.Sleep(2 * time.Second)
 		g.Expect(lost(one)).To(BeFalse())
-		l, err := a.Current(ctx)
+		l, err := a.Current(t.Context())
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(l.Node).To(Equal("a"))
 		g.Expect(time.Since(one.Contact())).To(BeNumerically("<", ttl))
@@ -85,19 +89,13 @@
 func TestTermEndsWhereAnotherBegan(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		s := &memory.Store{}
-		a, c := elector(s, "a")
+		s, _, c, one := leading(t)
 		b, _ := elector(s, "b")
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		one, err := a.Try(ctx)
-		g.Expect(err).NotTo(HaveOccurred())
-		go one.Keep(ctx)
 		c.Set(memory.Faults{Down: true})
 		time.Sleep(3 * time.Second)
-		two, err := b.Try(ctx)
+		two, err := b.Try(t.Context())
 		g.Expect(err).NotTo(HaveOccurred())
-		go two.Keep(ctx)
+		go two.Keep(t.Context())
 		c.Set(memory.Faults{})
 		time.Sleep(3 * time.Second)
 		g.Expect(lost(one)).To(BeTrue())
@@ -109,13 +107,7 @@
 func TestLostAnswersKeepTheContact(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		s := &memory.Store{}
-		a, c := elector(s, "a")
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		one, err := a.Try(ctx)
-		g.Expect(err).NotTo(HaveOccurred())
-		go one.Keep(ctx)
+		_, _, c, one := leading(t)
 		c.Set(memory.Faults{LoseAnswers: true})
 		time.Sleep(4 * time.Second)
 		g.Expect(time.Since(one.Contact())).To(BeNumerically("<", ttl))
