Tell an error of the command line's output

The tables of status, workers, the burn report and the table's history dropped the errors of their writes. A printer keeps the first one and the command returns it. The text printed is the same.

--- a/cmd/sesamestream/fleet.go
+++ b/cmd/sesamestream/fleet.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"net/url"
-	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,13 +38,13 @@
 	if c.Bool("json") {
 		return printJSON(c, all)
 	}
-	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "process\trole\tdata centre\tup\ttable\tconfirmed ago\tstore\tmembers\tshards\tstate")
+	w := newColumns(c.Root().Writer)
+	w.printf("process\trole\tdata centre\tup\ttable\tconfirmed ago\tstore\tmembers\tshards\tstate\n")
 	for _, s := range all {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%v\t%s\n", s.Member.ID, s.Member.Role, s.Member.Place.DataCentre,
+		w.printf("%s\t%s\t%s\t%s\t%d\t%s\t%s\t%d\t%v\t%s\n", s.Member.ID, s.Member.Role, s.Member.Place.DataCentre,
 			short(s.Up), s.Revision, short(s.TableAge), storeState(s), s.Members, s.Shards, state(s))
 	}
-	return w.Flush()
+	return w.flush()
 }
 
 func short(d time.Duration) string {
@@ -97,14 +95,14 @@
 	if c.Bool("json") {
 		return printJSON(c, all)
 	}
-	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "host\tdata centre\track\tslots free\tprocessors free\tmemory free\ttasks\tstate")
+	w := newColumns(c.Root().Writer)
+	w.printf("host\tdata centre\track\tslots free\tprocessors free\tmemory free\ttasks\tstate\n")
 	for _, x := range all {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d/%d\t%.1f/%.1f\t%d/%d GiB\t%d\t%s\n", x.ID, x.Place.DataCentre, x.Place.Rack,
+		w.printf("%s\t%s\t%s\t%d/%d\t%.1f/%.1f\t%d/%d GiB\t%d\t%s\n", x.ID, x.Place.DataCentre, x.Place.Rack,
 			x.Free.Slots, x.Total.Slots, float64(x.Free.Processors)/1000, float64(x.Total.Processors)/1000,
 			x.Free.Memory>>30, x.Total.Memory>>30, x.Tasks, workerState(x))
 	}
-	return w.Flush()
+	return w.flush()
 }
 
 func workerState(x operator.Worker) string {
--- a/cmd/sesamestream/report.go
+++ b/cmd/sesamestream/report.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"os"
 	"path/filepath"
-	"text/tabwriter"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -85,7 +83,8 @@
 
 // printBurn writes the report as text.
 func printBurn(out io.Writer, r burn.Report) error {
-	p := func(format string, a ...any) { _, _ = fmt.Fprintf(out, format+"\n", a...) }
+	w := printer{w: out}
+	p := func(format string, a ...any) { w.printf(format+"\n", a...) }
 	p("%s, table %d, %d processes asked, counting for up to %s", r.At.UTC().Format("2006-01-02 15:04:05 UTC"),
 		r.Revision, len(r.Processes), words.Duration(r.Age))
 	if r.Partial {
@@ -100,41 +99,46 @@
 		p("%s", words.Alert(a))
 	}
 	p("")
+	if w.err != nil {
+		return errors.Wrap(w.err, "report: print")
+	}
 	if err := printCounts(out, r); err != nil {
 		return err
 	}
-	p("")
+	if p(""); w.err != nil {
+		return errors.Wrap(w.err, "report: print")
+	}
 	return printRates(out, r)
 }
 
 func printCounts(out io.Writer, r burn.Report) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "kind\tobjective\twindow\ttold\tanswered\tlate\trefused\tunknown\tp50\tp99\tunder floor\trefused there\tqueued late there")
+	w := newColumns(out)
+	w.printf("kind\tobjective\twindow\ttold\tanswered\tlate\trefused\tunknown\tp50\tp99\tunder floor\trefused there\tqueued late there\n")
 	for _, k := range r.Kinds {
 		for _, x := range words.Distinct(k.Windows, r.Age) {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%d\t%d\t%d\n", k.Kind, words.Objective(k),
+			w.printf("%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%d\t%d\t%d\n", k.Kind, words.Objective(k),
 				words.Coverage(x.Window, r.Age), x.Told(), x.Answered, x.Late, x.NotRun, x.Unknown,
 				words.Quantile(x.P50), words.Quantile(x.P99), x.FloorAsked, x.FloorRefused, x.FloorLate)
 		}
 	}
-	return w.Flush()
+	return w.flush()
 }
 
 func printRates(out io.Writer, r burn.Report) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprint(w, "kind\tburn rate of")
+	w := newColumns(out)
+	w.printf("kind\tburn rate of")
 	for _, a := range r.Alerts {
-		_, _ = fmt.Fprintf(w, "\t%s\t%s\t%s", words.Duration(a.Long), words.Duration(a.Short), a.Name)
+		w.printf("\t%s\t%s\t%s", words.Duration(a.Long), words.Duration(a.Short), a.Name)
 	}
-	_, _ = fmt.Fprintln(w)
+	w.printf("\n")
 	for _, k := range r.Kinds {
 		for _, s := range k.Signals {
-			_, _ = fmt.Fprintf(w, "%s\t%s", k.Kind, words.Signal(s.Signal))
+			w.printf("%s\t%s", k.Kind, words.Signal(s.Signal))
 			for _, a := range s.Alerts {
-				_, _ = fmt.Fprintf(w, "\t%s\t%s\t%s", words.Burn(a.Long.Burn), words.Burn(a.Short.Burn), words.State(a.State))
+				w.printf("\t%s\t%s\t%s", words.Burn(a.Long.Burn), words.Burn(a.Short.Burn), words.State(a.State))
 			}
-			_, _ = fmt.Fprintln(w)
+			w.printf("\n")
 		}
 	}
-	return w.Flush()
+	return w.flush()
 }
--- a/cmd/sesamestream/tables.go
+++ b/cmd/sesamestream/tables.go
@@ -185,14 +185,15 @@
 		return err
 	}
 	var before table.Table
+	w := printer{w: c.Root().Writer}
 	for _, v := range h {
-		_, _ = fmt.Fprintf(c.Root().Writer, "revision %d  %s  %s\n", v.Table.Revision, v.At.Format("2006-01-02T15:04:05Z"), v.By)
+		w.printf("revision %d  %s  %s\n", v.Table.Revision, v.At.Format("2006-01-02T15:04:05Z"), v.By)
 		for _, d := range table.Compare(before, v.Table) {
-			_, _ = fmt.Fprintf(c.Root().Writer, "  %s: %s -> %s\n", d.Name, orNone(d.Old), orNone(d.New))
+			w.printf("  %s: %s -> %s\n", d.Name, orNone(d.Old), orNone(d.New))
 		}
 		before = v.Table
 	}
-	return nil
+	return errors.Wrap(w.err, "table: print")
 }
 
 func checkCommand() *cli.Command {
