--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -119,6 +119,7 @@
 				more = false
 			}
 		}
+		// A connection that takes no deadline is closed already, and the write fails.
 		_ = l.c.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if w.Flush() != nil {
 			return
@@ -133,6 +134,7 @@
 	}
 	var head [4]byte
 	binary.BigEndian.PutUint32(head[:], uint32(len(b)))
+	// As in write, a deadline that isn't taken shows in the write.
 	_ = l.c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := w.Write(head[:]); err != nil {
 		return false
