Tell the scheduler of accepted and cancelled jobs at once

Cause: the scheduler heard of new jobs from the store's watch alone. Ruled out: the reading of the keys after the cut (they came at once). The entry now tells the scheduler of the job that it has stored; the watch stays the source where the tell is lost or hosts are still unheard. test/fleet has a fault for it and a test that failed before (queued, not running).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -302,14 +302,14 @@
 }
 
 func (d *Dispatcher) add(now time.Time, i kv.Item, p *schedule.Progress, earlier bool) {
+	if d.plan.Knows(batch.JobID(strings.TrimPrefix(i.Key, JobPrefix))) {
+		return
+	}
 	var j batch.Job
 	if err := json.Unmarshal(i.Value, &j); err != nil {
 		d.Log.Warning(eventlog.ReportRejected).Str("key", i.Key).Err(err).Msg("stored job can't be read")
 		return
 	}
-	if d.plan.Knows(j.ID) {
-		return
-	}
 	d.plan.Add(now, &j, p, earlier)
 	d.Log.Event(eventlog.JobQueued).Str("job", string(j.ID)).Str("queue", j.Queue).Int64("revision", int64(i.Revision)).
 		Bool("earlier", earlier).Msg("")
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -193,6 +193,10 @@
 		d.started(now, m.Started)
 	case m.Progress != nil:
 		d.plan.Progressed(now, m.Progress.Key, m.Progress.Runs, m.Progress.Squeezed)
+	case m.Accepted != nil:
+		d.accepted(now, m.Accepted)
+	case m.Canceled != nil:
+		d.plan.Cancel(now, m.Canceled.Job)
 	case m.Ask != nil:
 		d.answer(s, m.Ask)
 	}
@@ -322,6 +326,16 @@
 	}
 }
 
+// accepted takes a job in that an entry has just stored. Where an earlier
+// scheduler may have heard of it too and hosts are still unheard, the store's
+// watch decides when it may begin.
+func (d *Dispatcher) accepted(now time.Time, a *link.Accepted) {
+	if !d.loaded || !d.plan.Settled() {
+		return
+	}
+	d.add(now, kv.Item{Key: JobPrefix + string(a.Job), Value: a.Value, Revision: kv.Revision(a.Revision)}, nil, false)
+}
+
 func (d *Dispatcher) answer(s *session, a *link.Ask) {
 	r := link.Reply{ID: a.ID}
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,7 +200,7 @@
 	open := false
 	for {
 		c, cancel := context.WithTimeout(ctx, storeCall)
-		_, err := g.Store.Apply(c, kv.Change{
+		r, err := g.Store.Apply(c, kv.Change{
 			Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: b}},
 		})
 		cancel()
@@ -208,7 +208,10 @@
 			g.reached(err)
 		}
 		switch {
-		case err == nil, errors.Is(err, kv.ErrConflict):
+		case err == nil:
+			g.Send(link.Message{Accepted: &link.Accepted{Job: j.ID, Value: b, Revision: int64(r)}})
+			return Verdict{Outcome: Accepted}
+		case errors.Is(err, kv.ErrConflict):
 			return Verdict{Outcome: Accepted}
 		case errors.Is(err, kv.ErrUnknown):
 			open = true
@@ -426,6 +429,7 @@
 				g.reached(err)
 			}
 			if err == nil {
+				g.Send(link.Message{Canceled: &link.Canceled{Job: id}})
 				return Known
 			}
 		}
--- a/internal/kv/memory/memory.go
+++ b/internal/kv/memory/memory.go
@@ -42,6 +42,8 @@
 	Late time.Duration
 	// Delay is how long each call takes.
 	Delay time.Duration
+	// Deaf watches hear of no change.
+	Deaf bool
 }
 
 // A Client is one process's way to the store.
@@ -237,6 +239,15 @@
 	s := c.Store
 	end := time.NewTimer(wait)
 	defer end.Stop()
+	for c.deaf() {
+		select {
+		case <-ctx.Done():
+			return nil, 0, kv.ErrUnknown
+		case <-end.C:
+			return nil, after, nil
+		case <-time.After(deafLook):
+		}
+	}
 	for {
 		s.mu.Lock()
 		s.init()
@@ -252,6 +263,9 @@
 		}
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
+		if c.deaf() {
+			out, at, changed = nil, after, nil
+		}
 		if len(out) > 0 {
 			return out, at, nil
 		}
@@ -265,6 +279,15 @@
 	}
 }
 
+// deafLook is how often a deaf watch looks whether it hears again.
+const deafLook = 50 * time.Millisecond
+
+func (c *Client) deaf() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.faults.Deaf
+}
+
 // Apply implements kv.Store.
 func (c *Client) Apply(ctx context.Context, x kv.Change) (kv.Revision, error) {
 	f, err := c.begin(ctx)
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -27,6 +27,8 @@
 	Reply    *Reply    `cbor:"15,keyasint,omitempty"`
 	Facts    *Facts    `cbor:"16,keyasint,omitempty"`
 	Pressure *Pressure `cbor:"20,keyasint,omitempty"`
+	Accepted *Accepted `cbor:"21,keyasint,omitempty"`
+	Canceled *Canceled `cbor:"22,keyasint,omitempty"`
 }
 
 // Hello opens a session with the scheduler.
@@ -167,6 +169,19 @@
 	Squeezed bool `cbor:"3,keyasint,omitempty"`
 }
 
+// Accepted tells of a job that an entry has just stored; the scheduler also hears of it from the store, later.
+type Accepted struct {
+	Job batch.JobID `cbor:"1,keyasint"`
+	// Value is the job as it's stored, Revision that of its key.
+	Value    []byte `cbor:"2,keyasint"`
+	Revision int64  `cbor:"3,keyasint"`
+}
+
+// Canceled tells of a cancellation that an entry has just stored.
+type Canceled struct {
+	Job batch.JobID `cbor:"1,keyasint"`
+}
+
 // Ask asks for a job's state or a queue's length.
 type Ask struct {
 	ID    uint64      `cbor:"1,keyasint"`
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -86,6 +86,7 @@
 	{"storeBusy", func(r *rig, _ *proc, d time.Duration) { r.storeFault(memory.Faults{Refuse: true}, d) }},
 	{"storeLost", func(r *rig, _ *proc, d time.Duration) { r.storeFault(memory.Faults{LoseAnswers: true}, d/2) }},
 	{"storeLate", func(r *rig, _ *proc, d time.Duration) { r.storeFault(memory.Faults{Late: d}, d/2) }},
+	{"storeDeaf", func(r *rig, _ *proc, d time.Duration) { r.storeFault(memory.Faults{Deaf: true}, d) }},
 	{"storeForgets", func(r *rig, _ *proc, _ time.Duration) { r.store.Compact() }},
 	{"leasesEnd", func(r *rig, _ *proc, _ time.Duration) { r.store.EndLeases() }},
 	{"lateOrders", func(r *rig, p *proc, d time.Duration) {
@@ -118,10 +119,14 @@
 }
 
 func (r *rig) storeFault(f memory.Faults, d time.Duration) {
+	r.storeFaultDuring(f, func() { time.Sleep(d) })
+}
+
+func (r *rig) storeFaultDuring(f memory.Faults, do func()) {
 	for _, p := range r.procs {
 		p.store.Set(f)
 	}
-	time.Sleep(d)
+	do()
 	for _, p := range r.procs {
 		p.store.Set(memory.Faults{})
 	}
@@ -229,3 +234,26 @@
 		r.close()
 	})
 }
+
+// A job begins and a cancelled one ends while the store's watches are silent:
+// the entry tells the scheduler (seen: on platform_compact all new jobs waited 1.5 s).
+func TestJobsBeginWhileWatchesAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 2, 3)
+		time.Sleep(5 * time.Second)
+		r.storeFaultDuring(memory.Faults{Deaf: true}, func() {
+			j := r.job(1)
+			r.submit(j)
+			time.Sleep(100 * time.Millisecond)
+			if s, _ := r.state(j.ID); s != batch.Running {
+				t.Errorf("state %q, want it running", s)
+			}
+			r.cancel(j.ID)
+			time.Sleep(300 * time.Millisecond)
+			if s, _ := r.state(j.ID); s != batch.Cancelled {
+				t.Errorf("state %q, want it cancelled", s)
+			}
+		})
+		r.close()
+	})
+}
