Let the strongest process schedule

Cause: the lead went to the entry nearest to the store, whatever its processor. A process now waits for a free lead by its strength; a scheduler that ends names its heir; and one that is weak hands over to a process 1.5 times as strong that has been in touch for 4 s. The decision is its own package.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/sesamestream/sesamestream/internal/node"
 	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
 // LeadTTL is the store's lease on the lead; a killed scheduler is replaced after it, so it's near the store's least.
@@ -32,9 +33,11 @@
 	Region     string
 	// Host is set where a worker runs, Entry where callers come.
 	Host, Entry bool
-	Store       kv.Store
-	Network     link.Network
-	Log         *eventlog.Log
+	// Cores is the processor time that the process may use, in cores; 0 where it isn't known.
+	Cores   float64
+	Store   kv.Store
+	Network link.Network
+	Log     *eventlog.Log
 	// Steady is the clock of the leases.
 	Steady func() time.Duration
 	// Dial returns a client for a life of a worker.
@@ -62,12 +65,14 @@
 	life := time.Now().UnixNano()
 	c.node = &node.Node{
 		Elector: &election.Elector{Store: c.Store, Node: c.Name, Address: c.Address, TTL: c.LeadTTL},
-		Log:     c.Log, Network: c.Network, Listen: c.Address, Host: c.Host, Steady: c.Steady,
+		Log:     c.Log, Network: c.Network, Listen: c.Address, Steady: c.Steady,
+		Self:    succession.Process{Name: c.Name, Cores: c.Cores, Host: c.Host},
 		StoreOK: func() bool { return c.Gateway != nil && c.Gateway.StoreOK() },
 		Clear:   func() bool { return c.Agent != nil && c.Agent.Clear() },
 		Hello: func() link.Hello {
 			h := link.Hello{
 				Node: c.Name, Life: life, Address: c.Address.String(), DataCentre: c.DataCentre, Region: c.Region, Host: c.Host,
+				Cores: c.Cores,
 			}
 			if c.Agent != nil {
 				h.Workers = c.Agent.Workers()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -101,10 +101,10 @@
 	// writing is set while a flush is under way, loaded once the store was read.
 	writing, loaded bool
 	// These are the last times of what is done now and then.
-	flushed, swept, taught, keptPairs, told time.Time
-	ctx                                     context.Context
-	stopped                                 sync.WaitGroup
-	wants                                   chan schedule.Want
+	flushed, swept, taught, keptPairs, told, succeeded time.Time
+	ctx                                                context.Context
+	stopped                                            sync.WaitGroup
+	wants                                              chan schedule.Want
 }
 
 type node struct {
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -93,6 +93,10 @@
 		d.taught = now
 		d.teach(now)
 	}
+	if now.Sub(d.succeeded) > succeedEvery {
+		d.succeeded = now
+		d.succeed(now)
+	}
 	if now.Sub(d.swept) > collectEvery {
 		d.swept = now
 		d.collect(now)
--- /dev/null
+++ b/internal/dispatch/succeed.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/decide/succession"
+)
+
+const (
+	// succeedEvery is how often a better suited scheduler is looked for; one shows itself over seconds.
+	succeedEvery = time.Second
+	// heirLead is how much earlier than the term is given up the heir is told.
+	heirLead = 50 * time.Millisecond
+)
+
+// process describes a session to the succession.
+func (s *session) process() succession.Process {
+	p := succession.Process{Name: s.hello.Node, Cores: s.hello.Cores, Host: s.hello.Host}
+	if s.fence != 0 && s.storeOK {
+		p.Since = s.storeSince
+	}
+	return p
+}
+
+// others describes all sessions but this process's own.
+func (d *Dispatcher) others() []succession.Process {
+	var ps []succession.Process
+	for name, s := range d.sessions {
+		if name != d.Node {
+			ps = append(ps, s.process())
+		}
+	}
+	return ps
+}
+
+// NameHeir tells the best suited process that it's to take the lead soon; false where there's none.
+func (d *Dispatcher) NameHeir() bool {
+	named := make(chan bool, 1)
+	if !d.post(func(now time.Time) {
+		h, ok := succession.Heir(now, d.others())
+		if ok {
+			d.offer(h, "this process ends")
+		}
+		named <- ok
+	}) {
+		return false
+	}
+	select {
+	case ok := <-named:
+		return ok
+	case <-d.Term.Lost():
+		return false
+	}
+}
+
+func (d *Dispatcher) offer(h succession.Process, why string) {
+	d.Log.Event(eventlog.LeadOffered).Str("peer", h.Name).Float64("cores", h.Cores).Str("why", why).
+		Int64("epoch", int64(d.Term.Epoch)).Msg("")
+	d.send(h.Name, link.Message{Yield: &link.Yield{Epoch: int64(d.Term.Epoch)}})
+}
+
+// succeed hands the term over where a much better suited process is in touch and the store is reached.
+func (d *Dispatcher) succeed(now time.Time) {
+	own := d.sessions[d.Node]
+	if own == nil || !d.plan.Settled() || now.Sub(d.Term.Contact()) > storeFresh {
+		return
+	}
+	h, ok := succession.Successor(now, own.process(), d.others())
+	if !ok {
+		return
+	}
+	d.offer(h, "better suited")
+	d.stopped.Go(func() {
+		c, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), storeCall)
+		defer cancel()
+		select {
+		case <-d.Term.Lost():
+		case <-time.After(heirLead):
+			d.Term.Resign(c)
+		}
+	})
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -28,6 +28,7 @@
 	SchedulerLost     = "schedulerLost"
 	LeadTaken         = "leadTaken"
 	LeadLost          = "leadLost"
+	LeadOffered       = "leadOffered"
 	StateLoaded       = "stateLoaded"
 	Settled           = "settled"
 	ConfigInForce     = "configInForce"
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -29,6 +29,7 @@
 	Pressure *Pressure `cbor:"20,keyasint,omitempty"`
 	Accepted *Accepted `cbor:"21,keyasint,omitempty"`
 	Canceled *Canceled `cbor:"22,keyasint,omitempty"`
+	Yield    *Yield    `cbor:"23,keyasint,omitempty"`
 }
 
 // Hello opens a session with the scheduler.
@@ -43,6 +44,8 @@
 	Host bool `cbor:"6,keyasint"`
 	// Workers are the lives that the host holds; a snapshot of each follows.
 	Workers []batch.WorkerKey `cbor:"8,keyasint,omitempty"`
+	// Cores is the processor time that the process may use, in cores; 0 where it isn't known.
+	Cores float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Welcome answers a hello.
@@ -182,6 +185,11 @@
 	Job batch.JobID `cbor:"1,keyasint"`
 }
 
+// Yield tells a process that the scheduler is about to end and that it should follow.
+type Yield struct {
+	Epoch int64 `cbor:"1,keyasint"`
+}
+
 // Ask asks for a job's state or a queue's length.
 type Ask struct {
 	ID    uint64      `cbor:"1,keyasint"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
 const (
@@ -30,14 +31,12 @@
 	dialTimeout = 700 * time.Millisecond
 	// seekPause is the pause between two looks for the scheduler.
 	seekPause = 150 * time.Millisecond
-	// hostDelay lets nodes that run no work take the lead first.
-	hostDelay = 300 * time.Millisecond
-	// distanceFactor turns the store's answer time into a delay, so that a near node leads.
-	distanceFactor = 4
-	// maxDistance bounds that delay.
-	maxDistance = 500 * time.Millisecond
-	// jitter parts nodes of like distance.
+	// jitter parts nodes that are suited alike.
 	jitter = 60 * time.Millisecond
+	// yieldTime is how long a node that was named as the heir takes a free lead at once.
+	yieldTime = 2 * time.Second
+	// yieldLead is how much earlier than the lead is given up the heir is told.
+	yieldLead = 50 * time.Millisecond
 	// announcement bounds a datagram in bytes.
 	announcement = 512
 )
@@ -49,8 +48,8 @@
 	Network link.Network
 	// Listen is where other nodes reach this one.
 	Listen netip.AddrPort
-	// Host is set on nodes with a worker.
-	Host bool
+	// Self describes the process to the succession.
+	Self succession.Process
 	// Hello describes the process.
 	Hello func() link.Hello
 	// Dispatcher makes the scheduler of a term.
@@ -74,9 +73,11 @@
 	epoch int64
 	// resigned nodes are about to end.
 	resigned bool
-	known    election.Leader
-	hint     chan struct{}
-	packets  link.Packets
+	// heir is until when this node takes a free lead at once.
+	heir    time.Time
+	known   election.Leader
+	hint    chan struct{}
+	packets link.Packets
 }
 
 // Run serves until ctx ends.
@@ -131,14 +132,38 @@
 // Resign gives the lead up, if this node has it, and doesn't take it again.
 func (n *Node) Resign(ctx context.Context) {
 	n.mu.Lock()
-	t := n.term
+	t, d := n.term, n.lead
 	n.resigned = true
 	n.mu.Unlock()
-	if t != nil {
-		t.Resign(ctx)
+	if t == nil {
+		return
+	}
+	if d.NameHeir() {
+		n.pause(ctx, yieldLead)
+	}
+	t.Resign(ctx)
+}
+
+// yield makes this node the heir of the scheduler with that epoch.
+func (n *Node) yield(y link.Yield) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if y.Epoch == n.epoch {
+		n.heir = time.Now().Add(yieldTime)
+		n.Log.Event(eventlog.LeadOffered).Int64("epoch", y.Epoch).Msg("")
 	}
 }
 
+// wait returns how long this node leaves a free lead to others.
+func (n *Node) wait(answer time.Duration) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if time.Now().Before(n.heir) {
+		return 0
+	}
+	return succession.Wait(n.Self, answer) + rand.N(jitter)
+}
+
 // accept serves the nodes that connect while this one leads.
 func (n *Node) accept(ctx context.Context, l net.Listener) error {
 	for ctx.Err() == nil {
@@ -241,15 +266,12 @@
 	for ctx.Err() == nil {
 		at := time.Now()
 		l, err := n.Elector.Current(ctx)
-		distance := min(time.Since(at)*distanceFactor, maxDistance)
+		answer := time.Since(at)
 		switch {
 		case err == nil:
 			n.session(ctx, l)
 		case errors.Is(err, kv.ErrNotFound):
-			if n.Host {
-				distance += hostDelay
-			}
-			if !n.pause(ctx, distance+rand.N(jitter)) {
+			if !n.pause(ctx, n.wait(answer)) {
 				return nil
 			}
 			n.try(ctx, &lead)
@@ -371,9 +393,12 @@
 				break
 			}
 			last = time.Now()
-			if m.Pong != nil {
+			switch {
+			case m.Pong != nil:
 				n.Granted(time.Duration(m.Pong.Sent), m.Pong.Grant)
-			} else {
+			case m.Yield != nil:
+				n.yield(*m.Yield)
+			default:
 				n.Message(m)
 			}
 		case <-ping.C:
--- /dev/null
+++ b/pkg/decide/succession/succession.go
@@ -0,0 +1,97 @@
+// Package succession decides which process schedules. It answers fleets whose
+// processes differ several times in processor time and of which many end at
+// the same moment: any process may take a free lead soon, and hands it over to
+// a much stronger one once that is in touch for a while.
+package succession
+
+import "time"
+
+// A Process is one that may schedule.
+type Process struct {
+	Name string
+	// Cores is the processor time that it may use, in cores; 0 where it isn't known.
+	Cores float64
+	// Host is set where work runs beside it.
+	Host bool
+	// Since is since when it has reached the scheduler and the store without a
+	// break; zero where it doesn't.
+	Since time.Time
+}
+
+const (
+	// enough is the processor time in cores from which more is of no use: three
+	// times what scheduling the grown deployments takes with its links.
+	enough = 0.5
+	// weakWait is how long a process with no processor time leaves a free lead
+	// to others; a caller's objective is a few seconds.
+	weakWait = 400 * time.Millisecond
+	// hostWait lets processes without work beside them go first: the loss of
+	// one then costs a scheduler or a worker, not both.
+	hostWait = 300 * time.Millisecond
+	// distanceFactor turns the store's answer time into a wait, so that a near process leads.
+	distanceFactor = 4
+	// maxDistance bounds that wait.
+	maxDistance = 500 * time.Millisecond
+	// calm is how long an heir has to be in touch: longer than a process that
+	// comes and goes by turns does between two faults.
+	calm = 4 * time.Second
+	// stronger is how many times the lead's processor time makes a handover
+	// worth its break of some tenths of a second.
+	stronger = 1.5
+)
+
+// Wait returns how long p leaves a free lead to others, where the store answers it in the given time.
+func Wait(p Process, answer time.Duration) time.Duration {
+	w := min(answer*distanceFactor, maxDistance)
+	if p.Host {
+		w += hostWait
+	}
+	return w + time.Duration((1-strength(p))*float64(weakWait))
+}
+
+// strength is the part of enough that p has.
+func strength(p Process) float64 {
+	if p.Cores <= 0 {
+		return 1
+	}
+	return min(p.Cores/enough, 1)
+}
+
+// Heir returns the one of the others that is best suited to lead after a
+// process that ends; false where none is in touch.
+func Heir(now time.Time, others []Process) (Process, bool) {
+	var best Process
+	for _, o := range others {
+		if o.Since.IsZero() || now.Sub(o.Since) < calm {
+			continue
+		}
+		if best.Name == "" || better(o, best) {
+			best = o
+		}
+	}
+	return best, best.Name != ""
+}
+
+// Successor returns the process that lead should hand over to while it could
+// go on itself; false where none is much better suited.
+func Successor(now time.Time, lead Process, others []Process) (Process, bool) {
+	h, ok := Heir(now, others)
+	switch {
+	case !ok, h.Host && !lead.Host:
+		return Process{}, false
+	case lead.Host && !h.Host:
+		return h, strength(h) >= strength(lead)
+	}
+	return h, strength(h) >= stronger*strength(lead)
+}
+
+// better reports whether a is better suited than b: by what runs beside it, then by strength.
+func better(a, b Process) bool {
+	switch {
+	case a.Host != b.Host:
+		return !a.Host
+	case strength(a) != strength(b):
+		return strength(a) > strength(b)
+	}
+	return a.Name < b.Name
+}
--- /dev/null
+++ b/pkg/decide/succession/succession_test.go
@@ -0,0 +1,79 @@
+package succession_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/succession"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func process(name string, cores float64, touch time.Duration) succession.Process {
+	p := succession.Process{Name: name, Cores: cores}
+	if touch > 0 {
+		p.Since = now.Add(-touch)
+	}
+	return p
+}
+
+func host(name string, cores float64) succession.Process {
+	p := process(name, cores, time.Minute)
+	p.Host = true
+	return p
+}
+
+func TestWaitPutsTheBetterSuitedFirst(t *testing.T) {
+	near, far := 5*time.Millisecond, 70*time.Millisecond
+	order := []time.Duration{
+		succession.Wait(process("strong", 0.8, 0), near),
+		succession.Wait(process("strong, far", 0.8, 0), far),
+		succession.Wait(process("weak", 0.11, 0), near),
+		succession.Wait(host("host", 0.24), near),
+	}
+	g := NewWithT(t)
+	for i := range order[1:] {
+		g.Expect(order[i]).To(BeNumerically("<", order[i+1]))
+	}
+	g.Expect(order[3]).To(BeNumerically("<", time.Second), "a lost lead is taken up within about a second")
+}
+
+func TestSuccessor(t *testing.T) {
+	long := time.Minute
+	for name, c := range map[string]struct {
+		lead   succession.Process
+		others []succession.Process
+		want   string
+	}{
+		"the strongest":                     {process("a", 0.1, long), []succession.Process{process("b", 0.3, long), process("c", 0.8, long)}, "c"},
+		"nobody much stronger":              {process("a", 0.4, long), []succession.Process{process("b", 0.5, long)}, ""},
+		"strong enough already":             {process("a", 0.5, long), []succession.Process{process("b", 4, long)}, ""},
+		"back for too short a time":         {process("a", 0.1, long), []succession.Process{process("b", 0.8, time.Second)}, ""},
+		"out of touch":                      {process("a", 0.1, long), []succession.Process{process("b", 0.8, 0)}, ""},
+		"a host doesn't relieve":            {process("a", 0.1, long), []succession.Process{host("b", 0.8)}, ""},
+		"a host is relieved by the like":    {host("a", 0.3), []succession.Process{process("b", 0.3, long)}, "b"},
+		"but not by a weaker one":           {host("a", 0.3), []succession.Process{process("b", 0.2, long)}, ""},
+		"unknown processor time is enough":  {process("a", 0, long), []succession.Process{process("b", 0.8, long)}, ""},
+		"the name decides between the like": {process("a", 0.1, long), []succession.Process{process("c", 0.8, long), process("b", 0.8, long)}, "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, ok := succession.Successor(now, c.lead, c.others)
+			g := NewWithT(t)
+			g.Expect(ok).To(Equal(c.want != ""))
+			if ok {
+				g.Expect(p.Name).To(Equal(c.want))
+			}
+		})
+	}
+}
+
+func TestHeir(t *testing.T) {
+	g := NewWithT(t)
+	p, ok := succession.Heir(now, []succession.Process{host("a", 0.8), process("b", 0.1, time.Minute)})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(p.Name).To(Equal("b"))
+	_, ok = succession.Heir(now, []succession.Process{process("a", 0.8, 0)})
+	g.Expect(ok).To(BeFalse())
+}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sesamestream/sesamestream/internal/election"
 	"github.com/sesamestream/sesamestream/internal/gateway"
 	"github.com/sesamestream/sesamestream/internal/hostagent/standin"
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
@@ -257,3 +259,47 @@
 		r.close()
 	})
 }
+
+// leads reports the process that the store names as the scheduler.
+func (r *rig) leads() string {
+	items := r.store.Items("sesame/lead")
+	if len(items) == 0 {
+		return ""
+	}
+	var l election.Leader
+	if err := json.Unmarshal(items[0].Value, &l); err != nil {
+		r.t.Fatal(err)
+	}
+	return l.Node
+}
+
+// The strongest process schedules, also after it was away, and callers notice
+// nothing of the handover (seen on bapei-sched-grown: after a rolling restart an
+// entry with a ninth of a core led, and ends were stored 2 to 3 s late).
+func TestStrongestProcessLeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 3, 3, 0.1, 0.8, 0.1)
+		strong := r.procs[1]
+		settle := func(want bool, d time.Duration, what string) {
+			time.Sleep(d)
+			if got := r.leads(); (got == strong.name) != want {
+				t.Errorf("%s: %q leads", what, got)
+			}
+		}
+		settle(true, 10*time.Second, "at the start")
+		strong.kill()
+		settle(false, 3*time.Second, "after its loss")
+		for n := range 6 {
+			r.submit(r.job(n))
+		}
+		strong.start()
+		for n := range 14 {
+			time.Sleep(500 * time.Millisecond)
+			r.submit(r.job(6 + n))
+		}
+		settle(true, 3*time.Second, "after its return")
+		time.Sleep(10 * time.Second)
+		r.history.settled(r.state)
+		r.close()
+	})
+}
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -45,6 +45,7 @@
 	name   string
 	addr   netip.AddrPort
 	host   bool
+	cores  float64
 	store  *memory.Client
 	ctl    *control.Control
 	cancel context.CancelFunc
@@ -55,13 +56,17 @@
 	born   int64
 }
 
-func newRig(t *testing.T, seed uint64, entries, hosts int) *rig {
+// newRig starts a deployment; cores are those of its first processes, the others have enough.
+func newRig(t *testing.T, seed uint64, entries, hosts int, cores ...float64) *rig {
 	r := &rig{t: t, begin: time.Now(), rand: rand.New(rand.NewPCG(seed, 1))}
 	r.history = newHistory(t, r.begin)
 	r.configure(1)
 	for i := range entries + hosts {
 		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
 		p := &proc{r: r, name: fmt.Sprintf("n%d", i), addr: a, host: i >= entries, store: &memory.Client{Store: &r.store}}
+		if i < len(cores) {
+			p.cores = cores[i]
+		}
 		if p.host {
 			p.newWorker()
 		}
@@ -92,7 +97,7 @@
 
 func (p *proc) start() {
 	c := &control.Control{
-		Name: p.name, Address: p.addr, DataCentre: "d", Region: "r", Host: p.host, Entry: !p.host,
+		Name: p.name, Address: p.addr, DataCentre: "d", Region: "r", Host: p.host, Entry: !p.host, Cores: p.cores,
 		Store: p.store, Network: network.Host{Net: &p.r.net, Addr: p.addr.Addr()}, Log: eventlog.New(io.Discard, p.name),
 		Steady:    func() time.Duration { return time.Since(p.r.begin) },
 		Dial:      func(_ netip.AddrPort, k batch.WorkerKey) hostagent.Worker { return p.dial(k) },
