Ride through an outage of the store that hits all

Cause: a scheduler that doesn't reach the store gave up where another process said that it does. Ruled out: the lead's own lease (it's taken up again under the same epoch). Each process now tells how long ago the store answered it. The scheduler gives up once another one's answer is a second newer than its own last one; it goes on granting only while no answer elsewhere is newer by more than a renewal, and while it hears as many entries as it lost with the store.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 ci: format wire-names lint vet build examples model fuzz known-red test
 
 format:
-	@out="$$(gofmt -l cmd internal pkg test 2>/dev/null)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	@out="$$(gofmt -l cmd internal pkg platform test 2>/dev/null)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 
 lint:
 	golangci-lint run $(PACKAGES)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -66,9 +66,14 @@
 	c.node = &node.Node{
 		Elector: &election.Elector{Store: c.Store, Node: c.Name, Address: c.Address, TTL: c.LeadTTL},
 		Log:     c.Log, Network: c.Network, Listen: c.Address, Steady: c.Steady,
-		Self:    succession.Process{Name: c.Name, Cores: c.Cores, Host: c.Host},
-		StoreOK: func() bool { return c.Gateway != nil && c.Gateway.StoreOK() },
-		Clear:   func() bool { return c.Agent != nil && c.Agent.Clear() },
+		Self: succession.Process{Name: c.Name, Cores: c.Cores, Host: c.Host},
+		Contact: func() time.Time {
+			if c.Gateway == nil {
+				return time.Time{}
+			}
+			return c.Gateway.Contact()
+		},
+		Clear: func() bool { return c.Agent != nil && c.Agent.Clear() },
 		Hello: func() link.Hello {
 			h := link.Hello{
 				Node: c.Name, Life: life, Address: c.Address.String(), DataCentre: c.DataCentre, Region: c.Region, Host: c.Host,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -30,6 +30,11 @@
 	rideThrough = 8 * time.Second
 	// storeFresh is how old the last contact with the store may be without asking whether others have it.
 	storeFresh = 1200 * time.Millisecond
+	// outageSpread is how much later than this process another one may have had
+	// its last answer when the store goes away for all: a renewal and the slowest link apart.
+	outageSpread = 600 * time.Millisecond
+	// contactEvery is how old the last answer of a node in touch may be: a watch and a ping.
+	contactEvery = 2500 * time.Millisecond
 	// silentHost is how long a takeover waits for a host that it doesn't hear:
 	// the last grant of the scheduler before it, and the time that one takes to notice.
 	silentHost = hostagent.Grant + hostagent.Grant/20 + 1500*time.Millisecond
@@ -94,6 +99,8 @@
 	lapses map[batch.WorkerKey]time.Time
 	// leaving are the hosts without a session, and when their leases are over.
 	leaving map[string]time.Time
+	// left tells when the sessions of other entries ended.
+	left map[string]time.Time
 	// notes are the ends that a worker may forget after the next flush.
 	notes map[batch.WorkerKey]int64
 	// revisions are those of the stored progress.
@@ -128,11 +135,11 @@
 	granted time.Time
 	// before is when the lease of the session before is over.
 	before time.Time
-	// storeOK tells whether the node reached the store lately.
-	storeOK bool
-	// storeSince is since when it says so.
-	storeSince time.Time
-	workers    map[batch.WorkerKey]bool
+	// contact is when the store answered the node last, at the latest; zero where nothing is known.
+	contact time.Time
+	// inTouch is since when the store has answered it without a break.
+	inTouch time.Time
+	workers map[batch.WorkerKey]bool
 	// wanted are the workers of which a snapshot is due.
 	wanted map[batch.WorkerKey]bool
 }
@@ -145,7 +152,7 @@
 	d.begun = time.Now()
 	d.plan = schedule.New()
 	d.sessions, d.nodes, d.unheard = map[string]*session{}, map[string]node{}, map[string]bool{}
-	d.revisions, d.leaving = map[batch.JobID]kv.Revision{}, map[string]time.Time{}
+	d.revisions, d.leaving, d.left = map[batch.JobID]kv.Revision{}, map[string]time.Time{}, map[string]time.Time{}
 	d.lapses, d.notes = map[batch.WorkerKey]time.Time{}, map[batch.WorkerKey]int64{}
 	d.wants = make(chan schedule.Want, adviceQueue)
 	var g errgroup.Group
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -51,6 +51,7 @@
 	}
 	s.heard = now
 	d.sessions[s.hello.Node] = s
+	delete(d.left, s.hello.Node)
 	if d.loaded {
 		d.welcome(now, s.hello.Node, s)
 	}
@@ -163,6 +164,8 @@
 			over = s.granted
 		}
 		d.leaving[name] = over
+	} else {
+		d.left[name] = now
 	}
 	d.Log.Warning(eventlog.HostLost).Str("peer", name).Str("why", why).Time("leaseEnds", s.granted).
 		Dur("silent", now.Sub(s.heard)).Msg("")
@@ -204,10 +207,7 @@
 
 // ping grants the session's lease, unless another scheduler may have begun.
 func (d *Dispatcher) ping(now time.Time, s *session, p *link.Ping) {
-	if p.Store && !s.storeOK {
-		s.storeSince = now
-	}
-	s.storeOK = p.Store
+	s.reached(now, p.StoreAge)
 	if p.Clear && d.unheard[s.hello.Node] {
 		clear(s.wanted)
 		d.heardHost(now, s)
@@ -222,22 +222,52 @@
 	s.conn.Send(link.Message{Pong: &link.Pong{Sent: p.Sent, Grant: hostagent.Grant}})
 }
 
+// reached takes in how long ago the store answered the node.
+func (s *session) reached(now time.Time, age time.Duration) {
+	if age < 0 {
+		return
+	}
+	at := now.Add(-age)
+	if s.inTouch.IsZero() || at.Sub(s.contact) > contactEvery || age > contactEvery {
+		s.inTouch = at
+	}
+	s.contact = at
+}
+
 // mayGrant reports whether this term is surely the newest: the store was
 // reached lately, or nobody else reaches it either.
 func (d *Dispatcher) mayGrant(now time.Time) bool {
-	age := now.Sub(d.Term.Contact())
-	if age < storeFresh {
+	at := d.Term.Contact()
+	switch age := now.Sub(at); {
+	case age < storeFresh:
 		return true
-	}
-	if age > rideThrough {
+	case age > rideThrough:
 		return false
 	}
 	for name, s := range d.sessions {
-		if name != d.Node && s.storeOK {
+		if name != d.Node && s.contact.Sub(at) > outageSpread {
 			return false
 		}
 	}
-	return true
+	return d.inCompany(at)
+}
+
+// inCompany reports whether no more entries were lost with the store, which
+// answered last at that time, than hold a session still: what they tell of the
+// store then tells of an outage for all.
+func (d *Dispatcher) inCompany(at time.Time) bool {
+	heard, lost := 0, 0
+	for name, s := range d.sessions {
+		if name != d.Node && !s.hello.Host {
+			heard++
+		}
+	}
+	for _, left := range d.left {
+		if left.After(at.Add(-link.SessionTimeout)) {
+			lost++
+		}
+	}
+	return heard >= lost
 }
 
 func (d *Dispatcher) snapshot(now time.Time, s *session, m *link.Snapshot) {
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -109,24 +109,19 @@
 		return
 	}
 	for name, s := range d.sessions {
-		if name != d.Node && s.reaches(now, reachedFor) {
+		if name != d.Node && s.contact.Sub(d.Term.Contact()) > reachedFor {
 			d.Log.Warning(eventlog.LeadLost).Str("why", "another node reaches the store").Str("peer", name).
-				Dur("storeAge", now.Sub(d.Term.Contact())).Msg("")
+				Dur("storeAge", now.Sub(d.Term.Contact())).Dur("peerAge", now.Sub(s.contact)).Msg("")
 			d.Term.Lose()
 			return
 		}
 	}
 }
 
-// reachedFor is how long another node has to reach the store before a
-// scheduler that doesn't gives up: several of its own renewals come in between.
+// reachedFor is how much later than a scheduler's own last answer another
+// node's has to be for the scheduler to give up: several of its renewals come in between.
 const reachedFor = time.Second
 
-// reaches reports whether the node has said for a while that it reaches the store.
-func (s *session) reaches(now time.Time, t time.Duration) bool {
-	return s.storeOK && now.Sub(s.storeSince) >= t
-}
-
 // schedule carries the decision's orders out and stores what changed.
 func (d *Dispatcher) schedule(now time.Time) {
 	if !d.loaded {
--- a/internal/dispatch/succeed.go
+++ b/internal/dispatch/succeed.go
@@ -17,20 +17,20 @@
 )
 
 // process describes a session to the succession.
-func (s *session) process() succession.Process {
+func (s *session) process(now time.Time) succession.Process {
 	p := succession.Process{Name: s.hello.Node, Cores: s.hello.Cores, Host: s.hello.Host}
-	if s.fence != 0 && s.storeOK {
-		p.Since = s.storeSince
+	if s.fence != 0 && now.Sub(s.contact) < contactEvery {
+		p.Since = s.inTouch
 	}
 	return p
 }
 
 // others describes all sessions but this process's own.
-func (d *Dispatcher) others() []succession.Process {
+func (d *Dispatcher) others(now time.Time) []succession.Process {
 	var ps []succession.Process
 	for name, s := range d.sessions {
 		if name != d.Node {
-			ps = append(ps, s.process())
+			ps = append(ps, s.process(now))
 		}
 	}
 	return ps
@@ -40,7 +40,7 @@
 func (d *Dispatcher) NameHeir() bool {
 	named := make(chan bool, 1)
 	if !d.post(func(now time.Time) {
-		h, ok := succession.Heir(now, d.others())
+		h, ok := succession.Heir(now, d.others(now))
 		if ok {
 			d.offer(h, "this process ends")
 		}
@@ -68,7 +68,7 @@
 	if own == nil || !d.plan.Settled() || now.Sub(d.Term.Contact()) > storeFresh {
 		return
 	}
-	h, ok := succession.Successor(now, own.process(), d.others())
+	h, ok := succession.Successor(now, own.process(now), d.others(now))
 	if !ok {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,13 @@
 	return !g.failed.IsZero() && g.failAt.Sub(g.failed) >= storeDownAfter
 }
 
+// Contact returns when the store answered last.
+func (g *Gateway) Contact() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.contact
+}
+
 // StoreOK reports whether the last call reached the store.
 func (g *Gateway) StoreOK() bool {
 	g.mu.Lock()
--- a/internal/kv/memory/memory.go
+++ b/internal/kv/memory/memory.go
@@ -239,15 +239,6 @@
 	s := c.Store
 	end := time.NewTimer(wait)
 	defer end.Stop()
-	for c.deaf() {
-		select {
-		case <-ctx.Done():
-			return nil, 0, kv.ErrUnknown
-		case <-end.C:
-			return nil, after, nil
-		case <-time.After(deafLook):
-		}
-	}
 	for {
 		s.mu.Lock()
 		s.init()
@@ -263,7 +254,7 @@
 		}
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if c.deaf() {
+		if c.now().Deaf {
 			out, at, changed = nil, after, nil
 		}
 		if len(out) > 0 {
@@ -273,19 +264,24 @@
 		case <-ctx.Done():
 			return nil, 0, kv.ErrUnknown
 		case <-end.C:
+			if c.now().Down {
+				<-ctx.Done()
+				return nil, 0, kv.ErrUnknown
+			}
 			return nil, at, nil
 		case <-changed:
+		case <-time.After(deafLook):
 		}
 	}
 }
 
-// deafLook is how often a deaf watch looks whether it hears again.
+// deafLook is how often a watch looks whether it hears.
 const deafLook = 50 * time.Millisecond
 
-func (c *Client) deaf() bool {
+func (c *Client) now() Faults {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.faults.Deaf
+	return c.faults
 }
 
 // Apply implements kv.Store.
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -60,8 +60,8 @@
 type Ping struct {
 	// Sent is the sender's own time and comes back as it is.
 	Sent int64 `cbor:"1,keyasint"`
-	// Store tells whether the sender reached the store lately.
-	Store bool `cbor:"2,keyasint"`
+	// StoreAge is how long ago the store answered the sender; negative where it never did.
+	StoreAge time.Duration `cbor:"2,keyasint"`
 	// Clear tells that no worker of this host can run anything that was
 	// started before: it has none, and leases of before are over.
 	Clear bool `cbor:"3,keyasint,omitempty"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,8 +63,8 @@
 	Steady func() time.Duration
 	// Clear reports whether nothing that was started before can run on this host.
 	Clear func() bool
-	// StoreOK reports whether the store was reached lately.
-	StoreOK func() bool
+	// Contact returns when the store answered last; zero where it never did.
+	Contact func() time.Time
 
 	mu    sync.Mutex
 	conn  *link.Conn
@@ -417,5 +417,9 @@
 }
 
 func (n *Node) ping(c *link.Conn) {
-	c.Send(link.Message{Ping: &link.Ping{Sent: int64(n.Steady()), Store: n.StoreOK(), Clear: n.Clear()}})
+	age := time.Duration(-1)
+	if at := n.Contact(); !at.IsZero() {
+		age = time.Since(at)
+	}
+	c.Send(link.Message{Ping: &link.Ping{Sent: int64(n.Steady()), StoreAge: age, Clear: n.Clear()}})
 }
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -303,3 +303,77 @@
 		r.close()
 	})
 }
+
+// Work goes on under the same scheduler while nobody reaches the store (seen
+// on bapei-sched-grown trouble-2: an idle entry that hadn't noticed the outage
+// yet was taken for one that reaches the store, and the scheduler gave up until
+// the store was back, 6.5 s later).
+func TestWorkGoesOnWhileTheStoreIsAway(t *testing.T) {
+	for at := range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, uint64(at), 3, 3)
+			time.Sleep(5*time.Second + time.Duration(at)*230*time.Millisecond)
+			j := r.job(1)
+			j.Steps = nil
+			for i := range 5 {
+				s := batch.Step{Count: 1, Need: batch.Resources{MilliCPU: 200, MemoryMB: 100}, Estimate: 400 * time.Millisecond}
+				if i > 0 {
+					s.After = []int{i - 1}
+				}
+				j.Steps = append(j.Steps, s)
+			}
+			r.submit(j)
+			epoch := r.store.Items("sesame/epoch")[0].Revision
+			r.storeFaultDuring(memory.Faults{Down: true}, func() {
+				time.Sleep(6 * time.Second)
+				r.history.mu.Lock()
+				done := len(r.history.done)
+				r.history.mu.Unlock()
+				if done != len(j.Steps) {
+					t.Errorf("%d steps are done, want %d", done, len(j.Steps))
+				}
+			})
+			time.Sleep(5 * time.Second)
+			if got := r.store.Items("sesame/epoch")[0].Revision; got != epoch {
+				t.Errorf("another scheduler began: epoch %d after %d", got, epoch)
+			}
+			r.history.settled(r.state)
+			r.close()
+		})
+	}
+}
+
+// A scheduler that is cut off from the store and from the other entries
+// together with a host stops granting that host its lease, so that what runs
+// there is over before it's started elsewhere.
+func TestSchedulerCutOffWithAHostStopsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 3, 3, 0.1, 0.8, 0.1)
+		time.Sleep(10 * time.Second)
+		island := []*proc{r.procs[1], r.procs[3]}
+		r.history.longer = 12 * time.Second
+		for n := range 8 {
+			r.submit(r.job(n))
+		}
+		in := func(p *proc) bool { return p == island[0] || p == island[1] }
+		cut := func(cut bool) {
+			for _, p := range r.procs {
+				f := memory.Faults{Down: cut}
+				if in(p) {
+					p.store.Set(f)
+				}
+				for _, o := range r.procs {
+					if in(p) != in(o) {
+						r.net.Cut(p.addr.Addr(), o.addr.Addr(), cut)
+					}
+				}
+			}
+		}
+		cut(true)
+		time.Sleep(12 * time.Second)
+		cut(false)
+		time.Sleep(60 * time.Second)
+		r.history.settled(r.state)
+		r.close()
+	})
+}
--- a/test/fleet/history_test.go
+++ b/test/fleet/history_test.go
@@ -24,6 +24,8 @@
 	taken    map[batch.Task]bool
 	starts   map[batch.JobID]int
 	failRate uint32
+	// longer is added to what a task takes.
+	longer time.Duration
 }
 
 func newHistory(t *testing.T, begin time.Time) *history {
@@ -46,7 +48,7 @@
 }
 
 func (h *history) duration(t batch.Task) time.Duration {
-	return 200*time.Millisecond + time.Duration(hash(t, 0)%600)*time.Millisecond
+	return 200*time.Millisecond + time.Duration(hash(t, 0)%600)*time.Millisecond + h.longer
 }
 
 func (h *history) fails(t batch.Task, run int) bool {
