--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -103,6 +103,8 @@
 	leaving map[string]time.Time
 	// left tells when the nodes without a session were heard last.
 	left map[string]time.Time
+	// strongest are the cores of the strongest process that no work runs beside.
+	strongest float64
 	// notes are the ends that a worker may forget after the next flush.
 	notes map[batch.WorkerKey]int64
 	// revisions are those of the stored progress.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -233,7 +233,7 @@
 		return
 	}
 	s.granted = now.Add(hostagent.Grant + hostagent.Grant/50 + grantSlack)
-	s.conn.Send(link.Message{Pong: &link.Pong{Sent: p.Sent, Grant: hostagent.Grant}})
+	s.conn.Send(link.Message{Pong: &link.Pong{Sent: p.Sent, Grant: hostagent.Grant, Strongest: d.strongest}})
 }
 
 // reached takes in how long ago the store answered the node.
--- a/internal/dispatch/succeed.go
+++ b/internal/dispatch/succeed.go
@@ -65,7 +65,11 @@
 // succeed hands the term over where a much better suited process is in touch and the store is reached.
 func (d *Dispatcher) succeed(now time.Time) {
 	own := d.sessions[d.Node]
-	if own == nil || !d.plan.Settled() || now.Sub(d.Term.Contact()) > storeFresh {
+	if own == nil {
+		return
+	}
+	d.strongest = succession.Strongest(append(d.others(now), own.process(now)))
+	if !d.plan.Settled() || now.Sub(d.Term.Contact()) > storeFresh {
 		return
 	}
 	h, ok := succession.Successor(now, own.process(now), d.others(now))
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -73,6 +73,8 @@
 type Pong struct {
 	Sent  int64         `cbor:"1,keyasint"`
 	Grant time.Duration `cbor:"2,keyasint"`
+	// Strongest are the cores of the strongest process that no work runs beside; 0 where none is known.
+	Strongest float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Snapshot is all that a worker knows under the session's fence.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,8 @@
 	resigned bool
 	// unregistering is set once the node's key may be gone, unregistered once it is.
 	unregistering, unregistered bool
+	// strongest are the cores of the strongest process, as the scheduler told.
+	strongest float64
 	// heir is until when this node takes a free lead at once.
 	heir    time.Time
 	known   election.Leader
@@ -163,7 +165,7 @@
 	if time.Now().Before(n.heir) {
 		return 0
 	}
-	return succession.Wait(n.Self, answer) + rand.N(jitter)
+	return succession.Wait(n.Self, answer, n.strongest) + rand.N(jitter)
 }
 
 // accept serves the nodes that connect while this one leads.
@@ -413,6 +415,9 @@
 			last = time.Now()
 			switch {
 			case m.Pong != nil:
+				n.mu.Lock()
+				n.strongest = m.Pong.Strongest
+				n.mu.Unlock()
 				n.Granted(time.Duration(m.Pong.Sent), m.Pong.Grant)
 			case m.Yield != nil:
 				n.yield(*m.Yield)
--- a/pkg/decide/succession/succession.go
+++ b/pkg/decide/succession/succession.go
@@ -40,13 +40,27 @@
 	stronger = 1.5
 )
 
-// Wait returns how long p leaves a free lead to others, where the store answers it in the given time.
-func Wait(p Process, answer time.Duration) time.Duration {
+// Wait returns how long p leaves a free lead to others, where the store answers
+// it in the given time. Strongest are the cores of the strongest process that
+// p has heard of, 0 where none: among equals nobody waits for strength.
+func Wait(p Process, answer time.Duration, strongest float64) time.Duration {
 	w := min(answer*distanceFactor, maxDistance)
 	if p.Host {
 		w += hostWait
 	}
-	return w + time.Duration((1-strength(p))*float64(weakWait))
+	best := strength(Process{Cores: strongest})
+	return w + time.Duration(max(1-strength(p)/best, 0)*float64(weakWait))
+}
+
+// Strongest returns the cores of the strongest process that no work runs beside.
+func Strongest(ps []Process) float64 {
+	most := 0.0
+	for _, p := range ps {
+		if !p.Host {
+			most = max(most, p.Cores)
+		}
+	}
+	return most
 }
 
 // strength is the part of enough that p has.
--- a/pkg/decide/succession/succession_test.go
+++ b/pkg/decide/succession/succession_test.go
@@ -28,10 +28,10 @@
 func TestWaitPutsTheBetterSuitedFirst(t *testing.T) {
 	near, far := 5*time.Millisecond, 70*time.Millisecond
 	order := []time.Duration{
-		succession.Wait(process("strong", 0.8, 0), near),
-		succession.Wait(process("strong, far", 0.8, 0), far),
-		succession.Wait(process("weak", 0.11, 0), near),
-		succession.Wait(host("host", 0.24), near),
+		succession.Wait(process("strong", 0.8, 0), near, 0.8),
+		succession.Wait(process("strong, far", 0.8, 0), far, 0.8),
+		succession.Wait(process("weak", 0.11, 0), near, 0.8),
+		succession.Wait(host("host", 0.24), near, 0.8),
 	}
 	g := NewWithT(t)
 	for i := range order[1:] {
@@ -40,6 +40,13 @@
 	g.Expect(order[3]).To(BeNumerically("<", time.Second), "a lost lead is taken up within about a second")
 }
 
+func TestEqualsWaitForNoStrength(t *testing.T) {
+	g := NewWithT(t)
+	answer := 5 * time.Millisecond
+	g.Expect(succession.Wait(process("weak", 0.16, 0), answer, 0.16)).To(Equal(succession.Wait(process("strong", 0.8, 0), answer, 0.8)))
+	g.Expect(succession.Strongest([]succession.Process{host("a", 0.8), process("b", 0.1, 0), process("c", 0.2, 0)})).To(Equal(0.2))
+}
+
 func TestSuccessor(t *testing.T) {
 	long := time.Minute
 	for name, c := range map[string]struct {
