--- a/internal/dispatch/succeed.go
+++ b/internal/dispatch/succeed.go
@@ -18,7 +18,7 @@
 
 // process describes a session to the succession.
 func (s *session) process(now time.Time) succession.Process {
-	p := succession.Process{Name: s.hello.Node, Cores: s.hello.Cores, Host: s.hello.Host}
+	p := succession.Process{Name: s.hello.Node, Cores: s.hello.Cores, Host: s.hello.Host, Answer: s.hello.StoreAnswer}
 	if s.fence != 0 && now.Sub(s.contact) < contactEvery {
 		p.Since = s.inTouch
 	}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -46,6 +46,8 @@
 	Workers []batch.WorkerKey `cbor:"8,keyasint,omitempty"`
 	// Cores is the processor time that the process may use, in cores; 0 where it isn't known.
 	Cores float64 `cbor:"9,keyasint,omitempty"`
+	// StoreAnswer is how long the store took to answer the process before it said hello.
+	StoreAnswer time.Duration `cbor:"11,keyasint,omitempty"`
 	// Unregistered is set where the process may have removed its key from the store.
 	Unregistered bool `cbor:"10,keyasint,omitempty"`
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,13 +159,13 @@
 }
 
 // wait returns how long this node leaves a free lead to others.
-func (n *Node) wait(answer time.Duration) time.Duration {
+func (n *Node) wait() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if time.Now().Before(n.heir) {
 		return 0
 	}
-	return succession.Wait(n.Self, answer, n.strongest) + rand.N(jitter)
+	return succession.Wait(n.Self, n.strongest) + rand.N(jitter)
 }
 
 // accept serves the nodes that connect while this one leads.
@@ -271,12 +271,12 @@
 		n.unregister(ctx)
 		at := time.Now()
 		l, err := n.Elector.Current(ctx)
-		answer := time.Since(at)
+		n.Self.Answer = time.Since(at)
 		switch {
 		case err == nil:
 			n.session(ctx, l)
 		case errors.Is(err, kv.ErrNotFound):
-			if !n.pause(ctx, n.wait(answer)) {
+			if !n.pause(ctx, n.wait()) {
 				return nil
 			}
 			n.try(ctx, &lead)
@@ -362,7 +362,7 @@
 	c := link.New(raw)
 	defer c.Close()
 	h := n.Hello()
-	h.Unregistered = n.unregistering
+	h.Unregistered, h.StoreAnswer = n.unregistering, n.Self.Answer
 	c.Send(link.Message{Hello: &h})
 	heard := make(chan link.Message, 1024)
 	go func() {
--- a/pkg/decide/succession/succession.go
+++ b/pkg/decide/succession/succession.go
@@ -13,6 +13,8 @@
 	Cores float64
 	// Host is set where work runs beside it.
 	Host bool
+	// Answer is how long the store took to answer it.
+	Answer time.Duration
 	// Since is since when it has reached the scheduler and the store without a
 	// break; zero where it doesn't.
 	Since time.Time
@@ -40,11 +42,11 @@
 	stronger = 1.5
 )
 
-// Wait returns how long p leaves a free lead to others, where the store answers
-// it in the given time. Strongest are the cores of the strongest process that
-// p has heard of, 0 where none: among equals nobody waits for strength.
-func Wait(p Process, answer time.Duration, strongest float64) time.Duration {
-	w := min(answer*distanceFactor, maxDistance)
+// Wait returns how long p leaves a free lead to others. Strongest are the cores
+// of the strongest process that p has heard of, 0 where none: among equals
+// nobody waits for strength.
+func Wait(p Process, strongest float64) time.Duration {
+	w := min(p.Answer*distanceFactor, maxDistance)
 	if p.Host {
 		w += hostWait
 	}
@@ -99,13 +101,20 @@
 	return h, strength(h) >= stronger*strength(lead)
 }
 
-// better reports whether a is better suited than b: by what runs beside it, then by strength.
+// near is the difference of answer times below which two processes are equally
+// near to the store: below that of two regions, above that of a busy moment.
+const near = 20 * time.Millisecond
+
+// better reports whether a is better suited than b: by what runs beside it,
+// then by strength and by how near the store is.
 func better(a, b Process) bool {
 	switch {
 	case a.Host != b.Host:
 		return !a.Host
 	case strength(a) != strength(b):
 		return strength(a) > strength(b)
+	case a.Answer/near != b.Answer/near:
+		return a.Answer < b.Answer
 	}
 	return a.Name < b.Name
 }
--- a/pkg/decide/succession/succession_test.go
+++ b/pkg/decide/succession/succession_test.go
@@ -26,12 +26,13 @@
 }
 
 func TestWaitPutsTheBetterSuitedFirst(t *testing.T) {
-	near, far := 5*time.Millisecond, 70*time.Millisecond
+	far := process("strong, far", 0.8, 0)
+	far.Answer = 70 * time.Millisecond
 	order := []time.Duration{
-		succession.Wait(process("strong", 0.8, 0), near, 0.8),
-		succession.Wait(process("strong, far", 0.8, 0), far, 0.8),
-		succession.Wait(process("weak", 0.11, 0), near, 0.8),
-		succession.Wait(host("host", 0.24), near, 0.8),
+		succession.Wait(process("strong", 0.8, 0), 0.8),
+		succession.Wait(far, 0.8),
+		succession.Wait(process("weak", 0.11, 0), 0.8),
+		succession.Wait(host("host", 0.24), 0.8),
 	}
 	g := NewWithT(t)
 	for i := range order[1:] {
@@ -42,8 +43,7 @@
 
 func TestEqualsWaitForNoStrength(t *testing.T) {
 	g := NewWithT(t)
-	answer := 5 * time.Millisecond
-	g.Expect(succession.Wait(process("weak", 0.16, 0), answer, 0.16)).To(Equal(succession.Wait(process("strong", 0.8, 0), answer, 0.8)))
+	g.Expect(succession.Wait(process("weak", 0.16, 0), 0.16)).To(Equal(succession.Wait(process("strong", 0.8, 0), 0.8)))
 	g.Expect(succession.Strongest([]succession.Process{host("a", 0.8), process("b", 0.1, 0), process("c", 0.2, 0)})).To(Equal(0.2))
 }
 
@@ -81,6 +81,10 @@
 	p, ok := succession.Heir(now, []succession.Process{host("a", 0.8), process("b", 0.1, time.Minute)})
 	g.Expect(ok).To(BeTrue())
 	g.Expect(p.Name).To(Equal("b"))
+	far, near := process("a", 0.4, time.Minute), process("b", 0.4, time.Minute)
+	far.Answer, near.Answer = 70*time.Millisecond, 6*time.Millisecond
+	p, _ = succession.Heir(now, []succession.Process{far, near})
+	g.Expect(p.Name).To(Equal("b"), "the one near to the store")
 	_, ok = succession.Heir(now, []succession.Process{process("a", 0.8, 0)})
 	g.Expect(ok).To(BeFalse())
 }
