--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -34,7 +34,7 @@
 func (r *rig) cancel(id batch.JobID) {
 	for range 10 {
 		if r.entry().gateway().Cancel(context.Background(), time.Now().Add(2*time.Second), id) == gateway.Known {
-			r.history.cancelled(id)
+			r.history.Cancelled(id)
 			return
 		}
 	}
@@ -185,7 +185,7 @@
 func run(t *testing.T, seed uint64) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, seed, 2, 4)
-		r.history.failRate = 10
+		r.history.FailRate = 10
 		time.Sleep(5 * time.Second)
 		finished := make(chan struct{})
 		const jobs = 40
@@ -213,7 +213,7 @@
 			<-finished
 		}
 		time.Sleep(30 * time.Second)
-		r.history.settled(r.state)
+		r.history.Settled(r.state)
 		r.close()
 	})
 }
@@ -227,9 +227,9 @@
 			r.submit(r.job(n))
 		}
 		time.Sleep(15 * time.Second)
-		r.history.settled(r.state)
-		for task := range r.history.done {
-			if got := r.history.starts[task.Job]; got == 0 {
+		r.history.Settled(r.state)
+		for _, task := range r.history.DoneTasks() {
+			if r.history.Starts(task.Job) == 0 {
 				t.Errorf("%s has no start", task)
 			}
 		}
@@ -263,7 +263,7 @@
 			}
 		}
 		time.Sleep(6 * time.Second)
-		r.history.settled(r.state)
+		r.history.Settled(r.state)
 		r.close()
 	})
 }
@@ -330,7 +330,7 @@
 		}
 		settle(true, 3*time.Second, "after its return")
 		time.Sleep(10 * time.Second)
-		r.history.settled(r.state)
+		r.history.Settled(r.state)
 		r.close()
 	})
 }
@@ -357,9 +357,7 @@
 			epoch := r.store.Items("sesame/epoch")[0].Revision
 			r.storeFaultDuring(memory.Faults{Down: true}, func() {
 				time.Sleep(6 * time.Second)
-				r.history.mu.Lock()
-				done := len(r.history.done)
-				r.history.mu.Unlock()
+				done := r.history.Done()
 				if done != len(j.Steps) {
 					t.Errorf("%d steps are done, want %d", done, len(j.Steps))
 				}
@@ -368,7 +366,7 @@
 			if got := r.store.Items("sesame/epoch")[0].Revision; got != epoch {
 				t.Errorf("another scheduler began: epoch %d after %d", got, epoch)
 			}
-			r.history.settled(r.state)
+			r.history.Settled(r.state)
 			r.close()
 		})
 	}
@@ -382,7 +380,7 @@
 		r := newRig(t, 1, 3, 3, 0.1, 0.8, 0.1)
 		time.Sleep(10 * time.Second)
 		island := []*proc{r.procs[1], r.procs[3]}
-		r.history.longer = 12 * time.Second
+		r.history.Longer = 12 * time.Second
 		for n := range 8 {
 			r.submit(r.job(n))
 		}
@@ -390,7 +388,7 @@
 		time.Sleep(12 * time.Second)
 		r.island(island, false)
 		time.Sleep(60 * time.Second)
-		r.history.settled(r.state)
+		r.history.Settled(r.state)
 		r.close()
 	})
 }
@@ -431,7 +429,7 @@
 		if got := r.store.Items("sesame/node/" + leaves.name); len(got) != 1 {
 			t.Errorf("its key isn't there")
 		}
-		r.history.settled(r.state)
+		r.history.Settled(r.state)
 		r.close()
 	})
 }
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -23,6 +23,7 @@
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
 	network "github.com/sesamestream/sesamestream/internal/link/memory"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/test/history"
 )
 
 const configKey = "config"
@@ -36,7 +37,7 @@
 	net     network.Net
 	begin   time.Time
 	procs   []*proc
-	history *history
+	history *history.History
 	rand    *rand.Rand
 	// log takes what the processes write: the file LOGS.SEED if LOGS is set, or nothing.
 	log io.Writer
@@ -62,7 +63,7 @@
 // newRig starts a deployment; cores are those of its first processes, the others have enough.
 func newRig(t *testing.T, seed uint64, entries, hosts int, cores ...float64) *rig {
 	r := &rig{t: t, begin: time.Now(), rand: rand.New(rand.NewPCG(seed, 1))}
-	r.history = newHistory(t, r.begin)
+	r.history = history.New(t, r.begin)
 	r.log = io.Discard
 	if name := os.Getenv("LOGS"); name != "" {
 		f, err := os.Create(fmt.Sprint(name, ".", seed))
@@ -160,7 +161,7 @@
 			ID: "w-" + p.name, Born: p.born, Machine: "m-" + p.name, Service: "s", Address: p.addr.String(), DataCentre: "d",
 			Room: room, Labels: []string{"a", "r1-1"},
 		},
-		Duration: h.duration, Fails: h.fails, Began: h.began, Over: h.over, Noted: h.noted,
+		Duration: h.Duration, Fails: h.Fails, Began: h.Began, Over: h.Over, Noted: h.Noted,
 	}
 }
 
@@ -230,13 +231,13 @@
 		v := g.Submit(context.Background(), time.Now().Add(3*time.Second), &c)
 		switch v.Outcome {
 		case gateway.Accepted:
-			r.history.accepted(j)
+			r.history.Accepted(j)
 			return
 		case gateway.Refused:
-			r.history.refused(j.ID)
+			r.history.Refused(j.ID)
 			time.Sleep(v.RetryAfter)
 		default:
-			r.history.open(j.ID)
+			r.history.Open(j.ID)
 			time.Sleep(200 * time.Millisecond)
 		}
 	}
--- a/test/fleet/history_test.go
+++ b/test/history/history.go
@@ -1,7 +1,11 @@
-package fleet_test
+// Package history records what callers and workers of a deployment see, and
+// tells a test of each promise that it breaks.
+package history
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -10,33 +14,36 @@
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
-// history is what callers and workers saw; it tells what broke a promise.
-type history struct {
-	t     *testing.T
+// A History is what callers and workers saw. Its exported fields are set before use.
+type History struct {
+	t     testing.TB
 	begin time.Time
 
-	mu       sync.Mutex
-	jobs     map[batch.JobID]*batch.Job
-	answers  map[batch.JobID][]string
-	cancels  map[batch.JobID]time.Time
-	running  map[batch.Task]map[*standin.Worker]int
-	done     map[batch.Task]time.Time
-	taken    map[batch.Task]bool
-	starts   map[batch.JobID]int
-	failRate uint32
-	// longer is added to what a task takes.
-	longer time.Duration
-}
-
-func newHistory(t *testing.T, begin time.Time) *history {
-	return &history{
+	// FailRate is how many of 100 first runs fail.
+	FailRate uint32
+	// Longer is added to what a task takes.
+	Longer time.Duration
+
+	mu      sync.Mutex
+	jobs    map[batch.JobID]*batch.Job
+	answers map[batch.JobID][]string
+	cancels map[batch.JobID]time.Time
+	running map[batch.Task]map[*standin.Worker]int
+	done    map[batch.Task]time.Time
+	taken   map[batch.Task]bool
+	starts  map[batch.JobID]int
+}
+
+// New returns an empty history of a deployment that began then.
+func New(t testing.TB, begin time.Time) *History {
+	return &History{
 		t: t, begin: begin, jobs: map[batch.JobID]*batch.Job{}, answers: map[batch.JobID][]string{},
 		cancels: map[batch.JobID]time.Time{}, running: map[batch.Task]map[*standin.Worker]int{},
 		done: map[batch.Task]time.Time{}, taken: map[batch.Task]bool{}, starts: map[batch.JobID]int{},
 	}
 }
 
-func (h *history) errorf(format string, args ...any) {
+func (h *History) errorf(format string, args ...any) {
 	h.t.Errorf("%.3f s: "+format, append([]any{time.Since(h.begin).Seconds()}, args...)...)
 }
 
@@ -47,42 +54,48 @@
 	return f.Sum32()
 }
 
-func (h *history) duration(t batch.Task) time.Duration {
-	return 200*time.Millisecond + time.Duration(hash(t, 0)%600)*time.Millisecond + h.longer
+// Duration returns how long a task works.
+func (h *History) Duration(t batch.Task) time.Duration {
+	return 200*time.Millisecond + time.Duration(hash(t, 0)%600)*time.Millisecond + h.Longer
 }
 
-func (h *history) fails(t batch.Task, run int) bool {
-	return h.failRate > 0 && run == 1 && hash(t, run)%100 < h.failRate
+// Fails reports whether a run fails.
+func (h *History) Fails(t batch.Task, run int) bool {
+	return h.FailRate > 0 && run == 1 && hash(t, run)%100 < h.FailRate
 }
 
-func (h *history) accepted(j *batch.Job) {
+// Accepted notes that a job was accepted.
+func (h *History) Accepted(j *batch.Job) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.jobs[j.ID] = j
 	h.answers[j.ID] = append(h.answers[j.ID], "accepted")
 }
 
-func (h *history) refused(id batch.JobID) {
+// Refused notes that a caller was told that a job has not run.
+func (h *History) Refused(id batch.JobID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.answers[id] = append(h.answers[id], "refused")
 }
 
-func (h *history) open(id batch.JobID) {
+// Open notes that a caller was told nothing for sure.
+func (h *History) Open(id batch.JobID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.answers[id] = append(h.answers[id], "open")
 }
 
-func (h *history) cancelled(id batch.JobID) {
+// Cancelled notes that a job's cancelling was acknowledged.
+func (h *History) Cancelled(id batch.JobID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.cancels[id] = time.Now()
 }
 
-// began checks a start: one run at a time, none after a done run that was noted,
+// Began checks a start: one run at a time, none after a done run that was noted,
 // none before the steps it waits for, none of a job that was only refused.
-func (h *history) began(w *standin.Worker, t batch.Task, run int) {
+func (h *History) Began(w *standin.Worker, t batch.Task, run int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.starts[t.Job]++
@@ -113,7 +126,8 @@
 	}
 }
 
-func (h *history) over(w *standin.Worker, e batch.End) {
+// Over notes the end of a run.
+func (h *History) Over(w *standin.Worker, e batch.End) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.running[e.Task], w)
@@ -122,7 +136,8 @@
 	}
 }
 
-func (h *history) noted(_ *standin.Worker, ends []batch.End) {
+// Noted notes the ends that the worker may forget.
+func (h *History) Noted(_ *standin.Worker, ends []batch.End) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, e := range ends {
@@ -132,8 +147,8 @@
 	}
 }
 
-// settled checks at the end that nothing was lost and that refusals were true.
-func (h *history) settled(state func(batch.JobID) (batch.JobState, bool)) {
+// Settled checks at the end that nothing was lost and that refusals were true.
+func (h *History) Settled(state func(batch.JobID) (batch.JobState, bool)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, as := range h.answers {
@@ -157,3 +172,24 @@
 		}
 	}
 }
+
+// Done returns how many tasks were done.
+func (h *History) Done() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.done)
+}
+
+// Starts returns how many runs of a job were started.
+func (h *History) Starts(id batch.JobID) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.starts[id]
+}
+
+// DoneTasks returns the tasks that were done.
+func (h *History) DoneTasks() []batch.Task {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Keys(h.done))
+}
