Soak the real programs as processes; start again what vanished from a worker

The soak runs three entries and five agents as processes over stand-ins of the store and the workers, with a proxy before each: kills, restarts, freezes, reloads, silent, slow, lost and refused ways, lost history and leases, workers that crash, two series at a time. Cause: a look that the host had sent to the life of a worker before reached the new one, under the same id, and made it forget ends that nobody had seen. Ruled out: the scheduler's notes (kept by life), the host's new client. The host now compares each whole list with the runs that the worker said it has; what is neither at work nor over starts again. Test in test/fleet, failing before.

--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -128,6 +128,7 @@
 		return
 	}
 	o := d.plan.Schedule(now)
+	d.Log.Metrics.Observe(telemetry.PassSeconds, time.Since(now))
 	for _, x := range o.Stops {
 		d.Log.Event(eventlog.RunStopping).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Int("run", x.Number).
 			Str("worker", x.Key.ID).Str("why", x.Why).Msg("")
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -110,6 +110,8 @@
 	reported int64
 	noted    int64
 	facts    map[batch.Task]link.Fact
+	// there are the runs that the worker said it has.
+	there map[batch.Task]present
 	// found are runs that were there before this process.
 	found  map[batch.Task]bool
 	pacing pacing.Machine
@@ -221,7 +223,7 @@
 		agent: a, info: r.Worker, seq: r.Seq, fence: a.fence,
 		// The process before this one may have asked for a lease just before it ended.
 		until:   a.Steady() + Grant,
-		changed: make(chan struct{}, 1), facts: map[batch.Task]link.Fact{}, saved: map[batch.Task]string{}, paces: map[paced]int{}, found: map[batch.Task]bool{},
+		changed: make(chan struct{}, 1), facts: map[batch.Task]link.Fact{}, there: map[batch.Task]present{}, saved: map[batch.Task]string{}, paces: map[paced]int{}, found: map[batch.Task]bool{},
 	}
 	ad, err := netip.ParseAddrPort(r.Worker.Address)
 	if err != nil {
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -47,7 +47,7 @@
 			o.Until = until
 		}
 	}
-	before, leases := h.before, h.leases
+	before, leases, asked := h.before, h.leases, a.Steady()
 	limit := o.Wait + holdSlack
 	if h.failing {
 		// A worker that leaves some calls unanswered is asked often, so that
@@ -92,9 +92,11 @@
 		for _, e := range lists.Ended {
 			h.reported = max(h.reported, e.Seq)
 		}
+		h.adopt(lists.Running)
 		a.Send(link.Message{Snapshot: &link.Snapshot{Fence: a.fence, Worker: h.info, Running: lists.Running, Ended: lists.Ended}})
 		return true
 	}
+	h.reconcile(asked, lists)
 	h.tell(lists)
 	h.pace(lists.Running)
 	// A worker answers at once while it lists ends that it may not forget yet.
--- a/internal/hostagent/order.go
+++ b/internal/hostagent/order.go
@@ -45,6 +45,9 @@
 	a := h.agent
 	open := false
 	refusal := link.RefusedSilent
+	a.mu.Lock()
+	h.ordered(s.Task, s.Number)
+	a.mu.Unlock()
 	for range startTries {
 		a.mu.Lock()
 		until, ok := h.lease()
@@ -62,6 +65,7 @@
 		a.mu.Lock()
 		if err == nil {
 			h.sample(answer, a.Steady())
+			h.confirmed(s.Task, s.Number)
 		}
 		a.mu.Unlock()
 		if err == nil {
@@ -90,11 +94,17 @@
 			return
 		}
 		if there {
+			a.mu.Lock()
+			h.confirmed(s.Task, s.Number)
+			a.mu.Unlock()
 			// An unanswered start was carried out; its end will be listed.
 			a.Send(link.Message{Started: &link.Started{Key: s.Key, Task: s.Task, Number: s.Number}})
 			return
 		}
 	}
+	a.mu.Lock()
+	h.absent(s.Task, s.Number)
+	a.mu.Unlock()
 	a.Send(link.Message{Started: &link.Started{Key: s.Key, Task: s.Task, Number: s.Number, Refusal: refusal}})
 }
 
--- a/internal/hostagent/standin/worker.go
+++ b/internal/hostagent/standin/worker.go
@@ -69,6 +69,14 @@
 	w.faults = f
 }
 
+// Forget lets the worker forget all ends, as a late call to the life before it
+// does that names a higher one.
+func (w *Worker) Forget() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = nil
+}
+
 // Crash ends the worker: nothing runs, nothing answers.
 func (w *Worker) Crash() {
 	w.mu.Lock()
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -168,6 +168,8 @@
 	RefusedFence     Refusal = "fenced"
 	RefusedOther     Refusal = "rejected"
 	RefusedSilent    Refusal = "noAnswer"
+	// RefusedVanished runs were there and are neither at work nor listed as over.
+	RefusedVanished Refusal = "vanished"
 )
 
 // Progress tells how the runs of a worker get on.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -43,6 +43,8 @@
 	JobSeconds Histogram = "sesamestream_job_seconds"
 	// StoreSeconds is the time of a call to the store.
 	StoreSeconds Histogram = "sesamestream_store_call_seconds"
+	// PassSeconds is the time of one pass of the scheduler over what waits.
+	PassSeconds Histogram = "sesamestream_schedule_pass_seconds"
 	// EndStoredSeconds is the time from a job's end to its storing.
 	EndStoredSeconds Histogram = "sesamestream_end_stored_seconds"
 
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -433,3 +433,40 @@
 		r.close()
 	})
 }
+
+// A task whose end was forgotten before anybody saw it runs again, and its job
+// ends (seen in the soak, seed 22: a look of the life before reached the new one).
+func TestForgottenEndsRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 2, 3)
+		time.Sleep(5 * time.Second)
+		var ids []batch.JobID
+		for n := range 4 {
+			j := r.job(n)
+			ids = append(ids, j.ID)
+			r.submit(j)
+		}
+		for range 3 {
+			time.Sleep(150 * time.Millisecond)
+			for _, p := range r.procs {
+				if p.host {
+					p.worker.Set(standin.Faults{Silent: true})
+				}
+			}
+			time.Sleep(700 * time.Millisecond)
+			for _, p := range r.procs {
+				if p.host {
+					p.worker.Forget()
+					p.worker.Set(standin.Faults{})
+				}
+			}
+		}
+		time.Sleep(15 * time.Second)
+		for _, id := range ids {
+			if s, _ := r.state(id); s != batch.Completed {
+				t.Errorf("%s is %q", id, s)
+			}
+		}
+		r.close()
+	})
+}
