Decide whether a term is the newest apart from input and output

The question whether a scheduler may grant leases, take lost hosts' leases for over, or has to give up stood among the sessions' code.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -26,15 +26,6 @@
 const (
 	// grantSlack covers clocks that are 2% slow and the way of a message.
 	grantSlack = 150 * time.Millisecond
-	// rideThrough is how long a scheduler goes on granting while nobody reaches the store.
-	rideThrough = 8 * time.Second
-	// storeFresh is how old the last contact with the store may be without asking whether others have it.
-	storeFresh = 1200 * time.Millisecond
-	// outageSpread is how much later than this process another one may have had
-	// its last answer when the store goes away for all: a renewal and the slowest link apart.
-	outageSpread = 600 * time.Millisecond
-	// heardEvery is how often a node is heard at least, with the slowest link.
-	heardEvery = 600 * time.Millisecond
 	// contactEvery is how old the last answer of a node in touch may be: a watch and a ping.
 	contactEvery = 2500 * time.Millisecond
 	// silentHost is how long a takeover waits for a host that it doesn't hear:
@@ -101,8 +92,8 @@
 	lapses map[batch.WorkerKey]time.Time
 	// leaving are the hosts without a session, and when their leases are over.
 	leaving map[string]time.Time
-	// left tells when the nodes without a session were heard last.
-	left map[string]time.Time
+	// lastHeard tells when the nodes without a session were heard last.
+	lastHeard map[string]time.Time
 	// strongest are the cores of the strongest process that no work runs beside.
 	strongest float64
 	// notes are the ends that a worker may forget after the next flush.
@@ -112,10 +103,10 @@
 	// writing is set while a flush is under way, loaded once the store was read.
 	writing, loaded bool
 	// These are the last times of what is done now and then.
-	flushed, swept, taught, keptPairs, told, succeeded time.Time
-	ctx                                                context.Context
-	stopped                                            sync.WaitGroup
-	wants                                              chan schedule.Want
+	flushed, swept, taught, keptPairs, told, handed time.Time
+	ctx                                             context.Context
+	stopped                                         sync.WaitGroup
+	wants                                           chan schedule.Want
 }
 
 type node struct {
@@ -158,7 +149,7 @@
 	d.begun = time.Now()
 	d.plan = schedule.New()
 	d.sessions, d.nodes, d.unheard = map[string]*session{}, map[string]node{}, map[string]bool{}
-	d.revisions, d.leaving, d.left = map[batch.JobID]kv.Revision{}, map[string]time.Time{}, map[string]time.Time{}
+	d.revisions, d.leaving, d.lastHeard = map[batch.JobID]kv.Revision{}, map[string]time.Time{}, map[string]time.Time{}
 	d.lapses, d.notes = map[batch.WorkerKey]time.Time{}, map[batch.WorkerKey]int64{}
 	d.wants = make(chan schedule.Want, adviceQueue)
 	var g errgroup.Group
--- a/internal/dispatch/succeed.go
+++ b/internal/dispatch/handover.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// succeedEvery is how often a better suited scheduler is looked for; one shows itself over seconds.
-	succeedEvery = time.Second
-	// heirLead is how much earlier than the term is given up the heir is told.
-	heirLead = 50 * time.Millisecond
+	// handOverEvery is how often a better suited scheduler is looked for; one shows itself over seconds.
+	handOverEvery = time.Second
+	// HeirLead is how much earlier than the term is given up the heir is told.
+	HeirLead = 50 * time.Millisecond
 )
 
 // process describes a session to the succession.
@@ -36,6 +36,22 @@
 	return ps
 }
 
+// tenure describes the term.
+func (d *Dispatcher) tenure() succession.Tenure {
+	t := succession.Tenure{Answered: d.Term.Contact()}
+	for name, s := range d.sessions {
+		if name != d.Node && !s.contact.IsZero() {
+			t.Others = append(t.Others, s.contact)
+		}
+	}
+	for name, at := range d.lastHeard {
+		if name != d.Node {
+			t.Lost = append(t.Lost, at)
+		}
+	}
+	return t
+}
+
 // NameHeir tells the best suited process that it's to take the lead soon; false where there's none.
 func (d *Dispatcher) NameHeir() bool {
 	named := make(chan bool, 1)
@@ -62,14 +78,14 @@
 	d.send(h.Name, link.Message{Yield: &link.Yield{Epoch: int64(d.Term.Epoch)}})
 }
 
-// succeed hands the term over where a much better suited process is in touch and the store is reached.
-func (d *Dispatcher) succeed(now time.Time) {
+// handOver hands the term over where a much better suited process is in touch and the store is reached.
+func (d *Dispatcher) handOver(now time.Time) {
 	own := d.sessions[d.Node]
 	if own == nil {
 		return
 	}
 	d.strongest = succession.Strongest(append(d.others(now), own.process(now)))
-	if !d.plan.Settled() || now.Sub(d.Term.Contact()) > storeFresh {
+	if !d.plan.Settled() || now.Sub(d.Term.Contact()) > succession.Fresh {
 		return
 	}
 	h, ok := succession.Successor(now, own.process(now), d.others(now))
@@ -82,7 +98,7 @@
 		defer cancel()
 		select {
 		case <-d.Term.Lost():
-		case <-time.After(heirLead):
+		case <-time.After(HeirLead):
 			d.Term.Resign(c)
 		}
 	})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -51,7 +51,7 @@
 	}
 	s.heard = now
 	d.sessions[s.hello.Node] = s
-	delete(d.left, s.hello.Node)
+	delete(d.lastHeard, s.hello.Node)
 	if d.loaded {
 		d.welcome(now, s.hello.Node, s)
 	}
@@ -59,6 +59,11 @@
 
 // welcome opens the session.
 func (d *Dispatcher) welcome(now time.Time, name string, s *session) {
+	if n, ok := d.nodes[name]; ok && n.life == 0 {
+		// A key of an earlier term holds for the first process that's seen in this one.
+		n.life = s.hello.Life
+		d.nodes[name] = n
+	}
 	if !s.hello.Host && !d.registered(name, s) {
 		d.register(name, s, func(now time.Time) { d.welcome(now, name, s) })
 		return
@@ -76,12 +81,8 @@
 // process that may have removed its key, or its successor, writes it anew.
 func (d *Dispatcher) registered(name string, s *session) bool {
 	n, ok := d.nodes[name]
-	if !ok || n.forgotten || s.hello.Unregistered || n.life != 0 && n.life != s.hello.Life {
-		return false
-	}
-	n.life = s.hello.Life
-	d.nodes[name] = n
-	return n.Address == s.hello.Address && n.Host == s.hello.Host
+	return ok && !n.forgotten && !s.hello.Unregistered && n.life == s.hello.Life &&
+		n.Address == s.hello.Address && n.Host == s.hello.Host
 }
 
 // register writes the node's key and then goes on. A host has its key before
@@ -180,7 +181,7 @@
 		}
 		d.leaving[name] = over
 	}
-	d.left[name] = s.heard
+	d.lastHeard[name] = s.heard
 	d.Log.Warning(eventlog.HostLost).Str("peer", name).Str("why", why).Time("leaseEnds", s.granted).
 		Dur("silent", now.Sub(s.heard)).Msg("")
 }
@@ -229,7 +230,7 @@
 	if s.fence == 0 {
 		return
 	}
-	if !d.newest(now) {
+	if !d.tenure().Newest(now) {
 		return
 	}
 	s.granted = now.Add(hostagent.Grant + hostagent.Grant/50 + grantSlack)
@@ -248,35 +249,6 @@
 	s.contact = at
 }
 
-// newest reports whether no other term can have begun, as far as this process
-// can tell: it reached the store lately, or the store is away for all. Only
-// then it grants leases and takes those of lost hosts for over.
-func (d *Dispatcher) newest(now time.Time) bool {
-	at := d.Term.Contact()
-	switch age := now.Sub(at); {
-	case age < storeFresh:
-		return true
-	case age > rideThrough:
-		return false
-	}
-	for name, s := range d.sessions {
-		if name != d.Node && s.contact.Sub(at) > outageSpread {
-			return false
-		}
-	}
-	// A node that fell silent together with the store may be the one that
-	// reaches it. One that was heard for longer met the outage too.
-	for name, heard := range d.left {
-		if name == d.Node {
-			continue
-		}
-		if after := heard.Sub(at); after > -link.SessionTimeout && after < outageSpread+heardEvery {
-			return false
-		}
-	}
-	return true
-}
-
 func (d *Dispatcher) snapshot(now time.Time, s *session, m *link.Snapshot) {
 	if m.Fence != s.fence {
 		return
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,7 +71,7 @@
 		}
 	}
 	for k, at := range d.lapses {
-		if now.After(at) && d.newest(now) {
+		if now.After(at) && d.tenure().Newest(now) {
 			d.gone(k, "lease lapsed")
 		}
 	}
@@ -93,9 +94,9 @@
 		d.taught = now
 		d.teach(now)
 	}
-	if now.Sub(d.succeeded) > succeedEvery {
-		d.succeeded = now
-		d.succeed(now)
+	if now.Sub(d.handed) > handOverEvery {
+		d.handed = now
+		d.handOver(now)
 	}
 	if now.Sub(d.swept) > collectEvery {
 		d.swept = now
@@ -105,23 +106,13 @@
 
 // stepDown gives the term up where others reach the store and this process doesn't.
 func (d *Dispatcher) stepDown(now time.Time) {
-	if now.Sub(d.Term.Contact()) < storeFresh {
-		return
-	}
-	for name, s := range d.sessions {
-		if name != d.Node && s.contact.Sub(d.Term.Contact()) > reachedFor {
-			d.Log.Warning(eventlog.LeadLost).Str("why", "another node reaches the store").Str("peer", name).
-				Dur("storeAge", now.Sub(d.Term.Contact())).Dur("peerAge", now.Sub(s.contact)).Msg("")
-			d.Term.Lose()
-			return
-		}
+	if t := d.tenure(); t.Superseded(now) {
+		d.Log.Warning(eventlog.LeadLost).Str("why", "another node reaches the store").
+			Dur("storeAge", now.Sub(t.Answered)).Dur("peerAge", now.Sub(slices.MaxFunc(t.Others, time.Time.Compare))).Msg("")
+		d.Term.Lose()
 	}
 }
 
-// reachedFor is how much later than a scheduler's own last answer another
-// node's has to be for the scheduler to give up: several of its renewals come in between.
-const reachedFor = time.Second
-
 // schedule carries the decision's orders out and stores what changed.
 func (d *Dispatcher) schedule(now time.Time) {
 	if !d.loaded {
--- a/internal/dispatch/unregister.go
+++ b/internal/dispatch/unregister.go
@@ -13,9 +13,9 @@
 // unregisterTime bounds the three calls of an Unregister; a takeover takes longer.
 const unregisterTime = 600 * time.Millisecond
 
-// Unregister removes the key of a host on which nothing runs, while nobody
-// schedules, so that the next scheduler doesn't wait for it. The removal has no
-// effect once another term has begun or the key was written anew.
+// Unregister removes the key of a host without a session on which nothing runs,
+// so that the next scheduler doesn't wait for it. The removal has no effect once
+// another term has begun or the key was written anew.
 func Unregister(ctx context.Context, s kv.Store, name string) error {
 	ctx, cancel := context.WithTimeout(ctx, unregisterTime)
 	defer cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,8 +37,6 @@
 	heardQueue = 64
 	// yieldTime is how long a node that was named as the heir takes a free lead at once.
 	yieldTime = 2 * time.Second
-	// yieldLead is how much earlier than the lead is given up the heir is told.
-	yieldLead = 50 * time.Millisecond
 	// announcement bounds a datagram in bytes.
 	announcement = 512
 )
@@ -145,7 +143,7 @@
 		return
 	}
 	if d.NameHeir() {
-		n.pause(ctx, yieldLead)
+		n.pause(ctx, dispatch.HeirLead)
 	}
 	t.Resign(ctx)
 }
@@ -295,8 +293,8 @@
 	return nil
 }
 
-// unregister removes the key of a node on which nothing can run, so that the
-// next scheduler doesn't wait for it.
+// unregister removes the key of a node without a session on which nothing can
+// run, so that the next scheduler doesn't wait for it.
 func (n *Node) unregister(ctx context.Context) {
 	if !n.Clear() || n.unregistered {
 		return
--- /dev/null
+++ b/pkg/decide/succession/tenure.go
@@ -0,0 +1,69 @@
+package succession
+
+import "time"
+
+const (
+	// Fresh is how old the store's last answer may be without asking whether
+	// others have newer ones: the lease of the lead, which nobody takes before its end.
+	Fresh = 1200 * time.Millisecond
+	// rideThrough is how long a scheduler goes on while the store is away for all.
+	rideThrough = 8 * time.Second
+	// outageSpread is how much later than a scheduler another process may have had
+	// its last answer when the store goes away for all: a renewal and the slowest link apart.
+	outageSpread = 600 * time.Millisecond
+	// heardEvery is how often a process is heard at least, with the slowest link.
+	heardEvery = 600 * time.Millisecond
+	// silence is how long a process may be silent until it's given up.
+	silence = 2 * time.Second
+	// superseding is how much newer than a scheduler's own last answer another
+	// process's has to be for it to give up: several of its renewals come in between.
+	superseding = time.Second
+)
+
+// A Tenure is what a scheduler knows of its term.
+type Tenure struct {
+	// Answered is when the store answered the scheduler last.
+	Answered time.Time
+	// Others is when it answered the other processes last, as far as they told.
+	Others []time.Time
+	// Lost is when the processes that aren't in touch any more were heard last.
+	Lost []time.Time
+}
+
+// Newest reports whether no other term can have begun, as far as the scheduler
+// can tell: it reached the store lately, or the store is away for all. Only
+// then it may grant leases and take those of lost hosts for over.
+func (t Tenure) Newest(now time.Time) bool {
+	switch age := now.Sub(t.Answered); {
+	case age < Fresh:
+		return true
+	case age > rideThrough:
+		return false
+	}
+	for _, at := range t.Others {
+		if at.Sub(t.Answered) > outageSpread {
+			return false
+		}
+	}
+	// A process that fell silent together with the store may be the one that
+	// reaches it. One that was heard for longer met the outage too.
+	for _, at := range t.Lost {
+		if after := at.Sub(t.Answered); after > -silence && after < outageSpread+heardEvery {
+			return false
+		}
+	}
+	return true
+}
+
+// Superseded reports whether others reach the store and the scheduler doesn't.
+func (t Tenure) Superseded(now time.Time) bool {
+	if now.Sub(t.Answered) < Fresh {
+		return false
+	}
+	for _, at := range t.Others {
+		if at.Sub(t.Answered) > superseding {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/decide/succession/tenure_test.go
@@ -0,0 +1,44 @@
+package succession_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/pkg/decide/succession"
+)
+
+// The store answered the scheduler last at 0; times are relative to that.
+func TestTenure(t *testing.T) {
+	ms := func(ts ...int) (out []time.Time) {
+		for _, v := range ts {
+			out = append(out, now.Add(time.Duration(v)*time.Millisecond))
+		}
+		return out
+	}
+	for name, c := range map[string]struct {
+		at                 int
+		others, lost       []time.Time
+		newest, superseded bool
+	}{
+		"the store answers":                       {at: 1000, others: ms(900), newest: true},
+		"away for all":                            {at: 3000, others: ms(200, -400), newest: true},
+		"away for all, others noticed later":      {at: 3000, others: ms(500), newest: true},
+		"another reaches it":                      {at: 1500, others: ms(200, 1400), superseded: true},
+		"another may reach it":                    {at: 1500, others: ms(800)},
+		"away for too long":                       {at: 9000, others: ms(200)},
+		"one fell silent with the store":          {at: 3000, others: ms(200), lost: ms(100)},
+		"one was lost long before":                {at: 3000, others: ms(200), lost: ms(-5000), newest: true},
+		"one was heard well into the outage":      {at: 5000, others: ms(200), lost: ms(2500), newest: true},
+		"others answered before, nothing is lost": {at: 5000, others: ms(-2000), newest: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			x := succession.Tenure{Answered: now, Others: c.others, Lost: c.lost}
+			at := now.Add(time.Duration(c.at) * time.Millisecond)
+			g.Expect(x.Newest(at)).To(Equal(c.newest))
+			g.Expect(x.Superseded(at)).To(Equal(c.superseded))
+		})
+	}
+}
