Don't refuse an accepted job that's sent again; replay real logs in explain's tests

Before it refuses, an entry now asks the scheduler, which knows only stored jobs. Test in test/fleet, failing before. explain called that job refused; it now goes by the end, then by the acceptance. Its tests read the logs of a takeover, an outage, a grey worker and this case as the processes wrote them.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -177,17 +177,25 @@
 	if len(own) == 0 {
 		return "no log tells of the job: it reached no process whose log was given"
 	}
-	for i := len(own) - 1; i >= 0; i-- {
-		switch l := own[i]; l.Event {
+	var refused *Line
+	accepted := false
+	for i := range own {
+		switch l := &own[i]; l.Event {
 		case eventlog.JobEnded:
 			return fmt.Sprintf("ended as %v, stored %.0f ms after", l.All["state"], number(l.All["stored"]))
+		case eventlog.JobAccepted, eventlog.JobQueued:
+			accepted = true
 		case eventlog.JobRefused:
-			if l.All["storeDown"] == true {
-				return "refused: the store was away, so the job couldn't be kept; the caller was told to come back"
-			}
-			return "refused; the caller was told to come back"
+			refused = l
 		}
 	}
+	switch {
+	case accepted || refused == nil:
+	case refused.All["storeDown"] == true:
+		return "refused: the store was away, so the job couldn't be kept; the caller was told to come back"
+	default:
+		return "refused; the caller was told to come back"
+	}
 	return "not over at the end of the logs; last event: " + own[len(own)-1].Event
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -50,3 +51,37 @@
 		g.Expect(s.Outcome).To(HavePrefix(want))
 	}
 }
+
+// The logs of three failures as real processes wrote them, and of one caller
+// who sent an accepted job again.
+func TestStoriesFromRealLogs(t *testing.T) {
+	for name, c := range map[string]struct {
+		job, outcome string
+		// tells are events that the story has to show, in this order.
+		tells []string
+	}{
+		"takeover":   {"9adc40df6b1e05b6", "ended as completed", []string{"jobAccepted", "leadTaken", "settled", "runStarted", "jobEnded"}},
+		"storeAway":  {"bcd194d856c422ea", "ended as completed", []string{"jobRefused", "jobAccepted", "runStarted", "jobEnded"}},
+		"greyWorker": {"de35290f194dfaaa", "ended as completed", []string{"runStarted", "runEnded", "runOrdered", "jobEnded"}},
+		"sentAgain":  {"3487bf5290c5eba3", "ended as completed", []string{"jobAccepted", "jobEnded"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f, err := os.Open("testdata/" + name + ".log")
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = f.Close() }()
+			s, err := explain.Read(c.job, f)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(s.Unread).To(BeZero())
+			g.Expect(s.Outcome).To(HavePrefix(c.outcome))
+			var b bytes.Buffer
+			g.Expect(s.Write(&b)).To(Succeed())
+			rest := b.String()
+			for _, x := range c.tells {
+				_, after, found := strings.Cut(rest, x)
+				g.Expect(found).To(BeTrue(), "%s in its place", x)
+				rest = after
+			}
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,6 +175,12 @@
 func (g *Gateway) Submit(ctx context.Context, deadline time.Time, j *batch.Job) Verdict {
 	began := time.Now()
 	v := g.submit(ctx, deadline, j)
+	if v.Outcome == Refused {
+		// What was accepted before may have run: sent again, it isn't refused.
+		if _, known := g.ask(ctx, link.Ask{Job: j.ID}); known {
+			v = Verdict{Outcome: Accepted}
+		}
+	}
 	e := eventlog.JobAccepted
 	switch v.Outcome {
 	case Refused:
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -470,3 +470,30 @@
 		r.close()
 	})
 }
+
+// A job that was accepted isn't refused when it's sent again while the store is
+// away: a refusal says that it has not run (seen in incident 6f4a: a caller who
+// sent an accepted job again was refused).
+func TestAcceptedJobsSentAgainAreNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 3, 3)
+		time.Sleep(5 * time.Second)
+		j := r.job(1)
+		r.submit(j)
+		r.storeFaultDuring(memory.Faults{Down: true}, func() {
+			for range 4 {
+				time.Sleep(700 * time.Millisecond)
+				for _, p := range r.procs {
+					if p.host {
+						continue
+					}
+					c := *j
+					if v := p.gateway().Submit(context.Background(), time.Now().Add(3*time.Second), &c); v.Outcome != gateway.Accepted {
+						t.Errorf("%s: outcome %d", p.name, v.Outcome)
+					}
+				}
+			}
+		})
+		r.close()
+	})
+}
