Count the room of runs that nobody assigned until their ends are listed

Cause: a run that a worker brought along and that isn't assigned was told to stop, but its room counted as free at once. Ruled out: starts of the scheduler before (fenced off).

--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -19,8 +19,12 @@
 	for _, e := range ended {
 		s.end(now, w, e)
 	}
+	for id := range w.strays {
+		w.strayed(id)
+	}
 	there := map[batch.Task]bool{}
 	var kept []batch.Task
+	var strays []*task
 	for _, r := range running {
 		t := s.task(r.Task)
 		switch {
@@ -32,6 +36,9 @@
 			t.step.run = max(t.step.run, r.Number)
 		default:
 			s.stops = append(s.stops, Stop{Key: w.Key(), Host: host, Task: r.Task, Number: r.Number, Why: "not assigned"})
+			if t != nil {
+				strays = append(strays, t)
+			}
 			continue
 		}
 		there[r.Task] = true
@@ -46,6 +53,9 @@
 			s.stop(t, "again")
 		}
 	}
+	for _, t := range strays {
+		w.stray(t)
+	}
 	return kept
 }
 
@@ -113,6 +123,7 @@
 }
 
 func (s *Scheduler) end(now time.Time, w *worker, e batch.End) {
+	w.strayed(e.Task)
 	t := s.task(e.Task)
 	if t == nil {
 		return
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -333,3 +333,27 @@
 	g.Expect(s[0].Key.ID).To(Equal("2"))
 	g.Expect(s[0].Ticket).To(Equal("t"))
 }
+
+// A run that's being stopped takes its room until its end is listed, also one
+// that a worker brings along and nobody assigned (seen after a takeover on
+// release-and-scale: two such runs, and starts refused for want of room; a
+// worker that doesn't guard its room would have been overfilled).
+func TestStraysTakeRoomUntilTheyEnd(t *testing.T) {
+	g := NewWithT(t)
+	f := newBench(aWorker("1", 4000))
+	f.Add(f.now, aJob("a", "urgent", aStep(1, 3000)), nil, false)
+	s := f.after(0).Starts[0]
+	f.there(s)
+	f.Cancel(f.now, "a")
+	f.after(0)
+	f.Gone(s.Key)
+	f.Join(f.now, "host-1", aWorker("1", 4000), []batch.Run{{Task: s.Task, Number: 1}}, nil)
+	f.Add(f.now, aJob("b", "urgent", aStep(2, 1000)), nil, false)
+	g.Expect(f.after(0).Starts).To(HaveLen(1), "a thousand are left beside the stray")
+	f.Join(f.now, "host-1", aWorker("1", 4000), []batch.Run{
+		{Task: s.Task, Number: 1}, {Task: f.orders.Starts[0].Task, Number: 1},
+	}, nil)
+	g.Expect(f.after(0).Starts).To(BeEmpty(), "it counts once")
+	f.end(s, batch.Stopped)
+	g.Expect(f.after(0).Starts).To(HaveLen(1))
+}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -15,6 +15,8 @@
 	// silent workers take no orders; what they run stays theirs.
 	silent bool
 	tasks  map[batch.Task]*task
+	// strays are what runs take that nobody assigned, until their ends are listed.
+	strays map[batch.Task]batch.Resources
 	// victims are the tasks with a target for their tail.
 	victims []*task
 	// open is how open the worker is to filling work, as found at openAt.
@@ -144,6 +146,23 @@
 	}
 }
 
+// stray counts a run that is to be stopped; it takes its room until its end is listed.
+func (w *worker) stray(t *task) {
+	if w.strays == nil {
+		w.strays = map[batch.Task]batch.Resources{}
+	}
+	w.strays[t.id] = need(t.step.Step)
+	w.used = w.used.Plus(w.strays[t.id])
+}
+
+// strayed gives the room of a stray back.
+func (w *worker) strayed(t batch.Task) {
+	if n, ok := w.strays[t]; ok {
+		w.used = w.used.Minus(n)
+		delete(w.strays, t)
+	}
+}
+
 // takes reports whether the worker takes new work at all.
 func (w *worker) takes(now time.Time) bool {
 	if w.silent || w.Draining || w.health.aside(now) {
