Pass over jobs that are over once, and rate a job once a pass

A pass went through all jobs, also those that ended in the last two minutes, and worked a job's objective and value out again for each of its steps. The open jobs are now kept apart, and lose those that are over as they're met. Tried and left: a list of a worker's newest filling tasks for all its victims (no gain, one list a call).

--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -54,11 +54,18 @@
 // claims returns the steps with waiting tasks, first the one to serve first.
 func (s *Scheduler) claims(now time.Time) []claim {
 	var cs []claim
-	for _, j := range s.jobs {
-		if j.state.Final() || j.left == 0 || j.earlier {
+	for id, j := range s.open {
+		if j.state.Final() {
+			delete(s.open, id)
+			continue
+		}
+		if j.left == 0 || j.earlier {
 			continue
 		}
 		q := s.terms(j)
+		objective := time.Duration(q.Stretch*float64(j.chain)) + q.Objective
+		mean := s.work[j.Queue].value()
+		density := (0.3*mean + 0.7*j.total) / math.Max(j.remaining, 0.05*mean+1e-3)
 		for _, o := range j.runs {
 			if o.left == 0 {
 				continue
@@ -77,8 +84,7 @@
 				if st.waiting == 0 || st.left == 0 || !st.ready() {
 					continue
 				}
-				objective := time.Duration(q.Stretch*float64(j.chain)) + q.Objective
-				c := claim{step: st, priority: q.Priority}
+				c := claim{step: st, priority: q.Priority, density: density}
 				c.slack = begin.Add(objective).Sub(now) - st.ahead
 				switch {
 				case c.slack >= 0:
@@ -88,8 +94,6 @@
 				default:
 					c.tier = tierHopeless
 				}
-				mean := s.work[j.Queue].value()
-				c.density = (0.3*mean + 0.7*j.total) / math.Max(j.remaining, 0.05*mean+1e-3)
 				cs = append(cs, c)
 			}
 		}
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -69,7 +69,9 @@
 
 // A Scheduler holds all jobs and workers. It's used by one goroutine.
 type Scheduler struct {
-	jobs    map[batch.JobID]*job
+	jobs map[batch.JobID]*job
+	// open are the jobs that weren't over when they were looked at last.
+	open    map[batch.JobID]*job
 	workers map[batch.WorkerKey]*worker
 	queues  map[string]batch.Queue
 	// settled is set once each host that may run earlier work has been heard or waited out.
@@ -88,6 +90,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		jobs:    map[batch.JobID]*job{},
+		open:    map[batch.JobID]*job{},
 		workers: map[batch.WorkerKey]*worker{},
 		queues:  map[string]batch.Queue{},
 		dirty:   map[batch.JobID]bool{},
@@ -135,7 +138,7 @@
 	if p != nil {
 		j.load(p)
 	}
-	s.jobs[b.ID] = j
+	s.jobs[b.ID], s.open[b.ID] = j, j
 	m := s.work[b.Queue]
 	if m == nil {
 		m = &mean{}
@@ -214,7 +217,7 @@
 // Pending returns how many jobs of a queue wait for their first start.
 func (s *Scheduler) Pending(queue string) int {
 	n := 0
-	for _, j := range s.jobs {
+	for _, j := range s.open {
 		if j.Queue == queue && !j.begun && !j.state.Final() {
 			n++
 		}
