Read the others' times only where a scheduler's own aren't enough; one Resign

Each ping built lists of all sessions' and lost nodes' times, though the first condition answers almost always: work that grows with the square of the hosts. The times are now iterated, and only when they decide. The hand-over described all sessions twice; the wait for the heir stood in node and in dispatch, which now has the whole of Resign.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -12,8 +12,8 @@
 const (
 	// handOverEvery is how often a better suited scheduler is looked for; one shows itself over seconds.
 	handOverEvery = time.Second
-	// HeirLead is how much earlier than the term is given up the heir is told.
-	HeirLead = 50 * time.Millisecond
+	// heirLead is how much earlier than the term is given up the heir is told.
+	heirLead = 50 * time.Millisecond
 )
 
 // process describes a session to the succession.
@@ -38,37 +38,53 @@
 
 // tenure describes the term.
 func (d *Dispatcher) tenure() succession.Tenure {
-	t := succession.Tenure{Answered: d.Term.Contact()}
-	for name, s := range d.sessions {
-		if name != d.Node && !s.contact.IsZero() {
-			t.Others = append(t.Others, s.contact)
-		}
-	}
-	for name, at := range d.lastHeard {
-		if name != d.Node {
-			t.Lost = append(t.Lost, at)
-		}
+	return succession.Tenure{
+		Answered: d.Term.Contact(),
+		Others: func(yield func(time.Time) bool) {
+			for name, s := range d.sessions {
+				if name != d.Node && !s.contact.IsZero() && !yield(s.contact) {
+					return
+				}
+			}
+		},
+		Lost: func(yield func(time.Time) bool) {
+			for name, at := range d.lastHeard {
+				if name != d.Node && !yield(at) {
+					return
+				}
+			}
+		},
 	}
-	return t
 }
 
-// NameHeir tells the best suited process that it's to take the lead soon; false where there's none.
-func (d *Dispatcher) NameHeir() bool {
+// Resign gives the term up for a process that ends, and names its heir first.
+func (d *Dispatcher) Resign(ctx context.Context) {
 	named := make(chan bool, 1)
-	if !d.post(func(now time.Time) {
+	if d.post(func(now time.Time) {
 		h, ok := succession.Heir(now, d.others(now))
 		if ok {
 			d.offer(h, "this process ends")
 		}
 		named <- ok
 	}) {
-		return false
+		select {
+		case ok := <-named:
+			if ok {
+				d.awaitHeir()
+			}
+		case <-d.Term.Lost():
+		}
 	}
+	d.Term.Resign(ctx)
+}
+
+// awaitHeir gives the heir time to hear of it; false where the term ended meanwhile.
+func (d *Dispatcher) awaitHeir() bool {
 	select {
-	case ok := <-named:
-		return ok
 	case <-d.Term.Lost():
 		return false
+	case <-time.After(heirLead):
+		return true
 	}
 }
 
@@ -84,22 +100,22 @@
 	if own == nil {
 		return
 	}
-	d.strongest = succession.Strongest(append(d.others(now), own.process(now)))
+	self, others := own.process(now), d.others(now)
+	d.strongest = succession.Strongest(append(others, self))
 	if !d.plan.Settled() || now.Sub(d.Term.Contact()) > succession.Fresh {
 		return
 	}
-	h, ok := succession.Successor(now, own.process(now), d.others(now))
+	h, ok := succession.Successor(now, self, others)
 	if !ok {
 		return
 	}
 	d.offer(h, "better suited")
 	d.stopped.Go(func() {
+		if !d.awaitHeir() {
+			return
+		}
 		c, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), storeCall)
 		defer cancel()
-		select {
-		case <-d.Term.Lost():
-		case <-time.After(HeirLead):
-			d.Term.Resign(c)
-		}
+		d.Term.Resign(c)
 	})
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -339,7 +339,7 @@
 // scheduler may have heard of it too and hosts are still unheard, the store's
 // watch decides when it may begin.
 func (d *Dispatcher) accepted(now time.Time, a *link.Accepted) {
-	if !d.loaded || !d.plan.Settled() {
+	if !d.plan.Settled() {
 		return
 	}
 	d.add(now, kv.Item{Key: JobPrefix + string(a.Job), Value: a.Value, Revision: kv.Revision(a.Revision)}, nil, false)
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -106,9 +105,10 @@
 
 // stepDown gives the term up where others reach the store and this process doesn't.
 func (d *Dispatcher) stepDown(now time.Time) {
-	if t := d.tenure(); t.Superseded(now) {
+	t := d.tenure()
+	if at, ok := t.Superseded(now); ok {
 		d.Log.Warning(eventlog.LeadLost).Str("why", "another node reaches the store").
-			Dur("storeAge", now.Sub(t.Answered)).Dur("peerAge", now.Sub(slices.MaxFunc(t.Others, time.Time.Compare))).Msg("")
+			Dur("storeAge", now.Sub(t.Answered)).Dur("peerAge", now.Sub(at)).Msg("")
 		d.Term.Lose()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,16 +136,12 @@
 // Resign gives the lead up, if this node has it, and doesn't take it again.
 func (n *Node) Resign(ctx context.Context) {
 	n.mu.Lock()
-	t, d := n.term, n.lead
+	d := n.lead
 	n.resigned = true
 	n.mu.Unlock()
-	if t == nil {
-		return
-	}
-	if d.NameHeir() {
-		n.pause(ctx, dispatch.HeirLead)
+	if d != nil {
+		d.Resign(ctx)
 	}
-	t.Resign(ctx)
 }
 
 // yield makes this node the heir of the scheduler with that epoch.
--- a/pkg/decide/succession/tenure.go
+++ b/pkg/decide/succession/tenure.go
@@ -1,6 +1,9 @@
 package succession
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 const (
 	// Fresh is how old the store's last answer may be without asking whether
@@ -13,21 +16,22 @@
 	outageSpread = 600 * time.Millisecond
 	// heardEvery is how often a process is heard at least, with the slowest link.
 	heardEvery = 600 * time.Millisecond
-	// silence is how long a process may be silent until it's given up.
-	silence = 2 * time.Second
+	// Silence is how long a process may be silent until it's given up; three pings fit.
+	Silence = 2 * time.Second
 	// superseding is how much newer than a scheduler's own last answer another
 	// process's has to be for it to give up: several of its renewals come in between.
 	superseding = time.Second
 )
 
-// A Tenure is what a scheduler knows of its term.
+// A Tenure is what a scheduler knows of its term. The times of others are only
+// read where its own aren't enough.
 type Tenure struct {
 	// Answered is when the store answered the scheduler last.
 	Answered time.Time
 	// Others is when it answered the other processes last, as far as they told.
-	Others []time.Time
+	Others iter.Seq[time.Time]
 	// Lost is when the processes that aren't in touch any more were heard last.
-	Lost []time.Time
+	Lost iter.Seq[time.Time]
 }
 
 // Newest reports whether no other term can have begun, as far as the scheduler
@@ -40,30 +44,31 @@
 	case age > rideThrough:
 		return false
 	}
-	for _, at := range t.Others {
+	for at := range t.Others {
 		if at.Sub(t.Answered) > outageSpread {
 			return false
 		}
 	}
 	// A process that fell silent together with the store may be the one that
 	// reaches it. One that was heard for longer met the outage too.
-	for _, at := range t.Lost {
-		if after := at.Sub(t.Answered); after > -silence && after < outageSpread+heardEvery {
+	for at := range t.Lost {
+		if after := at.Sub(t.Answered); after > -Silence && after < outageSpread+heardEvery {
 			return false
 		}
 	}
 	return true
 }
 
-// Superseded reports whether others reach the store and the scheduler doesn't.
-func (t Tenure) Superseded(now time.Time) bool {
+// Superseded reports whether others reach the store and the scheduler doesn't,
+// and when it answered one of them.
+func (t Tenure) Superseded(now time.Time) (time.Time, bool) {
 	if now.Sub(t.Answered) < Fresh {
-		return false
+		return time.Time{}, false
 	}
-	for _, at := range t.Others {
+	for at := range t.Others {
 		if at.Sub(t.Answered) > superseding {
-			return true
+			return at, true
 		}
 	}
-	return false
+	return time.Time{}, false
 }
--- a/pkg/decide/succession/tenure_test.go
+++ b/pkg/decide/succession/tenure_test.go
@@ -1,6 +1,7 @@
 package succession_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -35,10 +36,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			x := succession.Tenure{Answered: now, Others: c.others, Lost: c.lost}
+			x := succession.Tenure{Answered: now, Others: slices.Values(c.others), Lost: slices.Values(c.lost)}
 			at := now.Add(time.Duration(c.at) * time.Millisecond)
 			g.Expect(x.Newest(at)).To(Equal(c.newest))
-			g.Expect(x.Superseded(at)).To(Equal(c.superseded))
+			_, superseded := x.Superseded(at)
+			g.Expect(superseded).To(Equal(c.superseded))
 		})
 	}
 }
