--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,7 +23,7 @@
 )
 
 // LeadTTL is the store's lease on the lead; a killed scheduler is replaced after it, so it's near the store's least.
-const LeadTTL = 1200 * time.Millisecond
+const LeadTTL = succession.Fresh
 
 // A Control is one process. Its exported fields are set before Run.
 type Control struct {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -17,13 +17,11 @@
 
 // The keys of the election.
 const (
-	leadKey  = "sesame/lead"
-	epochKey = "sesame/epoch"
+	leadKey = "sesame/lead"
+	// EpochKey is the key whose revision fences the scheduler's own changes.
+	EpochKey = "sesame/epoch"
 )
 
-// EpochKey is the key whose revision fences the scheduler's own changes.
-const EpochKey = epochKey
-
 // callTimeout bounds a call to the store; it's above the store's answer from the farthest region on a slow day.
 const callTimeout = 600 * time.Millisecond
 
@@ -65,7 +63,7 @@
 	c, cancel := context.WithTimeout(ctx, 4*callTimeout)
 	defer cancel()
 	var before kv.Revision
-	switch i, err := e.Store.Get(c, epochKey); {
+	switch i, err := e.Store.Get(c, EpochKey); {
 	case err == nil:
 		before = i.Revision
 	case !errors.Is(err, kv.ErrNotFound):
@@ -107,11 +105,11 @@
 		return 0, errors.Wrap(err, "election: encode")
 	}
 	c := kv.Change{
-		Conditions: []kv.Condition{{Key: leadKey}, {Key: epochKey, Revision: epoch}},
+		Conditions: []kv.Condition{{Key: leadKey}, {Key: EpochKey, Revision: epoch}},
 		Puts:       []kv.Put{{Key: leadKey, Value: v, Lease: lease}},
 	}
 	if first {
-		c.Puts = append(c.Puts, kv.Put{Key: epochKey, Value: []byte(e.Node)})
+		c.Puts = append(c.Puts, kv.Put{Key: EpochKey, Value: []byte(e.Node)})
 	}
 	r, err := e.Store.Apply(ctx, c)
 	if errors.Is(err, kv.ErrUnknown) {
@@ -221,7 +219,7 @@
 	c, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
 	if _, err := t.take(c, t.Epoch, false); errors.Is(err, ErrTaken) {
-		if i, err := t.elector.Store.Get(c, epochKey); err == nil && i.Revision != t.Epoch {
+		if i, err := t.elector.Store.Get(c, EpochKey); err == nil && i.Revision != t.Epoch {
 			t.Lose()
 		}
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamestream/sesamestream/internal/codec"
+	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
 // The errors of a link.
@@ -26,8 +27,8 @@
 	maxFrame = 2 << 20
 	// queueLength is how many messages may wait for a slow reader before the link is closed.
 	queueLength = 4096
-	// SessionTimeout ends a session by silence on either side; three pings fit.
-	SessionTimeout = 2 * time.Second
+	// SessionTimeout ends a session by silence on either side.
+	SessionTimeout = succession.Silence
 	// writeTimeout closes a link whose reader takes nothing; it's above the time in which a session ends by silence.
 	writeTimeout = 3 * time.Second
 )
