Use the one pause that a context ends

The gateway, the host agent and kv had written store.Pause again. It now stands in internal/steady, as what waits needn't know the store of journals, and all call it. The host agent notes a start where it's locked already. Behaviour unchanged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,7 +12,7 @@
 	"github.com/sesamestream/sesamestream/internal/base"
 	"github.com/sesamestream/sesamestream/internal/message"
 	"github.com/sesamestream/sesamestream/internal/peer"
-	"github.com/sesamestream/sesamestream/internal/store"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/target"
 	"github.com/sesamestream/sesamestream/pkg/decide/admit"
 	"github.com/sesamestream/sesamestream/pkg/decide/host"
@@ -167,9 +167,9 @@
 	a.tasks.runner.Tell(host.Drain{Draining: true})
 	bound, cancel := context.WithTimeout(ctx, a.Drain)
 	defer cancel()
-	store.Pause(bound, leaveTime)
+	steady.Pause(bound, leaveTime)
 	a.gate.Drain()
 	for a.running.Load() > 0 && bound.Err() == nil {
-		store.Pause(bound, drainPoll)
+		steady.Pause(bound, drainPoll)
 	}
 }
--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -16,6 +16,7 @@
 	"github.com/sesamestream/sesamestream/internal/ownership"
 	"github.com/sesamestream/sesamestream/internal/peer"
 	"github.com/sesamestream/sesamestream/internal/shard"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 	"github.com/sesamestream/sesamestream/pkg/table"
@@ -138,7 +139,7 @@
 		}
 		s.base.Log.Warn().Str("event", "ownerStopped").Int("shard", n).Err(err).Msg("")
 		// Only a holder opens the journal again: opening it fences whoever has it now.
-		for store.Pause(ctx, ownerBackoff) && !s.manager.Holds(n, time.Now()) {
+		for steady.Pause(ctx, ownerBackoff) && !s.manager.Holds(n, time.Now()) {
 			continue
 		}
 	}
--- a/internal/base/jobs.go
+++ b/internal/base/jobs.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamestream/sesamestream/internal/message"
 	"github.com/sesamestream/sesamestream/internal/peer"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 	"github.com/sesamestream/sesamestream/pkg/decide/task"
 )
@@ -79,7 +80,7 @@
 		}
 		sent = sent || errors.Is(err, peer.ErrBroken) || errors.Is(err, store.ErrUnknown)
 		b.ForgetOwner(q.Shard)
-		if !store.Pause(ctx, jobPause) {
+		if !steady.Pause(ctx, jobPause) {
 			break
 		}
 	}
--- a/internal/base/tables.go
+++ b/internal/base/tables.go
@@ -12,6 +12,7 @@
 	"github.com/sesamestream/sesamestream/internal/message"
 	"github.com/sesamestream/sesamestream/internal/peer"
 	"github.com/sesamestream/sesamestream/internal/runner"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 	"github.com/sesamestream/sesamestream/internal/tables"
 	"github.com/sesamestream/sesamestream/pkg/decide/tablesync"
@@ -159,7 +160,7 @@
 		}
 		s.base.Log.Debug().Str("event", "watchFailed").Err(err).Msg("")
 		s.runner.Tell(tablesync.StoreUnreachable{})
-		store.Pause(ctx, b.NextBackOff())
+		steady.Pause(ctx, b.NextBackOff())
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,7 @@
 	"github.com/sesamestream/sesamestream/internal/base"
 	"github.com/sesamestream/sesamestream/internal/caller"
 	"github.com/sesamestream/sesamestream/internal/runner"
-	"github.com/sesamestream/sesamestream/internal/store"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/pkg/decide/attempt"
 	"github.com/sesamestream/sesamestream/pkg/decide/member"
 	"github.com/sesamestream/sesamestream/pkg/decide/route"
@@ -84,7 +84,7 @@
 	return e.Base.Run(ctx,
 		func(ctx context.Context) {
 			e.Caller.Leave()
-			store.Pause(ctx, leaveTime)
+			steady.Pause(ctx, leaveTime)
 			stop()
 			<-served
 			e.Base.Leave()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
@@ -239,7 +240,7 @@
 		if ctx.Err() != nil || g.away() > giveUpAfter {
 			return Verdict{Outcome: Unknown}
 		}
-		wait(ctx)
+		steady.Pause(ctx, retryPause)
 	}
 }
 
@@ -287,14 +288,6 @@
 	return Verdict{Refused, min(max(g.away().Round(time.Second), storeRetryAfter), storeRetryLimit)}
 }
 
-// wait waits for the pause before the store is asked again.
-func wait(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(retryPause):
-	}
-}
-
 // ask asks the scheduler.
 func (g *Gateway) ask(ctx context.Context, a link.Ask) (link.Reply, bool) {
 	ch := make(chan link.Reply, 1)
@@ -344,7 +337,7 @@
 		if r, ok := g.ask(ctx, link.Ask{Queue: queue}); ok {
 			return r.Pending, true
 		}
-		wait(ctx)
+		steady.Pause(ctx, retryPause)
 	}
 	return 0, false
 }
@@ -365,7 +358,7 @@
 			g.Log.Warning(eventlog.StateUnknown).Str("job", string(id)).Err(err).Msg("")
 			return "", Unknown
 		}
-		wait(ctx)
+		steady.Pause(ctx, retryPause)
 	}
 }
 
@@ -449,6 +442,6 @@
 		if ctx.Err() != nil {
 			return Unknown
 		}
-		wait(ctx)
+		steady.Pause(ctx, retryPause)
 	}
 }
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -346,6 +346,7 @@
 		return
 	}
 	h.facts[s.Task] = s.Fact
+	h.ordered(s.Task, s.Number)
 	fence := h.fence
 	a.ended.Go(func() { h.start(s, fence) })
 }
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/decide/pacing"
@@ -229,7 +230,7 @@
 			a.Log.Warning(eventlog.RunPaced).Str("task", next.task.String()).Int("run", next.number).Int("percent", percent).Err(err).Msg("")
 		}
 		if unanswered {
-			h.pause()
+			steady.Pause(h.ctx, orderPause)
 		}
 	}
 }
--- a/internal/hostagent/order.go
+++ b/internal/hostagent/order.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
@@ -45,9 +46,6 @@
 	a := h.agent
 	open := false
 	refusal := link.RefusedSilent
-	a.mu.Lock()
-	h.ordered(s.Task, s.Number)
-	a.mu.Unlock()
 	for range startTries {
 		a.mu.Lock()
 		until, ok := h.lease()
@@ -80,7 +78,7 @@
 			refusal = r
 			break
 		}
-		h.pause()
+		steady.Pause(h.ctx, orderPause)
 	}
 	a.Log.Warning(eventlog.RunRefused).Str("job", string(s.Task.Job)).Str("task", s.Task.String()).Int("run", s.Number).
 		Str("worker", s.Key.ID).Str("why", string(refusal)).Bool("unanswered", open).Int64("fence", fence).Msg("")
@@ -134,15 +132,7 @@
 		if errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherLife) {
 			return false, false
 		}
-		h.pause()
-	}
-}
-
-// pause waits before an unanswered order is sent again.
-func (h *held) pause() {
-	select {
-	case <-h.ctx.Done():
-	case <-time.After(orderPause):
+		steady.Pause(h.ctx, orderPause)
 	}
 }
 
@@ -189,6 +179,6 @@
 			a.Log.Warning(eventlog.RunRefused).Str("task", t.String()).Int("run", run).Err(err).Msg("stop")
 			return true
 		}
-		h.pause()
+		steady.Pause(h.ctx, orderPause)
 	}
 }
--- a/internal/journal/io.go
+++ b/internal/journal/io.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 	"github.com/sesamestream/sesamestream/pkg/decide/journal"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
@@ -21,7 +22,7 @@
 		}
 		return journal.Paced{}
 	case journal.Wait:
-		if !store.Pause(ctx, pause()) {
+		if !steady.Pause(ctx, pause()) {
 			return nil
 		}
 		return journal.Retried{}
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 	"github.com/sesamestream/sesamestream/pkg/decide/journal"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
@@ -31,7 +32,7 @@
 	b := store.NewBackOff()
 	for {
 		s, err := l.readOnce(ctx)
-		if !errors.Is(err, errMoved) || !store.Pause(ctx, b.NextBackOff()) {
+		if !errors.Is(err, errMoved) || !steady.Pause(ctx, b.NextBackOff()) {
 			return s, err
 		}
 	}
--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/steady"
 )
 
 const (
@@ -19,14 +21,7 @@
 )
 
 // Pause waits before the store is asked again; false where ctx ended.
-func Pause(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
+func Pause(ctx context.Context) bool { return steady.Pause(ctx, pause) }
 
 // WatchOnce waits for changes below prefix for a time in which a connection that went silent is found.
 func WatchOnce(ctx context.Context, s Store, prefix string, after Revision) ([]Item, Revision, error) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
@@ -69,7 +70,7 @@
 			m.act(ctx, s)
 		}
 		d := m.Period / ticks
-		if !store.Pause(ctx, d/2+rand.N(d)) { //nolint:gosec // Jitter needs no secret.
+		if !steady.Pause(ctx, d/2+rand.N(d)) { //nolint:gosec // Jitter needs no secret.
 			break
 		}
 	}
--- a/internal/shard/owner_test.go
+++ b/internal/shard/owner_test.go
@@ -18,6 +18,7 @@
 	"github.com/sesamestream/sesamestream/internal/consul"
 	"github.com/sesamestream/sesamestream/internal/consul/standin"
 	"github.com/sesamestream/sesamestream/internal/journal"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 	"github.com/sesamestream/sesamestream/pkg/decide/task"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
@@ -254,7 +255,7 @@
 	w.runs.Go(func() {
 		for ctx.Err() == nil && !errors.Is(i.Run(ctx), ErrNotOwner) {
 			// A store that is down lets no owner begin.
-			store.Pause(ctx, time.Second)
+			steady.Pause(ctx, time.Second)
 			if ready(i.Owner) {
 				break
 			}
--- /dev/null
+++ b/internal/steady/pause.go
@@ -0,0 +1,18 @@
+package steady
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d and reports false if ctx ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/steady/steady.go
+++ b/internal/steady/steady.go
@@ -1,6 +1,7 @@
 // Package steady reads a clock that no step of the wall clock moves and that
 // goes on while the machine is suspended. Go's own monotonic clock stands
-// still then, so a lease counted by it would outlive its end.
+// still then, so a lease counted by it would outlive its end. Pauses that a
+// context ends are here too.
 package steady
 
 import (
--- a/internal/store/backoff.go
+++ b/internal/store/backoff.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"context"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -22,15 +21,3 @@
 		MaxInterval:         LastPause,
 	}
 }
-
-// Pause waits for d and reports false if ctx ended first.
-func Pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/store/door/door_test.go
+++ b/internal/store/door/door_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sesamestream/sesamestream/internal/consul"
 	"github.com/sesamestream/sesamestream/internal/consul/standin"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 	"github.com/sesamestream/sesamestream/internal/store/door"
 )
@@ -65,7 +66,7 @@
 			d := open(s)
 			doors = append(doors, d)
 			go func() {
-				for store.Pause(ctx, 50*time.Millisecond) {
+				for steady.Pause(ctx, 50*time.Millisecond) {
 					_, _, _ = d.CAS(ctx, "k", nil, 0)
 				}
 			}()
--- a/internal/store/door/store.go
+++ b/internal/store/door/store.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 )
 
@@ -17,7 +18,7 @@
 		if i == retries || !errors.Is(err, store.ErrUnavailable) || d.Resting(time.Now()) {
 			return err
 		}
-		if !store.Pause(ctx, b.NextBackOff()) {
+		if !steady.Pause(ctx, b.NextBackOff()) {
 			return err
 		}
 	}
--- a/internal/store/lease.go
+++ b/internal/store/lease.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/steady"
 )
 
 const (
@@ -49,7 +51,7 @@
 		default:
 			b.Reset()
 		}
-		if !Pause(ctx, wait) {
+		if !steady.Pause(ctx, wait) {
 			break
 		}
 	}
--- a/internal/store/settle.go
+++ b/internal/store/settle.go
@@ -5,6 +5,8 @@
 	"context"
 
 	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/steady"
 )
 
 // ErrSuperseded means another value stands, and ours may have stood before it.
@@ -42,7 +44,7 @@
 				return p, v == stands, e
 			}
 		}
-		if !Pause(ctx, b.NextBackOff()) {
+		if !steady.Pause(ctx, b.NextBackOff()) {
 			if doubt {
 				return Pair{}, false, ErrUnknown
 			}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/sesamestream/sesamestream/internal/consul"
 	"github.com/sesamestream/sesamestream/internal/consul/standin"
+	"github.com/sesamestream/sesamestream/internal/steady"
 	"github.com/sesamestream/sesamestream/internal/store"
 )
 
@@ -64,7 +65,7 @@
 		return store.ErrLeaseLapsed
 	}
 	f.end.Store(time.Now().Add(consul.MinTTL * 985 / 1000).UnixNano())
-	store.Pause(ctx, time.Duration(f.rand.IntN(12))*time.Second)
+	steady.Pause(ctx, time.Duration(f.rand.IntN(12))*time.Second)
 	if f.rand.IntN(3) == 0 {
 		return store.ErrUnknown
 	}
