--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/sesamestream/sesamestream/internal/hostagent/standin"
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/test/history"
 )
 
 // state asks an entry until it knows.
@@ -40,6 +41,24 @@
 	}
 }
 
+// submitSome hands the first n jobs in.
+func (r *rig) submitSome(n int) {
+	for i := range n {
+		r.submit(r.job(i))
+	}
+}
+
+// wantCompleted checks that the first n jobs are completed.
+func (r *rig) wantCompleted(n int) {
+	r.t.Helper()
+	for i := range n {
+		id := history.JobID(i)
+		if s, _ := r.state(id); s != batch.Completed {
+			r.t.Errorf("%s is %q", id, s)
+		}
+	}
+}
+
 // faults are what may happen, one after the other and at the same time.
 var faults = []struct {
 	name string
@@ -223,9 +242,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1, 2, 3)
 		time.Sleep(5 * time.Second)
-		for n := range 10 {
-			r.submit(r.job(n))
-		}
+		r.submitSome(10)
 		time.Sleep(15 * time.Second)
 		r.history.Settled(r.state)
 		for _, task := range r.history.DoneTasks() {
@@ -249,9 +266,7 @@
 		gone.ctl.Agent.Leave(gone.worker.Info.ID, gone.worker.Info.Born)
 		gone.kill()
 		time.Sleep(6 * time.Second)
-		for n := range 6 {
-			r.submit(r.job(n))
-		}
+		r.submitSome(6)
 		for _, p := range r.procs {
 			if p != gone {
 				p.kill()
@@ -320,9 +335,7 @@
 		settle(true, 10*time.Second, "at the start")
 		strong.kill()
 		settle(false, 3*time.Second, "after its loss")
-		for n := range 6 {
-			r.submit(r.job(n))
-		}
+		r.submitSome(6)
 		strong.start()
 		for n := range 14 {
 			time.Sleep(500 * time.Millisecond)
@@ -381,9 +394,7 @@
 		time.Sleep(10 * time.Second)
 		island := []*proc{r.procs[1], r.procs[3]}
 		r.history.Longer = 12 * time.Second
-		for n := range 8 {
-			r.submit(r.job(n))
-		}
+		r.submitSome(8)
 		r.island(island, true)
 		time.Sleep(12 * time.Second)
 		r.island(island, false)
@@ -404,12 +415,7 @@
 		if r.leads() != lead.name {
 			t.Fatalf("%s leads", r.leads())
 		}
-		var ids []batch.JobID
-		for n := range 4 {
-			j := r.job(n)
-			ids = append(ids, j.ID)
-			r.submit(j)
-		}
+		r.submitSome(4)
 		lead.kill()
 		time.Sleep(10 * time.Millisecond)
 		leaves.worker.Crash()
@@ -417,11 +423,7 @@
 		time.Sleep(500 * time.Millisecond)
 		leaves.kill()
 		time.Sleep(6 * time.Second)
-		for _, id := range ids {
-			if s, _ := r.state(id); s != batch.Completed {
-				t.Errorf("%s is %q", id, s)
-			}
-		}
+		r.wantCompleted(4)
 		// The host comes back with a new worker, and is waited for again.
 		leaves.newWorker()
 		leaves.start()
@@ -440,12 +442,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1, 2, 3)
 		time.Sleep(5 * time.Second)
-		var ids []batch.JobID
-		for n := range 4 {
-			j := r.job(n)
-			ids = append(ids, j.ID)
-			r.submit(j)
-		}
+		r.submitSome(4)
 		for range 3 {
 			time.Sleep(150 * time.Millisecond)
 			for _, p := range r.procs {
@@ -462,11 +459,7 @@
 			}
 		}
 		time.Sleep(15 * time.Second)
-		for _, id := range ids {
-			if s, _ := r.state(id); s != batch.Completed {
-				t.Errorf("%s is %q", id, s)
-			}
-		}
+		r.wantCompleted(4)
 		r.close()
 	})
 }
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -260,20 +260,4 @@
 	return r.rand.IntN(n)
 }
 
-func (r *rig) job(n int) *batch.Job {
-	queue := []string{"urgent", "wide"}[n%2]
-	j := &batch.Job{
-		ID: batch.JobID(fmt.Sprintf("%016x", n+1)), Queue: queue, Spec: "x",
-		Terms: batch.Queue{Name: queue, Service: "s", Priority: n % 2, MaxAttempts: 3, Stretch: 2, Objective: time.Second},
-	}
-	for i := range 1 + r.intn(3) {
-		s := batch.Step{
-			Count: 1 + r.intn(4), Need: batch.Resources{MilliCPU: 200 + r.intn(800), MemoryMB: 100}, Estimate: 400 * time.Millisecond,
-		}
-		if i > 0 {
-			s.After = []int{i - 1}
-		}
-		j.Steps = append(j.Steps, s)
-	}
-	return j
-}
+func (r *rig) job(n int) *batch.Job { return history.Job(n, r.intn) }
