--- a/internal/caller/responder.go
+++ b/internal/caller/responder.go
@@ -82,6 +82,7 @@
 	h.Set(HeaderReason, reason)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	p.w.WriteHeader(status)
+	// A caller that is gone needs no answer.
 	_, _ = io.WriteString(p.w, string(o)+": "+reason+"\n")
 }
 
--- a/internal/gossip/seal.go
+++ b/internal/gossip/seal.go
@@ -68,6 +68,7 @@
 	p := make([]byte, 1+chacha20poly1305.NonceSizeX, len(b)+Overhead)
 	p[0] = packetByte
 	nonce := p[1:]
+	// The runtime's reader returns no error; it ends the process instead.
 	_, _ = rand.Read(nonce)
 	return s.aead(ks[0], len(ks)).Seal(p, nonce, b, p[:1]), nil
 }
--- a/internal/hostagent/standin/worker.go
+++ b/internal/hostagent/standin/worker.go
@@ -129,6 +129,7 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if !w.dead {
+				// Nobody hears what became of a late order.
 				_ = do()
 			}
 		})
--- a/internal/kv/memory/memory.go
+++ b/internal/kv/memory/memory.go
@@ -52,6 +52,8 @@
 
 	mu     sync.Mutex
 	faults Faults
+	// set is closed once the faults change.
+	set chan struct{}
 }
 
 var _ kv.Store = (*Client)(nil)
@@ -61,13 +63,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.faults = f
+	if c.set != nil {
+		close(c.set)
+		c.set = nil
+	}
 }
 
 // begin lets the faults act before a call.
 func (c *Client) begin(ctx context.Context) (Faults, error) {
-	c.mu.Lock()
-	f := c.faults
-	c.mu.Unlock()
+	f, _ := c.now()
 	switch {
 	case f.Down:
 		<-ctx.Done()
@@ -254,7 +258,8 @@
 		}
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if c.now().Deaf {
+		f, set := c.now()
+		if f.Deaf {
 			out, at, changed = nil, after, nil
 		}
 		if len(out) > 0 {
@@ -264,24 +269,25 @@
 		case <-ctx.Done():
 			return nil, 0, kv.ErrUnknown
 		case <-end.C:
-			if c.now().Down {
+			if f.Down {
 				<-ctx.Done()
 				return nil, 0, kv.ErrUnknown
 			}
 			return nil, at, nil
 		case <-changed:
-		case <-time.After(deafLook):
+		case <-set:
 		}
 	}
 }
 
-// deafLook is how often a watch looks whether it hears.
-const deafLook = 50 * time.Millisecond
-
-func (c *Client) now() Faults {
+// now returns the faults in force, and what is closed once others are.
+func (c *Client) now() (Faults, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.faults
+	if c.set == nil {
+		c.set = make(chan struct{})
+	}
+	return c.faults, c.set
 }
 
 // Apply implements kv.Store.
@@ -298,6 +304,7 @@
 		return s.apply(x)
 	}
 	if f.Late > 0 {
+		// Nobody hears what became of a late change.
 		time.AfterFunc(f.Late, func() { _, _ = do() })
 		<-ctx.Done()
 		return 0, kv.ErrUnknown
