Hold each life of a worker under its own fence; don't let a look of the life before forget ends

A worker that starts again under its ID carries out what was sent to the life before. A start that met the next life ran there; the look that came after it still named the ends of the life before as noted, so the next life forgot an end that nobody had seen, and the task started again. The answer to such a start was also told as a refusal, and the life before as gone, while the task ran.

Change: a look after an unanswered one names no ends; each life in a session has a fence of its own; any call that another life answers ends the life at once; a life with an unanswered start is told as gone only after the next life's runs were told, or after the longest lease; the scheduler keeps what the next life carried out. A host whose fences are used up asks for a new session (it went on into those of the next session before).

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -106,7 +106,7 @@
 	m.Read(telemetry.Leading, func() float64 { return number(c.node.Leads()) })
 	m.Read(telemetry.SessionUp, func() float64 { return number(c.node.Connected()) })
 	if c.Host {
-		c.Agent = &hostagent.Agent{Log: c.Log, Send: c.node.Send, Steady: c.Steady, MaxLease: c.MaxLease, Dial: c.Dial}
+		c.Agent = &hostagent.Agent{Log: c.Log, Send: c.node.Send, Steady: c.Steady, MaxLease: c.MaxLease, Dial: c.Dial, Renew: c.node.Reconnect}
 	}
 	if c.Entry {
 		c.Gateway = &gateway.Gateway{
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -61,6 +61,8 @@
 	Steady func() time.Duration
 	// MaxLease is the longest lease that a worker takes.
 	MaxLease time.Duration
+	// Renew asks for a new session; it's called once the fences of this one are used up.
+	Renew func()
 
 	mu sync.Mutex
 	// closed is set once nothing more begins.
@@ -71,6 +73,11 @@
 	gone    []batch.WorkerKey
 	// fence is that of the session; 0 without one.
 	fence int64
+	// highest is the highest fence that was used in the session.
+	highest int64
+	// replaced are lives that are over, of which the scheduler isn't told yet,
+	// and when it is at the latest.
+	replaced map[batch.WorkerKey]time.Duration
 	// granted is when the session's lease ends, by Steady.
 	granted time.Duration
 	// pressure is what the scheduler learned of images.
@@ -126,7 +133,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	a.mu.Lock()
 	a.ctx, a.begun = ctx, a.Steady()
-	a.workers = map[batch.WorkerKey]*held{}
+	a.workers, a.replaced = map[batch.WorkerKey]*held{}, map[batch.WorkerKey]time.Duration{}
 	a.mu.Unlock()
 	<-ctx.Done()
 	// Nothing begins after this, so that all that has begun can be waited for.
@@ -144,7 +151,8 @@
 	a.MaxLease = t
 }
 
-// Workers returns the lives that are held.
+// Workers returns the lives of which the scheduler is told: those that are held,
+// and those whose end it isn't told yet.
 func (a *Agent) Workers() []batch.WorkerKey {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -152,6 +160,9 @@
 	for k := range a.workers {
 		ks = append(ks, k)
 	}
+	for k := range a.replaced {
+		ks = append(ks, k)
+	}
 	return ks
 }
 
@@ -160,7 +171,7 @@
 func (a *Agent) Clear() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ctx != nil && len(a.workers) == 0 && a.Steady()-a.begun > Grant+lapseSlack
+	return a.ctx != nil && len(a.workers) == 0 && len(a.replaced) == 0 && a.Steady()-a.begun > Grant+lapseSlack
 }
 
 // Report takes a heartbeat.
@@ -186,7 +197,11 @@
 				// A heartbeat of a life before, come late.
 				return true
 			}
-			a.lose(x, "another life took its place")
+			if o.ID == k.ID {
+				a.replace(x, "another life took its place")
+			} else {
+				a.lose(x, "another worker took its place")
+			}
 		}
 		a.hold(r)
 		return true
@@ -220,7 +235,7 @@
 
 func (a *Agent) hold(r Report) {
 	h := &held{
-		agent: a, info: r.Worker, seq: r.Seq, fence: a.fence,
+		agent: a, info: r.Worker, seq: r.Seq, fence: a.raise(),
 		// The process before this one may have asked for a lease just before it ended.
 		until:   a.Steady() + Grant,
 		changed: make(chan struct{}, 1), facts: map[batch.Task]link.Fact{}, there: map[batch.Task]present{}, saved: map[batch.Task]string{}, paces: map[paced]int{}, found: map[batch.Task]bool{},
@@ -238,24 +253,11 @@
 	a.ended.Go(h.run)
 }
 
-// lose forgets a life on which nothing runs any more.
-func (a *Agent) lose(h *held, why string) {
-	k := h.info.Key()
-	delete(a.workers, k)
-	a.gone = append(a.gone, k)
-	if len(a.gone) > goneKept {
-		a.gone = a.gone[1:]
-	}
-	h.cancel()
-	a.Log.Warning(eventlog.WorkerGone).Str("worker", k.ID).Int64("born", k.Born).Str("why", why).Msg("")
-	a.Send(link.Message{Gone: &link.Gone{Key: k, Why: why}})
-}
-
 // Welcomed opens a session: all workers are fenced anew.
 func (a *Agent) Welcomed(w link.Welcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.fence, a.granted = w.Fence, 0
+	a.fence, a.highest, a.granted = w.Fence, w.Fence, 0
 	for _, h := range a.workers {
 		h.refence(w.Fence)
 	}
@@ -302,7 +304,7 @@
 	}
 	switch {
 	case m.Facts != nil:
-		if h := a.workers[m.Facts.Key]; h != nil && h.joined == h.fence {
+		if h := a.workers[m.Facts.Key]; h != nil && h.fence != 0 && h.joined == h.fence {
 			h.acked = true
 			for _, f := range m.Facts.Facts {
 				if _, ok := h.facts[f.Task]; !ok {
--- a/internal/hostagent/hold.go
+++ b/internal/hostagent/hold.go
@@ -54,6 +54,8 @@
 		// A worker that leaves some calls unanswered is asked often, so that
 		// it's heard long before its lease would be taken for over.
 		o.Wait, limit = 0, orderTimeout
+		// It may have begun another life, which would forget ends of its own.
+		o.Noted = 0
 	}
 	c, cancel := context.WithTimeout(h.ctx, limit)
 	h.look = cancel
@@ -81,7 +83,7 @@
 	if h.lapsed {
 		// It counts as gone; what runs there now needs a fence that no order of before has.
 		h.lapsed = false
-		h.fence++
+		h.fence = a.raise()
 		h.joined, h.acked = 0, false
 		return true
 	}
@@ -95,6 +97,7 @@
 		}
 		h.adopt(lists.Running)
 		a.Send(link.Message{Snapshot: &link.Snapshot{Fence: a.fence, Worker: h.info, Running: lists.Running, Ended: lists.Ended}})
+		a.succeeds(h)
 		return true
 	}
 	h.reconcile(asked, lists)
@@ -107,8 +110,7 @@
 // missed takes in that a look failed.
 func (h *held) missed(err error) {
 	a := h.agent
-	if errors.Is(err, ErrOtherLife) {
-		a.lose(h, "another life answers")
+	if h.otherLife(err) {
 		return
 	}
 	if !h.failing {
--- a/internal/hostagent/order.go
+++ b/internal/hostagent/order.go
@@ -65,7 +65,12 @@
 			h.sample(answer, a.Steady())
 			h.confirmed(s.Task, s.Number)
 		}
+		other := h.otherLife(err)
 		a.mu.Unlock()
+		if other {
+			// What the next life runs is told by its own lists.
+			return
+		}
 		if err == nil {
 			a.Log.Event(eventlog.RunStarted).Str("job", string(s.Task.Job)).Str("task", s.Task.String()).Int("run", s.Number).
 				Str("worker", s.Key.ID).Int64("fence", fence).Msg("")
@@ -112,13 +117,13 @@
 	a := h.agent
 	for {
 		a.mu.Lock()
-		ok, noted := h.current(fence), h.noted
+		ok = h.current(fence)
 		a.mu.Unlock()
 		if !ok {
 			return false, false
 		}
 		c, cancel := context.WithTimeout(h.ctx, orderTimeout)
-		_, l, err := h.client.Hold(c, HoldOrder{Fence: fence, Noted: noted})
+		_, l, err := h.client.Hold(c, HoldOrder{Fence: fence})
 		cancel()
 		if err == nil {
 			for _, r := range l.Running {
@@ -129,7 +134,10 @@
 			}
 			return there, true
 		}
-		if errors.Is(err, ErrFenced) || errors.Is(err, ErrOtherLife) {
+		a.mu.Lock()
+		other := h.otherLife(err)
+		a.mu.Unlock()
+		if other || errors.Is(err, ErrFenced) {
 			return false, false
 		}
 		steady.Pause(h.ctx, orderPause)
@@ -151,7 +159,7 @@
 		return link.RefusedUnhealthy, true
 	case errors.Is(err, ErrFenced):
 		return link.RefusedFence, true
-	case errors.Is(err, ErrOtherLife), errors.Is(err, ErrRejected):
+	case errors.Is(err, ErrRejected):
 		return link.RefusedOther, true
 	}
 	return link.RefusedSilent, false
@@ -170,10 +178,13 @@
 		c, cancel := context.WithTimeout(h.ctx, orderTimeout)
 		_, err := h.client.Stop(c, t, run, fence)
 		cancel()
+		a.mu.Lock()
+		other := h.otherLife(err)
+		a.mu.Unlock()
 		switch {
 		case err == nil:
 			return true
-		case errors.Is(err, ErrFenced), errors.Is(err, ErrOtherLife):
+		case other, errors.Is(err, ErrFenced):
 			return false
 		case errors.Is(err, ErrRejected), errors.Is(err, ErrOldRun):
 			a.Log.Warning(eventlog.RunRefused).Str("task", t.String()).Int("run", run).Err(err).Msg("stop")
--- a/internal/hostagent/worker.go
+++ b/internal/hostagent/worker.go
@@ -15,8 +15,11 @@
 	ErrNotSent = errors.New("hostagent: order not sent")
 	// ErrNoAnswer is returned for an order that may be carried out, also later.
 	ErrNoAnswer = errors.New("hostagent: no answer")
-	// ErrOtherLife is returned where another life of the worker answers.
+	// ErrOtherLife is returned where another life of the worker answers, which did nothing.
 	ErrOtherLife = errors.New("hostagent: another life answers")
+	// ErrNextLife is returned where a later life under the same ID answers,
+	// which may have carried the order out. It is an ErrOtherLife too.
+	ErrNextLife = errors.WithMessage(ErrOtherLife, "hostagent: the order may have been carried out")
 	// ErrUnhealthy is returned where the worker did nothing since it's unwell.
 	ErrUnhealthy = errors.New("hostagent: worker is unhealthy")
 	// ErrFenced is returned where a newer fence was seen.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,6 +119,15 @@
 	return true
 }
 
+// Reconnect ends the session, if there is one, so that another begins.
+func (n *Node) Reconnect() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conn != nil {
+		n.conn.Close()
+	}
+}
+
 // Connected reports whether there is a session.
 func (n *Node) Connected() bool {
 	n.mu.Lock()
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -34,6 +34,11 @@
 			t.assign(w, r.Number, now)
 			t.there = true
 			t.step.run = max(t.step.run, r.Number)
+		case t != nil && t.worker != nil && t.worker.before(w) && t.run == r.Number && !t.stopping && !t.done && !t.step.job.state.Final():
+			// A start that was meant for the life before was carried out by this one.
+			t.release()
+			t.assign(w, r.Number, now)
+			t.there = true
 		default:
 			s.stops = append(s.stops, Stop{Key: w.Key(), Host: host, Task: r.Task, Number: r.Number, Why: "not assigned"})
 			if t != nil {
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -357,3 +357,25 @@
 	f.end(s, batch.Stopped)
 	g.Expect(f.after(0).Starts).To(HaveLen(1))
 }
+
+// A start that was meant for a life of a worker and carried out by the next one
+// goes on there, and the end of the life before takes nothing away.
+func TestNextLifeKeepsWhatItCarriedOut(t *testing.T) {
+	g := NewWithT(t)
+	w := aWorker("1", 4000)
+	f := newBench(w, aWorker("2", 2000))
+	f.Add(f.now, aJob("j", "urgent", aStep(1, 1000)), nil, false)
+	s := f.after(0).Starts[0]
+	g.Expect(s.Key).To(Equal(w.Key()))
+	next := w
+	next.Born++
+	g.Expect(f.Join(f.now, s.Host, next, []batch.Run{{Task: s.Task, Number: s.Number}}, nil)).To(ConsistOf(s.Task))
+	f.Gone(w.Key())
+	o := f.after(time.Second)
+	g.Expect(o.Starts).To(BeEmpty())
+	g.Expect(o.Stops).To(BeEmpty())
+	f.Ended(f.now, next.Key(), []batch.End{{Seq: 1, Task: s.Task, Number: s.Number, How: batch.Done}})
+	f.Stored("j", &Progress{State: batch.Completed})
+	state, _ := f.State("j")
+	g.Expect(state).To(Equal(batch.Completed))
+}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -105,6 +105,9 @@
 	return free - w.filling
 }
 
+// before reports whether w is an earlier life of x.
+func (w *worker) before(x *worker) bool { return w.ID == x.ID && w.Born < x.Born }
+
 func (w *worker) room() batch.Resources { return w.Room.Minus(w.used) }
 
 // need is what t takes of the worker's room.
