Ask for signals before the settings are read

Change: both programs ask first of all. Ruled out: a crash; the log holds nothing but the start of the process.

--- a/cmd/sesamestream-platform/main.go
+++ b/cmd/sesamestream-platform/main.go
@@ -27,6 +27,11 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// Until it's asked for, a signal ends the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	f := flag.NewFlagSet("sesamestream-platform", flag.ContinueOnError)
 	port := f.Uint("metrics", 0, "port on which the figures are served; 0 is none")
 	check := f.Bool("check", false, "read the settings, say whether they hold, and end")
@@ -47,13 +52,9 @@
 		fmt.Printf("settings of %s hold\n", s.Node)
 		return 0
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	l := eventlog.New(os.Stdout, s.Node)
 	defer l.Close(logLimit)
 	l.Event(eventlog.ProcessStarted).Str("dataCentre", s.DataCentre).Str("region", s.Region).Int("pid", os.Getpid()).Msg("")
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	p := &platform.Process{Settings: s, Log: l, Reload: reload, Metrics: uint16(*port)}
 	err = p.Run(ctx)
 	l.Event(eventlog.ProcessStopped).Err(err).Msg("")
--- a/cmd/sesamestream/processes.go
+++ b/cmd/sesamestream/processes.go
@@ -45,6 +45,9 @@
 
 // runProcess runs the process that a settings file describes.
 func runProcess(ctx context.Context, file string, role fleet.Role) error {
+	// Until it's asked for, a signal ends the process.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
 	p, err := process.Load(file)
 	if err != nil {
 		return err
@@ -52,8 +55,6 @@
 	if p.Settings.Role != role {
 		return errors.Wrapf(settings.ErrInvalid, "%s: role is %s, not %s", file, p.Settings.Role, role)
 	}
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP)
 	p.Again = again
 	p.Log = newLogger(p.Settings.Log)
 	debug.SetMemoryLimit(int64(p.Settings.MemoryLimit))
