Start elsewhere what stands still or is far behind its peers; set workers aside that fail many runs at once

A task on a worker that stands still or is six times slower held its step up. Change: three failures in 0.3 s of more than one job set a worker aside, and only a run begun after that clears it; a last try isn't made on a worker that has just failed another; a job that fails everywhere isn't laid on the second worker; a worker that was set aside is tried by one run also where tasks that last are there (it was never tried again while they were). decide/straggle compares runs with the peers of their step, by progress and not by estimates. Filling work is moved only where it stands still. The stand-in's workers list the progress they have made. Shown by: the tests of decide/straggle, TestStragglersAreStartedElsewhere, TestSlowWorkerIsSetAside, TestWrongEstimatesAreNoStragglers, TestGreyWorkerIsSetAsideWhileOlderRunsEndWell, TestLastTryGoesToASoundWorker, TestWorkerThatWasSetAsideIsTriedAgain.

--- a/internal/hostagent/standin/worker.go
+++ b/internal/hostagent/standin/worker.go
@@ -199,6 +199,14 @@
 	w.changed = make(chan struct{})
 }
 
+// percent returns how far a run is, or that a lasting one is up.
+func (w *Worker) percent(t batch.Task, r *run) int {
+	if d := w.Duration(t); d > 0 {
+		return int(100 * time.Since(r.began) / d)
+	}
+	return 100
+}
+
 // Start implements hostagent.Worker.
 func (w *Worker) Start(ctx context.Context, o hostagent.StartOrder) (hostagent.Answer, error) {
 	return w.order(ctx, func() error {
@@ -302,7 +310,7 @@
 			}
 			l.Ended = append(l.Ended, kept...)
 			for t, r := range w.runs {
-				l.Running = append(l.Running, batch.Run{Task: t, Number: r.number, Percent: 50})
+				l.Running = append(l.Running, batch.Run{Task: t, Number: r.number, Percent: w.percent(t, r)})
 			}
 			sort.Slice(l.Running, func(i, j int) bool { return l.Running[i].Task.String() < l.Running[j].Task.String() })
 			changed = w.changed
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/straggle"
 )
 
 // job is a job with what has become of it.
@@ -19,7 +20,9 @@
 	begun bool
 	// earlier jobs may run on hosts that weren't heard yet.
 	earlier bool
-	runs    []*occurrence
+	// failedOn is the machine on which a task of it failed first.
+	failedOn string
+	runs     []*occurrence
 	// left counts the tasks that aren't done.
 	left int
 	// total is the estimated work of the job, remaining what is left of it, in core-seconds.
@@ -60,6 +63,8 @@
 	looked bool
 	// moved is when a place to move one of its tasks to was looked for last.
 	moved time.Time
+	// peers are the times that its tasks took.
+	peers straggle.Peers
 }
 
 // task is one task of an occurrence.
@@ -80,8 +85,16 @@
 	there    bool
 	stopping bool
 	percent  int
+	// seen is when the worker listed its progress first, and from which percent
+	// on; rose is when it rose last, and told when it was listed last.
+	seen, rose, told time.Time
+	from             int
+	// given counts the runs that were given up as their worker held them up.
+	given int
 	// avoid is the machine on which it failed or stood still last.
 	avoid string
+	// failed is when it failed last.
+	failed time.Time
 	// again is when it may be tried again.
 	again time.Time
 }
@@ -211,6 +224,7 @@
 	}
 	t.worker, t.run, t.started = w, run, now
 	t.there, t.stopping, t.percent, t.slow = false, false, 0, time.Time{}
+	t.seen, t.rose, t.told, t.from = time.Time{}, time.Time{}, time.Time{}, 0
 	w.take(t)
 	if t.step.counts != nil {
 		t.step.counts[w]++
@@ -321,6 +335,12 @@
 	return len(t.failures)
 }
 
+// lastTry reports whether the next failure of the task ends its job.
+func (t *task) lastTry(q batch.Queue) bool {
+	n := t.attempts()
+	return n > 0 && !t.step.Lasting && n+1 >= q.MaxAttempts
+}
+
 // works reports whether a task of the job was done.
 func (j *job) works() bool {
 	total := 0
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -44,6 +44,7 @@
 	}
 	if turn {
 		s.move(now, &o)
+		s.relocate(now, &o)
 	}
 	s.evacuate(now, &o)
 	o.Stops = append(o.Stops, s.stops...)
@@ -226,6 +227,7 @@
 	var best *worker
 	bestScore := math.Inf(-1)
 	var unasked []string
+	careful := t.lastTry(q) && now.Sub(t.failed) < doubtTime
 	for _, w := range s.workers {
 		// A task that is looked at for a move goes elsewhere.
 		if w == t.worker || w.Service != q.Service || !w.takes(now) || !n.Fits(w.room()) {
@@ -240,6 +242,9 @@
 		if t.avoid != "" && w.Machine == t.avoid && len(s.workers) > 1 {
 			continue
 		}
+		if careful && w.health.doubted(now) {
+			continue
+		}
 		taken := 0.0
 		if st.Fills {
 			patient := !st.patienceOver(now)
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -48,7 +48,7 @@
 		}
 		there[r.Task] = true
 		kept = append(kept, r.Task)
-		t.see(r)
+		t.see(now, r)
 	}
 	for id, t := range w.tasks {
 		if !there[id] {
@@ -73,8 +73,14 @@
 }
 
 // see takes in a row of a worker's list.
-func (t *task) see(r batch.Run) {
-	t.percent = r.Percent
+func (t *task) see(now time.Time, r batch.Run) {
+	switch {
+	case t.seen.IsZero():
+		t.seen, t.rose, t.from = now, now, r.Percent
+	case r.Percent > t.percent:
+		t.rose = now
+	}
+	t.percent, t.told = r.Percent, now
 	if r.Saved != "" {
 		t.saved = r.Saved
 		if t.step.Gang {
@@ -154,16 +160,30 @@
 			t.step.saved = e.Saved
 		}
 	}
+	began := t.started
 	if mine {
 		t.release()
 	}
 	s.dirty[j.ID] = true
 	if e.How == batch.Done {
-		w.health.done()
+		if mine {
+			s.took(now, w, t, began)
+		}
 		s.done(now, t)
 	}
 }
 
+// took takes in what a done run that began then tells of its worker.
+func (s *Scheduler) took(now time.Time, w *worker, t *task, began time.Time) {
+	d := now.Sub(began)
+	if !t.step.Fills && t.step.peers.Slow(d) {
+		w.health.straggled(now)
+	} else {
+		w.health.done(began)
+	}
+	t.step.peers.Add(d)
+}
+
 func (s *Scheduler) done(now time.Time, t *task) {
 	j := t.step.job
 	if t.step.Lasting {
@@ -195,8 +215,15 @@
 	if t.attempts() == before {
 		return
 	}
-	t.avoid = w.Machine
-	w.health.fail(now, j.ID, j.works())
+	t.avoid, t.failed = w.Machine, now
+	works := j.works()
+	if works || j.failedOn == "" || j.failedOn == w.Machine {
+		// A job of which nothing was done and that failed elsewhere too is to blame itself.
+		w.health.fail(now, j.ID, works)
+	}
+	if j.failedOn == "" {
+		j.failedOn = w.Machine
+	}
 	s.dirty[j.ID] = true
 	if t.step.Lasting || j.state.Final() {
 		return
@@ -245,7 +272,7 @@
 		if t == nil || t.run != r.Number {
 			continue
 		}
-		t.see(r)
+		t.see(now, r)
 		if t.step.TailTarget > 0 && r.Load > 0 {
 			t.tail = tail{time.Duration(r.Load) * time.Millisecond, now}
 		}
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -82,6 +82,8 @@
 	work map[string]*mean
 	// filled is when filling work had its turn last.
 	filled time.Time
+	// judged is when runs were compared with their peers last.
+	judged time.Time
 	// model knows which images disturb which.
 	model interfere.Crowding
 }
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -36,51 +36,6 @@
 	learned time.Time
 }
 
-// health is what a worker's outcomes tell.
-type health struct {
-	// failures counts the failed runs since the last one done.
-	failures int
-	// job is the one that failed last, jobs how many did in turn.
-	job  batch.JobID
-	jobs int
-	// until is when the worker may be tried again.
-	until time.Time
-	// round is how often it was set aside without a run done since.
-	round int
-}
-
-// The bounds of setting a worker aside.
-const (
-	// failuresToSuspect is how many failed runs without one done set a worker
-	// aside, if they are of two jobs or of one that works elsewhere.
-	failuresToSuspect = 2
-	// suspectTime is how long the first time; it doubles up to suspectLimit.
-	suspectTime  = 2 * time.Second
-	suspectLimit = 8 * time.Second
-)
-
-// fail takes in a failed run of a job; works tells that other tasks of the job
-// were done, so that the job can't be to blame.
-func (h *health) fail(now time.Time, id batch.JobID, works bool) {
-	h.failures++
-	if h.job != id {
-		h.job = id
-		h.jobs++
-	}
-	if h.failures >= failuresToSuspect && (h.jobs >= 2 || works) && !now.Before(h.until) {
-		h.until = now.Add(min(suspectTime<<h.round, suspectLimit))
-		h.round = min(h.round+1, 4)
-	}
-}
-
-func (h *health) done() { *h = health{} }
-
-// aside reports whether the worker takes no new work now.
-func (h *health) aside(now time.Time) bool { return now.Before(h.until) }
-
-// probing reports whether the worker takes one run at a time.
-func (h *health) probing() bool { return h.round > 0 }
-
 // leftover learns how much processor time the filling tasks of a worker get.
 type leftover struct {
 	// seen is what they used while they wanted more, in thousandths of a core.
@@ -171,5 +126,15 @@
 	if w.silent || w.Draining || w.health.aside(now) {
 		return false
 	}
-	return !w.health.probing() || len(w.tasks) == 0
+	return !w.health.probing() || !w.probed()
+}
+
+// probed reports whether the worker has a run that tells whether it works again.
+func (w *worker) probed() bool {
+	for _, t := range w.tasks {
+		if !t.step.Lasting && !t.started.Before(w.health.until) {
+			return true
+		}
+	}
+	return false
 }
