Leave the lead to processes with a link that carries it, also after a loss of power; log ends found at a takeover

Change: strength is the scarcer of processor time and link; the epoch's key tells processes that start while nobody leads how strong the strongest is, so that equals don't wait and weak ones do. Ends that a host lists when it joins are logged like the others; a job's story had runs without an end.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -34,10 +34,12 @@
 	// Host is set where a worker runs, Entry where callers come.
 	Host, Entry bool
 	// Cores is the processor time that the process may use, in cores; 0 where it isn't known.
-	Cores   float64
-	Store   kv.Store
-	Network link.Network
-	Log     *eventlog.Log
+	Cores float64
+	// LinkMbps is how much its link carries, in Mbit/s; 0 where it isn't known.
+	LinkMbps float64
+	Store    kv.Store
+	Network  link.Network
+	Log      *eventlog.Log
 	// Steady is the clock of the leases.
 	Steady func() time.Duration
 	// Dial returns a client for a life of a worker.
@@ -66,7 +68,7 @@
 	c.node = &node.Node{
 		Elector: &election.Elector{Store: c.Store, Node: c.Name, Address: c.Address, TTL: c.LeadTTL},
 		Log:     c.Log, Network: c.Network, Listen: c.Address, Steady: c.Steady,
-		Self: succession.Process{Name: c.Name, Cores: c.Cores, Host: c.Host},
+		Self: succession.Process{Name: c.Name, Cores: c.Cores, LinkMbps: c.LinkMbps, Host: c.Host},
 		Contact: func() time.Time {
 			if c.Gateway == nil {
 				return time.Time{}
@@ -77,7 +79,7 @@
 		Hello: func() link.Hello {
 			h := link.Hello{
 				Node: c.Name, Life: life, Address: c.Address.String(), DataCentre: c.DataCentre, Region: c.Region, Host: c.Host,
-				Cores: c.Cores,
+				Cores: c.Cores, LinkMbps: c.LinkMbps,
 			}
 			if c.Agent != nil {
 				h.Workers = c.Agent.Workers()
@@ -102,6 +104,7 @@
 			}
 		},
 	}
+	c.node.Elector.Strongest = c.node.Strongest
 	m := c.Log.Metrics
 	m.Read(telemetry.Leading, func() float64 { return number(c.node.Leads()) })
 	m.Read(telemetry.SessionUp, func() float64 { return number(c.node.Connected()) })
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -94,7 +94,7 @@
 	leaving map[string]time.Time
 	// lastHeard tells when the nodes without a session were heard last.
 	lastHeard map[string]time.Time
-	// strongest are the cores of the strongest process that no work runs beside.
+	// strongest is the strength of the strongest process that no work runs beside.
 	strongest float64
 	// notes are the ends that a worker may forget after the next flush.
 	notes map[batch.WorkerKey]int64
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -18,7 +18,7 @@
 
 // process describes a session to the succession.
 func (s *session) process(now time.Time) succession.Process {
-	p := succession.Process{Name: s.hello.Node, Cores: s.hello.Cores, Host: s.hello.Host, Answer: s.hello.StoreAnswer}
+	p := succession.Process{Name: s.hello.Node, Cores: s.hello.Cores, LinkMbps: s.hello.LinkMbps, Host: s.hello.Host, Answer: s.hello.StoreAnswer}
 	if s.fence != 0 && now.Sub(s.contact) < contactEvery {
 		p.Since = s.inTouch
 	}
@@ -89,7 +89,7 @@
 }
 
 func (d *Dispatcher) offer(h succession.Process, why string) {
-	d.Log.Event(eventlog.LeadOffered).Str("peer", h.Name).Float64("cores", h.Cores).Str("why", why).
+	d.Log.Event(eventlog.LeadOffered).Str("peer", h.Name).Float64("cores", h.Cores).Float64("linkMbps", h.LinkMbps).Str("why", why).
 		Int64("epoch", int64(d.Term.Epoch)).Msg("")
 	d.send(h.Name, link.Message{Yield: &link.Yield{Epoch: int64(d.Term.Epoch)}})
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -312,17 +312,16 @@
 
 func (d *Dispatcher) ends(now time.Time, k batch.WorkerKey, ends []batch.End) {
 	d.plan.Ended(now, k, ends)
-	for _, e := range ends {
-		d.Log.Metrics.Count(telemetry.Ends, "how", string(e.How))
-		d.Log.Event(eventlog.RunEnded).Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Int("run", e.Number).
-			Str("how", string(e.How)).Str("worker", k.ID).Int64("seq", e.Seq).Msg("")
-	}
 	d.note(k, ends)
 }
 
+// note logs ends that were taken in, and has the worker forget them after the next flush.
 func (d *Dispatcher) note(k batch.WorkerKey, ends []batch.End) {
 	for _, e := range ends {
 		d.notes[k] = max(d.notes[k], e.Seq)
+		d.Log.Metrics.Count(telemetry.Ends, "how", string(e.How))
+		d.Log.Event(eventlog.RunEnded).Str("job", string(e.Task.Job)).Str("task", e.Task.String()).Int("run", e.Number).
+			Str("how", string(e.How)).Str("worker", k.ID).Int64("seq", e.Seq).Msg("")
 	}
 }
 
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -41,6 +41,34 @@
 	Address netip.AddrPort
 	// TTL is the store's lease on the lead.
 	TTL time.Duration
+	// Strongest returns the strength of the strongest process known, which is
+	// kept for those that start while nobody leads; nil keeps none.
+	Strongest func() float64
+}
+
+// epochRecord is what the key of the epoch holds.
+type epochRecord struct {
+	Node      string  `json:"node"`
+	Strongest float64 `json:"strongest,omitempty"`
+}
+
+// LastStrongest returns the strength of the strongest process known when the
+// last term began, 0 where nothing is known.
+func (e *Elector) LastStrongest(ctx context.Context) (float64, error) {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	i, err := e.Store.Get(c, EpochKey)
+	if errors.Is(err, kv.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	var x epochRecord
+	if err := json.Unmarshal(i.Value, &x); err != nil {
+		return 0, errors.Wrap(err, "election: epoch")
+	}
+	return x.Strongest, nil
 }
 
 // Current returns the leader, or kv.ErrNotFound.
@@ -109,7 +137,15 @@
 		Puts:       []kv.Put{{Key: leadKey, Value: v, Lease: lease}},
 	}
 	if first {
-		c.Puts = append(c.Puts, kv.Put{Key: EpochKey, Value: []byte(e.Node)})
+		x := epochRecord{Node: e.Node}
+		if e.Strongest != nil {
+			x.Strongest = e.Strongest()
+		}
+		v, err := json.Marshal(x)
+		if err != nil {
+			return 0, errors.Wrap(err, "election: encode")
+		}
+		c.Puts = append(c.Puts, kv.Put{Key: EpochKey, Value: v})
 	}
 	r, err := e.Store.Apply(ctx, c)
 	if errors.Is(err, kv.ErrUnknown) {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -113,3 +113,18 @@
 		g.Expect(time.Since(one.Contact())).To(BeNumerically("<", ttl))
 	})
 }
+
+// Processes that start while nobody leads learn from the last term whom to leave the lead to.
+func TestEpochTellsTheStrongest(t *testing.T) {
+	g := NewWithT(t)
+	s := &memory.Store{}
+	a, _ := elector(s, "a")
+	b, _ := elector(s, "b")
+	known, err := b.LastStrongest(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(known).To(BeZero(), "no term yet")
+	a.Strongest = func() float64 { return 0.4 }
+	_, err = a.Try(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b.LastStrongest(t.Context())).To(Equal(0.4))
+}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -46,6 +46,8 @@
 	Workers []batch.WorkerKey `cbor:"8,keyasint,omitempty"`
 	// Cores is the processor time that the process may use, in cores; 0 where it isn't known.
 	Cores float64 `cbor:"9,keyasint,omitempty"`
+	// LinkMbps is how much the link of the process carries, in Mbit/s; 0 where it isn't known.
+	LinkMbps float64 `cbor:"12,keyasint,omitempty"`
 	// StoreAnswer is how long the store took to answer the process before it said hello.
 	StoreAnswer time.Duration `cbor:"11,keyasint,omitempty"`
 	// Unregistered is set where the process may have removed its key from the store.
@@ -75,7 +77,7 @@
 type Pong struct {
 	Sent  int64         `cbor:"1,keyasint"`
 	Grant time.Duration `cbor:"2,keyasint"`
-	// Strongest are the cores of the strongest process that no work runs beside; 0 where none is known.
+	// Strongest is the strength of the strongest process that no work runs beside; 0 where none is known.
 	Strongest float64 `cbor:"3,keyasint,omitempty"`
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -281,6 +281,7 @@
 		case err == nil:
 			n.session(ctx, l)
 		case errors.Is(err, kv.ErrNotFound):
+			n.askStrongest(ctx)
 			if !n.pause(ctx, n.wait()) {
 				return nil
 			}
@@ -298,6 +299,31 @@
 	return nil
 }
 
+// askStrongest learns whom to leave a free lead to where no scheduler has told it.
+func (n *Node) askStrongest(ctx context.Context) {
+	n.mu.Lock()
+	known := n.strongest > 0
+	n.mu.Unlock()
+	if known {
+		return
+	}
+	s, err := n.Elector.LastStrongest(ctx)
+	if err != nil {
+		n.Log.Warning(eventlog.StoreLost).Str("call", "epoch").Err(err).Msg("")
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.strongest = s
+}
+
+// Strongest returns the strength of the strongest process known.
+func (n *Node) Strongest() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(n.strongest, succession.Strongest([]succession.Process{n.Self}))
+}
+
 // unregister removes the key of a node without a session on which nothing can
 // run, so that the next scheduler doesn't wait for it.
 func (n *Node) unregister(ctx context.Context) {
--- a/pkg/decide/succession/succession.go
+++ b/pkg/decide/succession/succession.go
@@ -11,6 +11,8 @@
 	Name string
 	// Cores is the processor time that it may use, in cores; 0 where it isn't known.
 	Cores float64
+	// LinkMbps is how much its link carries, in Mbit/s; 0 where it isn't known.
+	LinkMbps float64
 	// Host is set where work runs beside it.
 	Host bool
 	// Answer is how long the store took to answer it.
@@ -24,9 +26,12 @@
 	// enough is the processor time in cores from which more is of no use: three
 	// times what scheduling the grown deployments takes with its links.
 	enough = 0.5
-	// weakWait is how long a process with no processor time leaves a free lead
-	// to others; a caller's objective is a few seconds.
-	weakWait = 400 * time.Millisecond
+	// enoughLink is the capacity in Mbit/s from which more is of no use: it
+	// reads a few megabytes of jobs in some tenths of a second.
+	enoughLink = 100
+	// weakWait is how long a process of no strength leaves a free lead to
+	// others: until they have looked, and made four calls to a store in another region.
+	weakWait = 600 * time.Millisecond
 	// hostWait lets processes without work beside them go first: the loss of
 	// one then costs a scheduler or a worker, not both.
 	hostWait = 300 * time.Millisecond
@@ -42,35 +47,42 @@
 	stronger = 1.5
 )
 
-// Wait returns how long p leaves a free lead to others. Strongest are the cores
-// of the strongest process that p has heard of, 0 where none: among equals
-// nobody waits for strength.
+// Wait returns how long p leaves a free lead to others. Strongest is the
+// strength of the strongest process that p has heard of, 0 where none: among
+// equals nobody waits for strength.
 func Wait(p Process, strongest float64) time.Duration {
 	w := min(p.Answer*distanceFactor, maxDistance)
 	if p.Host {
 		w += hostWait
 	}
-	best := strength(Process{Cores: strongest})
-	return w + time.Duration(max(1-strength(p)/best, 0)*float64(weakWait))
+	if strongest <= 0 {
+		strongest = 1
+	}
+	return w + time.Duration(max(1-Strength(p)/strongest, 0)*float64(weakWait))
 }
 
-// Strongest returns the cores of the strongest process that no work runs beside.
+// Strongest returns the strength of the strongest process that no work runs beside.
 func Strongest(ps []Process) float64 {
 	most := 0.0
 	for _, p := range ps {
 		if !p.Host {
-			most = max(most, p.Cores)
+			most = max(most, Strength(p))
 		}
 	}
 	return most
 }
 
-// strength is the part of enough that p has.
-func strength(p Process) float64 {
-	if p.Cores <= 0 {
-		return 1
+// Strength returns how much p has of what scheduling takes, from 0 to 1, by
+// the scarcer of processor time and link; what isn't known is taken for enough.
+func Strength(p Process) float64 {
+	s := 1.0
+	if p.Cores > 0 {
+		s = min(s, p.Cores/enough)
+	}
+	if p.LinkMbps > 0 {
+		s = min(s, p.LinkMbps/enoughLink)
 	}
-	return min(p.Cores/enough, 1)
+	return s
 }
 
 // Heir returns the one of the others that is best suited to lead after a
@@ -96,9 +108,9 @@
 	case !ok, h.Host && !lead.Host:
 		return Process{}, false
 	case lead.Host && !h.Host:
-		return h, strength(h) >= strength(lead)
+		return h, Strength(h) >= Strength(lead)
 	}
-	return h, strength(h) >= stronger*strength(lead)
+	return h, Strength(h) >= stronger*Strength(lead)
 }
 
 // near is the difference of answer times below which two processes are equally
@@ -111,8 +123,8 @@
 	switch {
 	case a.Host != b.Host:
 		return !a.Host
-	case strength(a) != strength(b):
-		return strength(a) > strength(b)
+	case Strength(a) != Strength(b):
+		return Strength(a) > Strength(b)
 	case a.Answer/near != b.Answer/near:
 		return a.Answer < b.Answer
 	}
