Tell a tail that hovers about its target from one that stays above it

Change: above for a second on end halts all, as before; above now and again for 1.5 s does too. Beside a tail that is far above, disturbers give way to 40 % at least, and no longer to nothing at once.

--- a/pkg/decide/pacing/pacing.go
+++ b/pkg/decide/pacing/pacing.go
@@ -25,12 +25,15 @@
 	over = time.Second
 	// nearly is the share of the target that counts as above it, as the figures are rough.
 	nearly = 0.95
-	// calmLooks is how many looks in a row have to show a tail below that until
-	// it counts as below: a single rough figure may be too low.
+	// hovers is how long a tail may be above its target now and again until the
+	// same is done: with what it takes to follow, still in time.
+	hovers = 1500 * time.Millisecond
+	// calmLooks is how many looks in a row have to show a tail below its target
+	// until it no longer hovers: a single rough figure may be too low.
 	calmLooks = 2
 	// settle is how long a tail takes to follow a change of pace.
 	settle = 900 * time.Millisecond
-	// giveWay is the factor of a step back where the disturber isn't known.
+	// giveWay is the factor of a step back where the disturber, or how much is missing, isn't known.
 	giveWay = 0.4
 	// comeBack is the largest step forth in percent.
 	comeBack = 50
@@ -93,9 +96,10 @@
 	paces map[run]int
 	// set is when a run was told its pace last.
 	set map[run]time.Time
-	// above is since when a tail is over its target, and calm how many looks in a row it was not.
-	above map[run]time.Time
-	calm  map[run]int
+	// above is since when a tail is over its target, hover since when it was so
+	// now and again, and calm how many looks in a row it was not.
+	above, hover map[run]time.Time
+	calm         map[run]int
 	// cut is when the tasks beside a victim gave way last.
 	cut  map[run]time.Time
 	last time.Time
@@ -211,7 +215,7 @@
 	if m.paces == nil {
 		m.paces = map[run]int{}
 		m.above, m.cut, m.set = map[run]time.Time{}, map[run]time.Time{}, map[run]time.Time{}
-		m.calm = map[run]int{}
+		m.hover, m.calm = map[run]time.Time{}, map[run]int{}
 	}
 	for k := range m.paces {
 		if !there[k] {
@@ -223,7 +227,7 @@
 			delete(m.calm, k)
 		}
 	}
-	for _, x := range []map[run]time.Time{m.above, m.cut, m.set} {
+	for _, x := range []map[run]time.Time{m.above, m.hover, m.cut, m.set} {
 		for k := range x {
 			if !there[k] {
 				delete(x, k)
@@ -235,25 +239,35 @@
 // watch notes since when a victim is over its target.
 func (m *Machine) watch(now time.Time, v Row, share float64) {
 	k := run{v.Task, v.Number}
-	_, above := m.above[k]
-	switch {
-	case share > nearly && !above:
-		m.above[k] = now
+	if share > nearly {
 		m.calm[k] = 0
-	case share > nearly:
-		m.calm[k] = 0
-	case above:
-		if m.calm[k]++; m.calm[k] >= calmLooks {
-			delete(m.above, k)
-		}
+		begin(m.above, k, now)
+		begin(m.hover, k, now)
+		return
+	}
+	delete(m.above, k)
+	if m.calm[k]++; m.calm[k] >= calmLooks {
+		delete(m.hover, k)
+	}
+}
+
+// begin notes since when something is so.
+func begin(since map[run]time.Time, k run, now time.Time) {
+	if _, ok := since[k]; !ok {
+		since[k] = now
 	}
 }
 
+// lasts reports whether something has been so for a time.
+func lasts(since map[run]time.Time, k run, now time.Time, d time.Duration) bool {
+	at, ok := since[k]
+	return ok && now.Sub(at) >= d
+}
+
 // relieve makes those that disturb v give way, as far as its tail has to come down.
 func (m *Machine) relieve(now time.Time, v Row, rows []Row, factors map[run]float64) {
 	k := run{v.Task, v.Number}
-	since, above := m.above[k]
-	all := above && now.Sub(since) >= over
+	all := lasts(m.above, k, now, over) || lasts(m.hover, k, now, hovers)
 	if now.Sub(m.cut[k]) < settle && !all {
 		// What was done already isn't in the tail yet.
 		for _, r := range rows {
@@ -270,12 +284,12 @@
 		}
 	}
 	factor := giveWay
-	has, may := m.room(v, wanted)
-	switch {
-	case has >= interfere.Full:
-		factor = 0
-	case total > 0:
+	if has, may := m.room(v, wanted); total > 0 {
 		factor = max(1-(has-may)/total, 0)
+		if has >= interfere.Full {
+			// How much is missing can't be told from such a tail.
+			factor = min(factor, giveWay)
+		}
 	}
 	for _, r := range rows {
 		if !r.Fills {
