Log which worker is set aside, why, and when it's trusted again

Change: the decision's orders tell of suspicions (worker, why, the job seen last, until when, how often), and the scheduler logs workerSetAside and workerTrusted. Shown by: TestSuspicionsAreTold.

--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -136,12 +136,25 @@
 			Key: x.Key, Task: x.Task, Number: x.Number, Spec: x.Spec, Saved: x.Saved, Ticket: x.Ticket, Fact: fact(x.Task, x.Step),
 		}})
 	}
+	for _, x := range o.Suspicions {
+		d.suspected(now, x)
+	}
 	for _, w := range o.Wants {
 		d.ask(w)
 	}
 	d.flush(now)
 }
 
+// suspected logs that a worker is set aside or trusted again.
+func (d *Dispatcher) suspected(now time.Time, x schedule.Suspicion) {
+	if x.Until.IsZero() {
+		d.Log.Event(eventlog.WorkerTrusted).Str("worker", x.Key.ID).Str("why", x.Why).Str("job", string(x.Job)).Msg("")
+		return
+	}
+	d.Log.Warning(eventlog.WorkerSetAside).Str("worker", x.Key.ID).Str("why", x.Why).Str("job", string(x.Job)).
+		Dur("for", x.Until.Sub(now)).Int("round", x.Round).Msg("")
+}
+
 // flush stores the progress that changed, and lets the workers forget the ends that are in it.
 func (d *Dispatcher) flush(now time.Time) {
 	if d.writing || now.Sub(d.flushed) < flushEvery {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -41,6 +41,8 @@
 	WorkerGone        = "workerGone"
 	WorkerChanged     = "workerChanged"
 	WorkerUnreachable = "workerUnreachable"
+	WorkerSetAside    = "workerSetAside"
+	WorkerTrusted     = "workerTrusted"
 	ReportRejected    = "reportRejected"
 	JobAccepted       = "jobAccepted"
 	JobRefused        = "jobRefused"
--- a/pkg/decide/schedule/health.go
+++ b/pkg/decide/schedule/health.go
@@ -57,7 +57,8 @@
 
 // fail takes in a failed run of a job; works tells that other tasks of the job
 // were done, so that the job can't be to blame.
-func (h *health) fail(now time.Time, id batch.JobID, works bool) {
+// It returns whether the worker is set aside for that.
+func (h *health) fail(now time.Time, id batch.JobID, works bool) bool {
 	h.failures++
 	copy(h.recent[1:], h.recent[:])
 	h.recent[0] = failure{now, id, works}
@@ -65,13 +66,14 @@
 		h.job = id
 		h.jobs++
 	}
-	if h.failsMany(now) {
+	many := h.failsMany(now)
+	if many {
 		h.burst = now
-		h.setAside(now)
 	}
-	if h.failures >= failuresToSuspect && (h.jobs >= 2 || works) {
-		h.setAside(now)
+	if many || h.failures >= failuresToSuspect && (h.jobs >= 2 || works) {
+		return h.setAside(now)
 	}
+	return false
 }
 
 // failsMany reports whether the last failures came at once and aren't those of one job that fails everywhere.
@@ -88,25 +90,60 @@
 	return false
 }
 
-// straggled takes in a run that the worker held up.
-func (h *health) straggled(now time.Time) {
-	if h.slow++; h.slow >= slowToSuspect {
-		h.setAside(now)
-	}
+// straggled takes in a run that the worker held up, and returns whether it's set aside for that.
+func (h *health) straggled(now time.Time) bool {
+	h.slow++
+	return h.slow >= slowToSuspect && h.setAside(now)
 }
 
-func (h *health) setAside(now time.Time) {
+// setAside returns false where the worker is aside already.
+func (h *health) setAside(now time.Time) bool {
 	if now.Before(h.until) {
-		return
+		return false
 	}
 	h.until = now.Add(min(suspectTime<<h.round, suspectLimit))
 	h.round = min(h.round+1, maxRound)
+	return true
+}
+
+// done takes in a run that was done in time and began then. It returns whether
+// the worker, which had been set aside, takes all work again.
+func (h *health) done(began time.Time) bool {
+	if !began.After(h.burst) {
+		return false
+	}
+	back := h.probing()
+	*h = health{recent: h.recent}
+	return back
+}
+
+// A Suspicion tells that a worker was set aside, or that it takes all work again.
+type Suspicion struct {
+	Key batch.WorkerKey
+	// Until is when it's tried again; zero where it takes all work.
+	Until time.Time
+	// Why and Job say what was seen last, and in a run of which job.
+	Why string
+	Job batch.JobID
+	// Round is how often it was set aside without a run done since.
+	Round int
+}
+
+func (s *Scheduler) suspect(w *worker, why string, id batch.JobID) {
+	s.suspicions = append(s.suspicions, Suspicion{Key: w.Key(), Until: w.health.until, Why: why, Job: id, Round: w.health.round})
+}
+
+// fails takes in a failed run on w.
+func (s *Scheduler) fails(now time.Time, w *worker, id batch.JobID, works bool) {
+	if w.health.fail(now, id, works) {
+		s.suspect(w, "runs fail", id)
+	}
 }
 
-// done takes in a run that was done in time and began then.
-func (h *health) done(began time.Time) {
-	if began.After(h.burst) {
-		*h = health{recent: h.recent}
+// straggles takes in a run that w held up.
+func (s *Scheduler) straggles(now time.Time, w *worker, id batch.JobID) {
+	if w.health.straggled(now) {
+		s.suspect(w, "runs are held up", id)
 	}
 }
 
--- a/pkg/decide/schedule/health_test.go
+++ b/pkg/decide/schedule/health_test.go
@@ -151,3 +151,27 @@
 	f.end(o.Starts[0], batch.Done)
 	g.Expect(f.after(0).Starts).To(HaveLen(2))
 }
+
+// Operators are told when a worker is set aside, why, and when it's trusted again.
+func TestSuspicionsAreTold(t *testing.T) {
+	g := NewWithT(t)
+	w := aWorker("1", 9000)
+	f := newBench(w)
+	f.Add(f.now, aJob("a", "urgent", aStep(1, 100)), nil, false)
+	f.Add(f.now, aJob("b", "urgent", aStep(1, 100)), nil, false)
+	for _, s := range f.after(0).Starts {
+		f.there(s)
+		f.end(s, batch.Failed)
+	}
+	o := f.after(100 * time.Millisecond)
+	g.Expect(o.Suspicions).To(HaveLen(1))
+	g.Expect(o.Suspicions[0]).To(And(HaveField("Key", w.Key()), HaveField("Why", "runs fail"), HaveField("Job", batch.JobID("b"))))
+	g.Expect(o.Suspicions[0].Until).To(BeTemporally("~", f.now.Add(suspectTime), time.Second))
+	again := f.after(suspectTime + doubtTime).Starts
+	g.Expect(again).To(HaveLen(1))
+	f.there(again[0])
+	f.end(again[0], batch.Done)
+	o = f.after(0)
+	g.Expect(o.Suspicions).To(HaveLen(1))
+	g.Expect(o.Suspicions[0].Until).To(BeZero())
+}
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -48,7 +48,8 @@
 	}
 	s.evacuate(now, &o)
 	o.Stops = append(o.Stops, s.stops...)
-	s.stops = nil
+	o.Suspicions = s.suspicions
+	s.stops, s.suspicions = nil, nil
 	return o
 }
 
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -177,9 +177,9 @@
 func (s *Scheduler) took(now time.Time, w *worker, t *task, began time.Time) {
 	d := now.Sub(began)
 	if !t.step.Fills && t.step.peers.Slow(d) {
-		w.health.straggled(now)
-	} else {
-		w.health.done(began)
+		s.straggles(now, w, t.id.Job)
+	} else if w.health.done(began) {
+		s.suspect(w, "a run was done", t.id.Job)
 	}
 	t.step.peers.Add(d)
 }
@@ -219,7 +219,7 @@
 	works := j.works()
 	if works || j.failedOn == "" || j.failedOn == w.Machine {
 		// A job of which nothing was done and that failed elsewhere too is to blame itself.
-		w.health.fail(now, j.ID, works)
+		s.fails(now, w, j.ID, works)
 	}
 	if j.failedOn == "" {
 		j.failedOn = w.Machine
@@ -250,7 +250,7 @@
 		t.step.run = max(t.step.run, t.run)
 	}
 	if unhealthy {
-		t.worker.health.fail(now, id.Job, false)
+		s.fails(now, t.worker, id.Job, false)
 		t.avoid = t.worker.Machine
 	}
 	t.release()
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -63,6 +63,8 @@
 	Starts []Start
 	Stops  []Stop
 	Wants  []Want
+	// Suspicions tell of workers that were set aside, or are trusted again.
+	Suspicions []Suspicion
 	// Searches counts how often all workers were looked through for a place.
 	Searches int
 }
@@ -77,7 +79,9 @@
 	// settled is set once each host that may run earlier work has been heard or waited out.
 	settled bool
 	stops   []Stop
-	dirty   map[batch.JobID]bool
+	// suspicions wait for the next Schedule.
+	suspicions []Suspicion
+	dirty      map[batch.JobID]bool
 	// work is the mean work of a queue's jobs.
 	work map[string]*mean
 	// filled is when filling work had its turn last.
--- a/pkg/decide/schedule/straggler.go
+++ b/pkg/decide/schedule/straggler.go
@@ -70,7 +70,7 @@
 		t.avoid, t.unmoved = w.Machine, now.Add(moveEvery)
 		t.given++
 		if !st.Fills {
-			w.health.straggled(now)
+			s.straggles(now, w, st.job.ID)
 		}
 		s.stop(t, stragglers[v])
 	}
