Show in a job's story that a worker was set aside

Cause: the new lines about suspicions were not among those that a gap shows. Shown by: TestGapShowsWorkersThatWereSetAside (fails before).

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -120,6 +120,7 @@
 var surrounding = map[string]bool{
 	eventlog.LeadTaken: true, eventlog.LeadLost: true, eventlog.StateLoaded: true, eventlog.Settled: true,
 	eventlog.SchedulerLost: true, eventlog.SchedulerFound: true, eventlog.StoreLost: true, eventlog.StoreRegained: true,
+	eventlog.WorkerSetAside: true, eventlog.WorkerTrusted: true,
 	eventlog.HostLost: true, eventlog.WorkerGone: true, eventlog.WorkerUnreachable: true, eventlog.WorkerChanged: true,
 	eventlog.ProgressNotStored: true, eventlog.ProcessStarted: true, eventlog.ProcessStopping: true, eventlog.WorkerJoined: true,
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -85,3 +85,17 @@
 		})
 	}
 }
+
+// A gap shows that a worker of the job was set aside meanwhile, and no other.
+func TestGapShowsWorkersThatWereSetAside(t *testing.T) {
+	const log = `{"time":"2026-01-01T10:00:00.100Z","node":"e","event":"runOrdered","job":"aa","task":"aa.0.0.0","run":1,"worker":"w1"}
+{"time":"2026-01-01T10:00:01.000Z","node":"e","event":"workerSetAside","worker":"w1","why":"runs fail","job":"bb","for":2000,"round":1}
+{"time":"2026-01-01T10:00:01.100Z","node":"e","event":"workerSetAside","worker":"w2","why":"runs are held up","job":"bb","for":2000,"round":1}
+{"time":"2026-01-01T10:00:03.000Z","node":"e","event":"runEnded","job":"aa","task":"aa.0.0.0","run":1,"how":"failed","worker":"w1"}`
+	g := NewWithT(t)
+	s, err := explain.Read("aa", strings.NewReader(log))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Gaps).To(HaveLen(1))
+	g.Expect(s.Gaps[0].During).To(HaveLen(1))
+	g.Expect(s.Gaps[0].During[0].Why).To(Equal("runs fail"))
+}
