--- a/cmd/sesamestream-platform/main_test.go
+++ b/cmd/sesamestream-platform/main_test.go
@@ -9,15 +9,7 @@
 	"github.com/sesamestream/sesamestream/test/signals"
 )
 
-// asProgram is set in the environment of a test binary that is to be the program.
-const asProgram = "SESAMESTREAM_TEST_AS_PROGRAM"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(asProgram) != "" {
-		os.Exit(run())
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { signals.Main(m, run) }
 
 // A SIGHUP that comes before the settings are read doesn't end the process
 // (soak seed 211: "ended by itself: signal: hangup").
@@ -27,9 +19,8 @@
 		t.Fatal(err)
 	}
 	err = signals.DuringSettings(t, syscall.SIGHUP, string(settings), func(pipe string) *exec.Cmd {
-		c := exec.Command(os.Args[0], "entry", "-check")
-		c.Env = append(os.Environ(), asProgram+"=1", "SESAMESTREAM_SETTINGS="+pipe)
-		c.Stdout, c.Stderr = os.Stdout, os.Stderr
+		c := signals.Program("entry", "-check")
+		c.Env = append(c.Env, "SESAMESTREAM_SETTINGS="+pipe)
 		return c
 	})
 	if err != nil {
--- a/test/signals/signals.go
+++ b/test/signals/signals.go
@@ -1,5 +1,5 @@
-// Package signals checks what a program does with a signal that comes while
-// it still reads its settings.
+// Package signals checks what a program does with a signal that comes while it
+// still reads its settings. A test binary stands for the program.
 package signals
 
 import (
@@ -10,6 +10,25 @@
 	"testing"
 )
 
+// asProgram is set in the environment of a test binary that is to be the program.
+const asProgram = "SESAMESTREAM_TEST_AS_PROGRAM"
+
+// Main runs the tests, or the program in a process that Program describes.
+func Main(m *testing.M, program func() int) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(program())
+	}
+	os.Exit(m.Run())
+}
+
+// Program returns a command that runs the program with arguments.
+func Program(args ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), asProgram+"=1")
+	c.Stdout, c.Stderr = os.Stdout, os.Stderr
+	return c
+}
+
 // DuringSettings starts the command, which reads its settings from a pipe, sends
 // s once it has opened them, hands the settings over, and returns how the
 // program ended.
