Guard what the tests of a worker's lives record

The tests had been run without the race detector until then. Change: the tests read copies under the fake's lock; what they check is as before.

--- a/internal/hostagent/life_test.go
+++ b/internal/hostagent/life_test.go
@@ -32,6 +32,26 @@
 	return r.life, r.dark
 }
 
+// looks returns the looks that came so far.
+func (r *restarted) looks() []hostagent.HoldOrder {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.holds)
+}
+
+// last returns the last look.
+func (r *restarted) last() hostagent.HoldOrder {
+	o := r.looks()
+	return o[len(o)-1]
+}
+
+// goDark lets looks hang, or no longer.
+func (r *restarted) goDark(dark bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dark = dark
+}
+
 // begin replaces the life; looks that wait at the one before hang.
 func (r *restarted) begin(born int64) *standin.Worker {
 	r.mu.Lock()
@@ -149,7 +169,8 @@
 		time.Sleep(time.Second)
 		f(w)
 		cancel()
-		w.worker.life.Crash()
+		life, _ := w.worker.now()
+		life.Crash()
 		<-done
 	})
 }
@@ -164,11 +185,11 @@
 // life is held under a fence of its own.
 func TestEachLifeHasAFence(t *testing.T) {
 	inWorld(t, func(w *world) {
-		before := w.worker.holds[len(w.worker.holds)-1].Fence
+		before := w.worker.last().Fence
 		second := w.worker.begin(2)
 		w.agent.Report(hostagent.Report{Worker: second.Info, Seq: 1})
 		time.Sleep(time.Second)
-		if after := w.worker.holds[len(w.worker.holds)-1].Fence; after <= before {
+		if after := w.worker.last().Fence; after <= before {
 			t.Errorf("the second life is held under fence %d, the first was under %d", after, before)
 		}
 	})
@@ -181,23 +202,20 @@
 	inWorld(t, func(w *world) {
 		w.start(1, 0)
 		time.Sleep(time.Second)
-		if n := w.worker.holds[len(w.worker.holds)-1].Noted; n != 1 {
+		if n := w.worker.last().Noted; n != 1 {
 			t.Fatalf("noted %d ends of the first life, want 1", n)
 		}
-		w.worker.mu.Lock()
-		w.worker.dark = true
-		w.worker.mu.Unlock()
+		w.worker.goDark(true)
 		time.Sleep(1200 * time.Millisecond)
 		w.worker.begin(2)
-		seen := len(w.worker.holds)
-		w.worker.mu.Lock()
-		w.worker.dark = false
-		w.worker.mu.Unlock()
+		seen := len(w.worker.looks())
+		w.worker.goDark(false)
 		time.Sleep(time.Second)
-		if len(w.worker.holds) == seen {
+		met := w.worker.looks()[seen:]
+		if len(met) == 0 {
 			t.Fatal("no look met the next life")
 		}
-		for _, o := range w.worker.holds[seen:] {
+		for _, o := range met {
 			if o.Noted != 0 {
 				t.Errorf("the next life was asked to forget its ends up to %d", o.Noted)
 			}
@@ -209,9 +227,7 @@
 // life that it was meant for is given up, so that nobody starts it again.
 func TestStartThatTheNextLifeCarriedOut(t *testing.T) {
 	inWorld(t, func(w *world) {
-		w.worker.mu.Lock()
-		w.worker.dark = true
-		w.worker.mu.Unlock()
+		w.worker.goDark(true)
 		second := w.worker.begin(2)
 		second.Duration = func(batch.Task) time.Duration { return time.Minute }
 		w.start(1, 0)
@@ -220,9 +236,7 @@
 		if i := w.index(isGone); i >= 0 {
 			t.Error("the first life is told as gone while the second may run its task")
 		}
-		w.worker.mu.Lock()
-		w.worker.dark = false
-		w.worker.mu.Unlock()
+		w.worker.goDark(false)
 		w.agent.Report(hostagent.Report{Worker: second.Info, Seq: 1})
 		time.Sleep(time.Second)
 		snapshot := w.index(func(m link.Message) bool {
