--- a/pkg/decide/schedule/evacuate.go
+++ b/pkg/decide/schedule/evacuate.go
@@ -35,7 +35,7 @@
 // elsewhere: what lasts at once, other work if it won't be done in time.
 func (s *Scheduler) evacuate(now time.Time, o *Orders) {
 	taken := map[*worker]batch.Resources{}
-	for _, w := range s.workers {
+	for _, w := range s.fleet {
 		if !w.Draining || w.silent {
 			continue
 		}
--- a/pkg/decide/schedule/grown_test.go
+++ b/pkg/decide/schedule/grown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -13,10 +14,43 @@
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
-// grown plays the grown deployment's load: 70 workers of 16 cores that serve
-// and fill at once, short urgent jobs and wide ones that take what is left.
+// A fleetLoad is a load that grows with the fleet.
+type fleetLoad struct {
+	workers int
+	// urgent and wide are jobs a second, of that many tasks a step.
+	urgent, wide           float64
+	urgentWidth, wideWidth float64
+	// serving is how many jobs of tasks that last there are, of servingWidth each.
+	serving, servingWidth int
+	// victims and disturbers are how many images serve and fill.
+	victims, disturbers int
+}
+
+// grownFleet is 70 workers, largeFleet 240; more workers get as much more of what the large one has.
+var (
+	grownFleet = fleetLoad{
+		workers: grownWorkers, urgent: 13, wide: 2.3, urgentWidth: 10, wideWidth: 20,
+		serving: 10, servingWidth: 14, victims: 5, disturbers: 6,
+	}
+	largeFleet = fleetLoad{
+		workers: 240, urgent: 15.6, wide: 3.9, urgentWidth: 13, wideWidth: 40,
+		serving: 47, servingWidth: 24, victims: 16, disturbers: 30,
+	}
+)
+
+// at returns the load of the large fleet at another number of workers.
+func (l fleetLoad) at(workers int) fleetLoad {
+	x := float64(workers) / float64(l.workers)
+	l.workers, l.urgent, l.wide = workers, l.urgent*x, l.wide*x
+	l.serving = int(float64(l.serving) * x)
+	return l
+}
+
+// grown plays a fleet's load: workers of 16 cores that serve and fill at once,
+// short urgent jobs and wide ones that take what is left.
 type grown struct {
 	*bench
+	load   fleetLoad
 	random *rand.Rand
 	alive  map[batch.Task]playedRun
 	keys   []batch.WorkerKey
@@ -42,13 +76,15 @@
 	grownStep = 5 * time.Millisecond
 )
 
-func newGrown(seed uint64) *grown {
+func newGrown(seed uint64) *grown { return newFleet(seed, grownFleet) }
+
+func newFleet(seed uint64, l fleetLoad) *grown {
 	var ws []batch.Worker
-	for i := range grownWorkers {
+	for i := range l.workers {
 		ws = append(ws, aWorker(fmt.Sprintf("%02d", i), 16000))
 	}
 	return &grown{
-		bench: newBench(ws...), pace: 100, random: rand.New(rand.NewPCG(seed, 1)), alive: map[batch.Task]playedRun{},
+		bench: newBench(ws...), load: l, pace: 100, random: rand.New(rand.NewPCG(seed, 1)), alive: map[batch.Task]playedRun{},
 		begun: map[batch.JobID]time.Time{}, ended: map[batch.JobID]time.Time{},
 	}
 }
@@ -56,20 +92,29 @@
 // about returns a figure that is x in the mean and varies by half.
 func (g *grown) about(x float64) float64 { return x * (0.5 + g.random.Float64()) }
 
+// poisson returns how many of something come that comes x times in the mean.
+func (g *grown) poisson(x float64) int {
+	n := 0
+	for p := g.random.Float64(); p > math.Exp(-x); p *= g.random.Float64() {
+		n++
+	}
+	return n
+}
+
 // arrive lets jobs come at their rates, in jobs a second.
 func (g *grown) arrive(urgent, wide float64) {
 	dt := grownStep.Seconds()
-	if g.random.Float64() < urgent*dt {
+	for range g.poisson(urgent * dt) {
 		g.add("urgent", batch.Step{
-			Count: int(g.about(10)), Need: batch.Resources{MilliCPU: int(g.about(410)), MemoryMB: 300},
+			Count: int(g.about(g.load.urgentWidth)), Need: batch.Resources{MilliCPU: int(g.about(410)), MemoryMB: 300},
 			Estimate: time.Duration(g.about(0.8) * float64(time.Second)),
 		})
 	}
-	if g.random.Float64() < wide*dt {
+	for range g.poisson(wide * dt) {
 		g.add("wide", batch.Step{
-			Count: int(g.about(20)), Need: batch.Resources{MilliCPU: int(g.about(1800)), MemoryMB: 600},
+			Count: int(g.about(g.load.wideWidth)), Need: batch.Resources{MilliCPU: int(g.about(1800)), MemoryMB: 600},
 			Estimate: time.Duration(g.about(2.7) * float64(time.Second)), Fills: true, Checkpoints: true,
-			Image: fmt.Sprintf("fill-%d", g.random.IntN(6)),
+			Image: fmt.Sprintf("fill-%d", g.random.IntN(g.load.disturbers)),
 		})
 	}
 }
@@ -84,12 +129,12 @@
 	g.Add(g.now, j, nil, false)
 }
 
-// lasting adds tasks that serve, 14 a job.
+// lasting adds jobs of tasks that serve.
 func (g *grown) lasting(jobs int) {
 	for i := range jobs {
 		st := batch.Step{
-			Count: 14, Need: batch.Resources{MilliCPU: int(g.about(3000)), MemoryMB: 500}, Lasting: true,
-			TailTarget: 50 * time.Millisecond, Image: fmt.Sprintf("serve-%d", i%5), MaxPerWorker: 2,
+			Count: g.load.servingWidth, Need: batch.Resources{MilliCPU: int(g.about(3000)), MemoryMB: 500}, Lasting: true,
+			TailTarget: 50 * time.Millisecond, Image: fmt.Sprintf("serve-%d", i%g.load.victims), MaxPerWorker: 2,
 		}
 		g.Add(g.now, aJob(fmt.Sprintf("l%d", i), "urgent", st), nil, false)
 	}
@@ -99,9 +144,9 @@
 func (g *grown) crowd() {
 	var es []interfere.Entry
 	idle := map[fleet.Kind]time.Duration{}
-	for v := range 5 {
+	for v := range g.load.victims {
 		idle[fleet.Kind(fmt.Sprintf("serve-%d", v))] = 10 * time.Millisecond
-		for d := range 6 {
+		for d := range g.load.disturbers {
 			es = append(es, interfere.Entry{
 				Pair:   interfere.Pair{Victim: fleet.Kind(fmt.Sprintf("serve-%d", v)), Disturber: fleet.Kind(fmt.Sprintf("fill-%d", d))},
 				Weight: 0.6, Evidence: 50,
@@ -138,7 +183,7 @@
 // report tells of the workers whose turn it is.
 func (g *grown) report() {
 	if len(g.keys) == 0 {
-		for i := range grownWorkers {
+		for i := range g.load.workers {
 			g.keys = append(g.keys, batch.WorkerKey{ID: fmt.Sprintf("%02d", i), Born: 1})
 		}
 	}
@@ -247,3 +292,22 @@
 		})
 	}
 }
+
+// BenchmarkFleetSize tells what one second of a load that grows with the fleet costs the scheduler.
+func BenchmarkFleetSize(b *testing.B) {
+	for _, n := range []int{240, 1000, 3800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := largeFleet.at(n)
+			f := newFleet(1, l)
+			f.lasting(l.serving)
+			f.play(6*time.Second, l.urgent, l.wide)
+			from, passes := f.starts, f.passes
+			for b.Loop() {
+				f.play(time.Second, l.urgent, l.wide)
+			}
+			b.ReportMetric(float64(f.starts-from)/float64(b.N), "starts/op")
+			b.ReportMetric(b.Elapsed().Seconds()*1e6/float64(f.starts-from), "µs/start")
+			b.ReportMetric(b.Elapsed().Seconds()*1e6/float64(f.passes-passes), "µs/pass")
+		})
+	}
+}
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -129,19 +129,31 @@
 		s.serveGang(now, c, o)
 		return
 	}
+	var x *search
+	var r ranking
 	for _, t := range c.step.tasks {
 		if t.done || t.worker != nil || now.Before(t.again) {
 			continue
 		}
-		w := s.place(now, c.step, t, o)
-		if w == nil {
-			if t.avoid == "" {
-				// What has no room for one has none for the like.
-				return
+		if t.avoid != "" {
+			// It has workers of its own to keep away from; the others change by its start.
+			if w := s.place(now, c.step, t, o); w != nil {
+				s.start(now, c, t, w, t.run+1, o)
+				x = nil
 			}
 			continue
 		}
-		s.start(now, c, t, w, t.run+1, o)
+		// Once something is at work, the rest of an impatient step is patient again.
+		if x == nil || !x.patient {
+			x = s.search(now, c.step, "", o)
+			r = x.rank()
+		}
+		if len(r) == 0 {
+			// What has no room for one has none for the like.
+			return
+		}
+		s.start(now, c, t, r[0].worker, t.run+1, o)
+		x.placed(&r)
 	}
 }
 
@@ -206,7 +218,7 @@
 	}
 	seen := map[string]bool{}
 	var rs []string
-	for _, w := range s.workers {
+	for _, w := range s.fleet {
 		if r := w.Rack(); r != "" && !seen[r] {
 			seen[r] = true
 			rs = append(rs, r)
@@ -222,59 +234,22 @@
 
 // placeOn returns the best worker for t, of a rack where one is named.
 func (s *Scheduler) placeOn(now time.Time, st *step, t *task, rack string, o *Orders) *worker {
-	o.Searches++
-	q := s.terms(st.job)
-	n := need(st.Step)
-	var best *worker
-	bestScore := math.Inf(-1)
-	var unasked []string
-	careful := t.lastTry(q) && now.Sub(t.failed) < doubtTime
-	for _, w := range s.workers {
-		// A task that is looked at for a move goes elsewhere.
-		if w == t.worker || w.Service != q.Service || !w.takes(now) || !n.Fits(w.room()) {
-			continue
-		}
-		if st.Requires != "" && !w.Has(st.Requires) || rack != "" && w.Rack() != rack {
-			continue
-		}
-		if st.MaxPerWorker > 0 && st.counts[w] >= st.MaxPerWorker {
-			continue
-		}
-		if t.avoid != "" && w.Machine == t.avoid && len(s.workers) > 1 {
-			continue
-		}
-		if careful && w.health.doubted(now) {
-			continue
-		}
-		taken := 0.0
-		if st.Fills {
-			patient := !st.patienceOver(now)
-			if patient && w.spare(now) < fillFloor(st) {
-				continue
-			}
-			var fits bool
-			if fits, taken = s.strain(now, w, st); patient && !fits {
-				continue
-			}
-		}
-		if q.Advised {
-			switch st.advice.answer(now, w) {
-			case adviceUnknown:
-				unasked = append(unasked, w.ID)
-				continue
-			case adviceNo:
-				continue
-			case adviceYes:
+	x := s.search(now, st, rack, o)
+	careful := t.lastTry(x.queue) && now.Sub(t.failed) < doubtTime
+	var best candidate
+	x.each(func(w *worker, v float64) {
+		switch {
+		case w == t.worker:
+			// A task that is looked at for a move goes elsewhere.
+		case t.avoid != "" && w.Machine == t.avoid && len(s.fleet) > 1:
+		case careful && w.health.doubted(now):
+		default:
+			if c := (candidate{w, v}); best.worker == nil || c.better(best) {
+				best = c
 			}
 		}
-		if v := s.score(now, st, w, taken); v > bestScore || v == bestScore && w.ID < best.ID {
-			best, bestScore = w, v
-		}
-	}
-	if len(unasked) > 0 {
-		st.advice.ask(now, st, unasked, o)
-	}
-	return best
+	})
+	return best.worker
 }
 
 // patience is how long filling work with nothing at work waits for a worker
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
@@ -13,6 +14,7 @@
 	if w == nil {
 		w = &worker{tasks: map[batch.Task]*task{}}
 		s.workers[b.Key()] = w
+		s.fleet = append(s.fleet, w)
 	}
 	w.Worker, w.host, w.silent = b, host, false
 	w.drains(now)
@@ -101,7 +103,7 @@
 
 // Silent says that a host isn't heard; its runs stay where they are.
 func (s *Scheduler) Silent(host string) {
-	for _, w := range s.workers {
+	for _, w := range s.fleet {
 		if w.host == host {
 			w.silent = true
 		}
@@ -115,6 +117,7 @@
 		return 0
 	}
 	delete(s.workers, k)
+	s.fleet = slices.DeleteFunc(s.fleet, func(x *worker) bool { return x == w })
 	n := len(w.tasks)
 	for _, t := range w.tasks {
 		t.release()
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -75,7 +75,12 @@
 	// open are the jobs that weren't over when they were looked at last.
 	open    map[batch.JobID]*job
 	workers map[batch.WorkerKey]*worker
-	queues  map[string]batch.Queue
+	// fleet holds the same workers in a row, for searches; the next one begins at next.
+	fleet []*worker
+	next  int
+	// ranked is the memory of the last ranking, for the next one.
+	ranked ranking
+	queues map[string]batch.Queue
 	// settled is set once each host that may run earlier work has been heard or waited out.
 	settled bool
 	stops   []Stop
--- a/pkg/decide/schedule/share.go
+++ b/pkg/decide/schedule/share.go
@@ -142,7 +142,7 @@
 // move stops filling tasks that are held back where another worker would let
 // them work; they go on from what they saved.
 func (s *Scheduler) move(now time.Time, o *Orders) {
-	for _, w := range s.workers {
+	for _, w := range s.fleet {
 		if w.silent {
 			continue
 		}
