Tell a host only of the images that run beside each other on it

Cause: each host was sent the 256 best known pairs of images each second, whatever it ran. Change: a host is told the pairs of its own runs, with a start that brings a new one and when a weight has moved; what is kept for the next scheduler is bounded by the learner's own bound.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
 
@@ -139,6 +140,8 @@
 	workers map[batch.WorkerKey]bool
 	// wanted are the workers of which a snapshot is due.
 	wanted map[batch.WorkerKey]bool
+	// taught is what the host was told last of the images that run on it.
+	taught interfere.Lesson
 }
 
 // Run schedules until ctx ends or the term is lost.
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,27 +24,32 @@
 // teachEvery is how often the hosts are told what was learned of images; a pair is known after some seconds.
 const teachEvery = time.Second
 
-// taughtPairs bounds what they are told; the sheets have 45 pairs, 180 when grown.
-const taughtPairs = 256
-
-// teach tells the hosts which images disturb which.
+// teach tells each host what was learned of the images that run on it, and
+// keeps what was learned of all.
 func (d *Dispatcher) teach(now time.Time) {
-	e, idle := d.plan.Pressures(now, taughtPairs)
-	if len(e) == 0 {
-		return
-	}
-	p := link.Pressure{Entries: e, Idle: idle}
 	for _, s := range d.sessions {
 		if s.hello.Host && s.fence != 0 {
-			s.conn.Send(link.Message{Pressure: &p})
+			d.teachHost(s)
 		}
 	}
 	if now.Sub(d.keptPairs) > keepPairsEvery {
 		d.keptPairs = now
-		d.stopped.Go(func() { d.keepPairs(p) })
+		if l := d.plan.Pressures(now); len(l.Entries) > 0 {
+			d.stopped.Go(func() { d.keepPairs(link.Pressure{Entries: l.Entries, Idle: l.Idle}) })
+		}
 	}
 }
 
+// teachHost tells a host what it needs to pace its runs, unless it knows it.
+func (d *Dispatcher) teachHost(s *session) {
+	l := d.plan.Beside(maps.Keys(s.workers))
+	if s.taught.Covers(l) {
+		return
+	}
+	s.taught = l
+	s.conn.Send(link.Message{Pressure: &link.Pressure{Entries: l.Entries, Idle: l.Idle}})
+}
+
 const (
 	// pairsKey holds what was learned of images, for the next scheduler.
 	pairsKey = "sesame/pairs"
@@ -132,6 +138,10 @@
 		d.Log.Event(eventlog.RunOrdered).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Int("run", x.Number).
 			Str("worker", x.Key.ID).Str("peer", x.Host).Str("image", x.Step.Image).Int("tier", x.Why.Tier).Dur("slack", x.Why.Slack).Int("roomMilliCpu", x.Why.Room.MilliCPU).
 			Int("roomMb", x.Why.Room.MemoryMB).Int("leftoverMilliCpu", x.Why.Leftover).Msg("")
+		if n := d.sessions[x.Host]; n != nil && (x.Step.Fills || x.Step.TailTarget > 0) {
+			// The run may disturb, or be disturbed, from its start on.
+			d.teachHost(n)
+		}
 		d.send(x.Host, link.Message{Start: &link.Start{
 			Key: x.Key, Task: x.Task, Number: x.Number, Spec: x.Spec, Saved: x.Saved, Ticket: x.Ticket, Fact: fact(x.Task, x.Step),
 		}})
--- a/pkg/decide/schedule/share.go
+++ b/pkg/decide/schedule/share.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"iter"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
@@ -73,9 +74,38 @@
 // warmUp is how long the tail of a serving task tells of its own start.
 const warmUp = 2 * time.Second
 
-// Pressures returns the n best known pairs and the victims' least tails, for the hosts that pace.
-func (s *Scheduler) Pressures(now time.Time, n int) ([]interfere.Entry, map[fleet.Kind]time.Duration) {
-	return s.model.Entries(now, n), s.model.Victims()
+// Pressures returns the best known pairs and the victims' least tails, for the next scheduler.
+func (s *Scheduler) Pressures(now time.Time) interfere.Lesson {
+	return interfere.Lesson{Entries: s.model.Entries(now, interfere.MaxPairs), Idle: s.model.Victims()}
+}
+
+// Beside returns what is known of the images that run beside each other on the workers of a host.
+func (s *Scheduler) Beside(keys iter.Seq[batch.WorkerKey]) interfere.Lesson {
+	l := interfere.Lesson{Idle: map[fleet.Kind]time.Duration{}}
+	seen := map[interfere.Pair]bool{}
+	for k := range keys {
+		if w := s.workers[k]; w != nil && len(w.fills) > 0 {
+			s.beside(w, &l, seen)
+		}
+	}
+	return l
+}
+
+func (s *Scheduler) beside(w *worker, l *interfere.Lesson, seen map[interfere.Pair]bool) {
+	for _, v := range w.victims {
+		image := fleet.Kind(v.step.Image)
+		if idle := s.model.Idle(image); idle > 0 {
+			l.Idle[image] = idle
+		}
+		for _, f := range w.fills {
+			p := interfere.Pair{Victim: image, Disturber: fleet.Kind(f.step.Image)}
+			if seen[p] {
+				continue
+			}
+			seen[p] = true
+			l.Entries = append(l.Entries, interfere.Entry{Pair: p, Weight: float32(s.model.Weight(p.Victim, p.Disturber))})
+		}
+	}
 }
 
 // Learn takes in what the scheduler before knew of images.
@@ -99,8 +129,8 @@
 		if now.Sub(v.tail.at) < tailAge {
 			has = s.model.Occupancy(image, v.tail.value)
 		}
-		for _, t := range w.tasks {
-			if t.step.Fills && now.Sub(t.started) < effectAge {
+		for _, t := range w.fills {
+			if now.Sub(t.started) < effectAge {
 				has += s.model.Weight(image, fleet.Kind(t.step.Image)) * float64(t.step.Need.MilliCPU) / interfere.CrowdingUnit
 			}
 		}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -17,8 +17,8 @@
 	tasks  map[batch.Task]*task
 	// strays are what runs take that nobody assigned, until their ends are listed.
 	strays map[batch.Task]batch.Resources
-	// victims are the tasks with a target for their tail.
-	victims []*task
+	// victims are the tasks with a target for their tail, fills those that fill.
+	victims, fills []*task
 	// open is how open the worker is to filling work, as found at openAt.
 	open   float64
 	openAt time.Time
@@ -83,6 +83,7 @@
 	}
 	switch {
 	case t.step.Fills:
+		w.fills = append(w.fills, t)
 		w.filling += t.step.Need.MilliCPU
 	case t.step.Lasting:
 		w.serving += t.step.Need.MilliCPU
@@ -98,6 +99,9 @@
 	}
 	switch {
 	case t.step.Fills:
+		if i := slices.Index(w.fills, t); i >= 0 {
+			w.fills = slices.Delete(w.fills, i, i+1)
+		}
 		w.filling -= t.step.Need.MilliCPU
 	case t.step.Lasting:
 		w.serving -= t.step.Need.MilliCPU
