Move held back work at once where it keeps its progress; keep open workers free of reserved work

Cause: a step of filling work ends with its last task. A sixth of all filling runs were halted, nearly as many of those placed with much room as of those near the bound. Beside, short reserved work went to the emptiest workers, which are the only ones where all filling work may run. Change: a task that checkpoints is moved at the first look that shows it held back, one a second at most, and a step whose move found no place looks again after 250 ms; without checkpoints it waits as before. Reserved work goes to the workers that serving tasks close to filling work, as far as they have room. TestHeldBackWorkMoves held that a task with checkpoints waits too; it's replaced by a table that holds when each kind moves.

--- a/pkg/decide/schedule/grown_test.go
+++ b/pkg/decide/schedule/grown_test.go
@@ -119,7 +119,7 @@
 	}
 }
 
-func (g *grown) add(queue string, first batch.Step) {
+func (g *grown) add(queue string, first batch.Step) batch.JobID {
 	second := first
 	second.After = []int{0}
 	j := aJob(fmt.Sprintf("%s%04d", queue, g.added), queue, first, second)
@@ -127,6 +127,7 @@
 	g.added++
 	g.begun[j.ID] = g.now
 	g.Add(g.now, j, nil, false)
+	return j.ID
 }
 
 // lasting adds jobs of tasks that serve.
@@ -269,7 +270,7 @@
 		}
 	}
 	// Each start takes a search, and each step that fills as many as it has turns.
-	most := (f.starts - starts) + seconds*waiting*int(time.Second/fillEvery+time.Second/movePause*4)
+	most := (f.starts - starts) + seconds*waiting*int(time.Second/fillEvery+time.Second/moveLook)
 	t.Logf("%d searches, at most %d, %d starts, %d steps", f.searches-from, most, f.starts-starts, waiting)
 	g.Expect(f.searches - from).To(BeNumerically("<=", most))
 }
--- a/pkg/decide/schedule/load_test.go
+++ b/pkg/decide/schedule/load_test.go
@@ -143,25 +143,48 @@
 	g.Expect(f.after(patience).Starts).To(HaveLen(1), "nothing of it was at work for longer than it may wait")
 }
 
-// A filling task that its host holds back goes where it may work.
+// A filling task that its host holds back goes where it may work: at once where
+// it keeps its progress, after two windows where it would lose it, and not at
+// all once most of it is done.
 func TestHeldBackWorkMoves(t *testing.T) {
-	g := NewWithT(t)
-	f := newBench(aWorker("1", 16000))
-	f.Add(f.now, aJob("j", "wide", aStep(1, 2000, func(s *batch.Step) { s.Fills, s.Image, s.Checkpoints = true, "x", true })), nil, false)
-	s := f.after(0).Starts[0]
-	f.there(s)
-	f.Join(f.now, "h2", aWorker("2", 16000), nil, nil)
-	look := func(pace int) Orders {
-		f.now = f.now.Add(500 * time.Millisecond)
-		f.Progressed(f.now, s.Key, []batch.Run{{Task: s.Task, Number: 1, Pace: pace, Percent: 20, Saved: "half"}}, true)
-		return f.Schedule(f.now)
+	for name, c := range map[string]struct {
+		checkpoints bool
+		percent     int
+		// looks is how many looks at a slow pace pass before it moves; 0 where it stays.
+		looks int
+	}{
+		"keeps its progress":          {true, 20, 1},
+		"keeps it, nearly done":       {true, 90, 1},
+		"would lose it":               {false, 20, 3},
+		"would lose most of its work": {false, lateLoss, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newBench(aWorker("1", 16000))
+			f.Add(f.now, aJob("j", "wide", aStep(1, 2000, func(s *batch.Step) { s.Fills, s.Image, s.Checkpoints = true, "x", c.checkpoints })), nil, false)
+			s := f.after(0).Starts[0]
+			f.there(s)
+			f.Join(f.now, "h2", aWorker("2", 16000), nil, nil)
+			look := func(pace int) Orders {
+				f.now = f.now.Add(500 * time.Millisecond)
+				f.Progressed(f.now, s.Key, []batch.Run{{Task: s.Task, Number: 1, Pace: pace, Percent: c.percent, Saved: "half"}}, true)
+				return f.Schedule(f.now)
+			}
+			g.Expect(look(100).Stops).To(BeEmpty())
+			for range c.looks - 1 {
+				g.Expect(look(10).Stops).To(BeEmpty())
+			}
+			if c.looks == 0 {
+				for range 10 {
+					g.Expect(look(10).Stops).To(BeEmpty())
+				}
+				return
+			}
+			g.Expect(look(10).Stops).To(HaveLen(1))
+			f.end(s, batch.Stopped)
+			next := f.after(0).Starts
+			g.Expect(next).To(HaveLen(1))
+			g.Expect(next[0].Saved).To(Equal("half"))
+		})
 	}
-	g.Expect(look(100).Stops).To(BeEmpty())
-	g.Expect(look(10).Stops).To(BeEmpty())
-	g.Expect(look(10).Stops).To(BeEmpty())
-	g.Expect(look(10).Stops).To(HaveLen(1))
-	f.end(s, batch.Stopped)
-	next := f.after(0).Starts
-	g.Expect(next).To(HaveLen(1))
-	g.Expect(next[0].Saved).To(Equal("half"))
 }
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -290,6 +290,10 @@
 		}
 	default:
 		v = float64(w.room().MilliCPU)/1000 + float64(min(w.spare(now), 0))/1000
+		if !s.rules.spreadReserved {
+			// Where serving tasks keep filling work away, reserved work costs it least.
+			v -= closedGain * s.openness(now, w)
+		}
 	}
 	if st.DataRack != "" && w.Rack() != st.DataRack {
 		v -= farCost
@@ -307,7 +311,9 @@
 	openCost = 0.5
 	// alikeGain is above the room of any worker, in cores, so that alike tasks come together first.
 	alikeGain = 1000
-	// farCost is as high: work away from its data takes half as long again.
+	// closedGain is above that room too: workers that are open to filling work are taken last.
+	closedGain = 100
+	// farCost is higher: work away from its data takes half as long again.
 	farCost = 1000
 )
 
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -95,6 +95,15 @@
 	judged time.Time
 	// model knows which images disturb which.
 	model interfere.Crowding
+	rules rules
+}
+
+// rules are choices that a replay can leave out, to compare with what was done before.
+type rules struct {
+	// waitToMove has every held back task wait for some windows before it's moved.
+	waitToMove bool
+	// spreadReserved places reserved work by room alone.
+	spreadReserved bool
 }
 
 // New returns an empty scheduler.
--- a/pkg/decide/schedule/share.go
+++ b/pkg/decide/schedule/share.go
@@ -151,12 +151,15 @@
 const (
 	// heldBack is the pace in percent below which a filling task makes too little headway.
 	heldBack = 50
-	// movePause is how long a task is held back before it's moved: two windows, as a tail that swings falls again.
+	// movePause is how long a task that would lose its work is held back before
+	// it's moved: two windows, as a tail that swings falls again.
 	movePause = 800 * time.Millisecond
+	// moveLook is the pause before another place is looked for, for tasks of one step.
+	moveLook = 250 * time.Millisecond
 	// lateLoss is the progress in percent from which a task without checkpoints stays where it is.
 	lateLoss = 60
-	// moveEvery keeps a task from being moved again and again.
-	moveEvery = 3 * time.Second
+	// moveEvery keeps a task from being moved again and again: a stop and a start from a checkpoint take as long.
+	moveEvery = time.Second
 )
 
 // held takes in the pace of a filling task.
@@ -170,22 +173,20 @@
 }
 
 // move stops filling tasks that are held back where another worker would let
-// them work; they go on from what they saved.
+// them work; they go on from what they saved. The last task of a step decides
+// when it ends, so that a task that loses little by it is moved at once.
 func (s *Scheduler) move(now time.Time, o *Orders) {
 	for _, w := range s.fleet {
 		if w.silent {
 			continue
 		}
-		for _, t := range w.tasks {
-			if t.slow.IsZero() || t.stopping || !t.there || now.Sub(t.slow) < movePause || now.Sub(t.step.moved) < movePause/4 {
-				continue
-			}
-			if !t.step.Checkpoints && t.percent >= lateLoss || now.Before(t.unmoved) || t.step.Gang {
+		for _, t := range w.fills {
+			if !t.movable(now, s.rules) {
 				continue
 			}
-			// What finds no place for one finds none for the like; both wait for the next look.
-			t.step.moved = now
 			if s.place(now, t.step, t, o) == nil {
+				// What finds no place for one finds none for the like; both wait for the next look.
+				t.step.moved = now
 				continue
 			}
 			t.unmoved = now.Add(moveEvery)
@@ -194,6 +195,17 @@
 	}
 }
 
+// movable reports whether a filling task is held back and may be stopped for that.
+func (t *task) movable(now time.Time, r rules) bool {
+	if t.slow.IsZero() || t.stopping || !t.there || t.step.Gang || now.Before(t.unmoved) || now.Sub(t.step.moved) < moveLook {
+		return false
+	}
+	if t.step.Checkpoints && !r.waitToMove {
+		return true
+	}
+	return now.Sub(t.slow) >= movePause && (t.step.Checkpoints || t.percent < lateLoss)
+}
+
 // openness returns how much of the filling work known wouldn't disturb what
 // serves on w, from 0 to 1. Harmless work leaves the open workers to the rest.
 func (s *Scheduler) openness(now time.Time, w *worker) float64 {
