Have the scheduler store jobs for an entry that alone has lost the store

Change: an entry without the store sends the record to the scheduler, which reads its key, creates it and answers what became of it. Cancellations go the same way. The scheduler logs each as recordHandedOver and counts it. Ruled out: taking the entries out of rotation sooner, as clients stay on their open connections.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -101,6 +101,8 @@
 	notes map[batch.WorkerKey]int64
 	// revisions are those of the stored progress.
 	revisions map[batch.JobID]kv.Revision
+	// keeping counts the records that are being written for others.
+	keeping int
 	// writing is set while a flush is under way, loaded once the store was read.
 	writing, loaded bool
 	// These are the last times of what is done now and then.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -217,6 +217,8 @@
 		d.plan.Cancel(now, m.Canceled.Job)
 	case m.Ask != nil:
 		d.answer(s, m.Ask)
+	case m.Keep != nil:
+		d.keep(now, s, m.Keep)
 	}
 }
 
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -45,6 +45,7 @@
 	WorkerTrusted     = "workerTrusted"
 	ReportRejected    = "reportRejected"
 	JobAccepted       = "jobAccepted"
+	RecordHandedOver  = "recordHandedOver"
 	JobRefused        = "jobRefused"
 	JobUnknown        = "jobOutcomeUnknown"
 	JobQueued         = "jobQueued"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,8 @@
 	storeCall = 700 * time.Millisecond
 	// askTimeout bounds a question to the scheduler; the farthest one takes 60 ms.
 	askTimeout = 400 * time.Millisecond
+	// handOverTimeout bounds what the scheduler is asked to store: two calls to the store and the way there and back.
+	handOverTimeout = 900 * time.Millisecond
 	// answerMargin is left for the way back to the caller.
 	answerMargin = 100 * time.Millisecond
 	// retryPause is the pause before the store is asked again.
@@ -206,8 +208,12 @@
 	key := dispatch.JobPrefix + string(j.ID)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-answerMargin))
 	defer cancel()
-	if v, done := g.look(ctx, key); done {
-		return v
+	switch g.look(ctx, key) {
+	case seen:
+		return Verdict{Outcome: Accepted}
+	case away:
+		return g.verdict(g.handOver(ctx, j.ID, b))
+	case absent:
 	}
 	began := time.Now()
 	// open is set once a call may take effect later.
@@ -233,9 +239,13 @@
 			if _, err := g.get(ctx, key); err == nil {
 				return Verdict{Outcome: Accepted}
 			}
+			// The same record may be written twice: its key is only created.
+			if g.handOver(ctx, j.ID, b) == link.Kept {
+				return Verdict{Outcome: Accepted}
+			}
 		}
 		if !open && (time.Since(began) > refuseAfter || ctx.Err() != nil) {
-			return g.refusal()
+			return g.verdict(g.handOver(ctx, j.ID, b))
 		}
 		if ctx.Err() != nil || g.away() > giveUpAfter {
 			return Verdict{Outcome: Unknown}
@@ -254,18 +264,30 @@
 	return time.Since(g.failed)
 }
 
+// sight is what a look at the store shows of a key.
+type sight int
+
+const (
+	// absent keys may be written.
+	absent sight = iota
+	// seen keys exist.
+	seen
+	// away means that the store can't be reached, and that nothing is open.
+	away
+)
+
 // look reads the key where the store wasn't reached just now: a read that
 // fails leaves nothing open, so that the job can be refused for sure.
-func (g *Gateway) look(ctx context.Context, key string) (Verdict, bool) {
+func (g *Gateway) look(ctx context.Context, key string) sight {
 	g.mu.Lock()
 	fresh := g.failed.IsZero() && time.Since(g.contact) < contactFresh
 	g.mu.Unlock()
 	switch {
 	case fresh:
-		return Verdict{}, false
+		return absent
 	case g.StoreDown():
 		// The configuration's watch looks for the store; callers needn't wait for it.
-		return g.refusal(), true
+		return away
 	}
 	c, cancel := context.WithTimeout(ctx, lookCall)
 	defer cancel()
@@ -275,11 +297,38 @@
 	}
 	switch {
 	case err == nil:
-		return Verdict{Outcome: Accepted}, true
+		return seen
 	case errors.Is(err, kv.ErrNotFound):
-		return Verdict{}, false
+		return absent
+	}
+	return away
+}
+
+// handOver has the scheduler store a job, or its cancellation where value is
+// nil, as the store may have turned away this process alone. Without a session
+// nothing is sent, so that the outcome is known.
+func (g *Gateway) handOver(ctx context.Context, id batch.JobID, value []byte) link.KeepOutcome {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	r, sent := g.call(ctx, func(n uint64) link.Message {
+		return link.Message{Keep: &link.Keep{ID: n, Job: id, Value: value}}
+	})
+	if !sent {
+		return link.NotKept
+	}
+	return r.Kept
+}
+
+// verdict tells a caller what became of a job that was handed over.
+func (g *Gateway) verdict(o link.KeepOutcome) Verdict {
+	switch o {
+	case link.Kept:
+		return Verdict{Outcome: Accepted}
+	case link.NotKept:
+		return g.refusal()
+	case link.KeepUnknown:
 	}
-	return g.refusal(), true
+	return Verdict{Outcome: Unknown}
 }
 
 // refusal tells a caller to come back after as long as the store has been
@@ -290,30 +339,41 @@
 
 // ask asks the scheduler.
 func (g *Gateway) ask(ctx context.Context, a link.Ask) (link.Reply, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	r, _ := g.call(ctx, func(id uint64) link.Message {
+		a.ID = id
+		return link.Message{Ask: &a}
+	})
+	return r, r.Known
+}
+
+// call sends a message to the scheduler and waits for its reply, which is empty
+// where none comes in time. It returns whether the message was sent.
+func (g *Gateway) call(ctx context.Context, message func(id uint64) link.Message) (link.Reply, bool) {
 	ch := make(chan link.Reply, 1)
 	g.mu.Lock()
 	if g.asks == nil {
 		g.asks = map[uint64]chan link.Reply{}
 	}
 	g.next++
-	a.ID = g.next
-	g.asks[a.ID] = ch
+	id := g.next
+	g.asks[id] = ch
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
-		delete(g.asks, a.ID)
+		delete(g.asks, id)
 		g.mu.Unlock()
 	}()
-	if !g.Send(link.Message{Ask: &a}) {
+	if !g.Send(message(id)) {
 		return link.Reply{}, false
 	}
 	select {
 	case r := <-ch:
-		return r, r.Known
+		return r, true
 	case <-ctx.Done():
-	case <-time.After(askTimeout):
 	}
-	return link.Reply{}, false
+	return link.Reply{}, true
 }
 
 // Message takes what the scheduler says.
@@ -420,6 +480,9 @@
 	defer cancel()
 	key := dispatch.CancelPrefix + string(id)
 	for exists := false; ; {
+		if g.StoreDown() && g.handOver(ctx, id, nil) == link.Kept {
+			return Known
+		}
 		if !exists {
 			_, err := g.get(ctx, dispatch.JobPrefix+string(id))
 			if errors.Is(err, kv.ErrNotFound) {
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -30,6 +30,7 @@
 	Accepted *Accepted `cbor:"21,keyasint,omitempty"`
 	Canceled *Canceled `cbor:"22,keyasint,omitempty"`
 	Yield    *Yield    `cbor:"23,keyasint,omitempty"`
+	Keep     *Keep     `cbor:"24,keyasint,omitempty"`
 }
 
 // Hello opens a session with the scheduler.
@@ -207,12 +208,47 @@
 	Queue string      `cbor:"3,keyasint,omitempty"`
 }
 
-// Reply answers an ask.
+// Keep asks the scheduler to store a record for an entry that has lost the store.
+type Keep struct {
+	ID  uint64      `cbor:"1,keyasint"`
+	Job batch.JobID `cbor:"2,keyasint"`
+	// Value is the job as it's stored; a cancellation has none.
+	Value []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// A KeepOutcome says what became of a record.
+type KeepOutcome int
+
+// The outcomes of a Keep.
+const (
+	// KeepUnknown records may be stored, also later.
+	KeepUnknown KeepOutcome = iota
+	// Kept records are stored.
+	Kept
+	// NotKept records aren't, and won't be by this Keep.
+	NotKept
+)
+
+// String names the outcome, for logs and metrics.
+func (o KeepOutcome) String() string {
+	switch o {
+	case Kept:
+		return "kept"
+	case NotKept:
+		return "notKept"
+	case KeepUnknown:
+	}
+	return "unknown"
+}
+
+// Reply answers an Ask or a Keep.
 type Reply struct {
 	ID      uint64         `cbor:"1,keyasint"`
 	Known   bool           `cbor:"2,keyasint"`
 	State   batch.JobState `cbor:"3,keyasint,omitempty"`
 	Pending int            `cbor:"4,keyasint,omitempty"`
+	// Kept is the outcome of a Keep.
+	Kept KeepOutcome `cbor:"5,keyasint,omitempty"`
 }
 
 // Pressure tells the hosts which images disturb which.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -32,6 +32,8 @@
 	StoreCalls Counter = "sesamestream_store_calls_total"
 	// Refusals counts refused jobs by reason.
 	Refusals Counter = "sesamestream_refusals_total"
+	// HandOvers counts records that the scheduler was asked to store for an entry, by outcome.
+	HandOvers Counter = "sesamestream_hand_overs_total"
 	// Ends counts ended runs by how they ended.
 	Ends Counter = "sesamestream_run_ends_total"
 
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -138,6 +138,12 @@
 	s.queues = c.Queues()
 }
 
+// Serves reports whether a queue is in the configuration in force.
+func (s *Scheduler) Serves(queue string) bool {
+	_, ok := s.queues[queue]
+	return ok
+}
+
 // terms returns the queue of j as configured now, or as it was when the queue is gone.
 func (s *Scheduler) terms(j *job) batch.Queue {
 	if q, ok := s.queues[j.Queue]; ok {
