Drop the descriptions of jobs that are over from the store

Cause: a takeover read all jobs of the last two minutes whole, also those that are over: 2 MB on the grown sites, which takes 1.5 s on a link of 10 Mbit/s. Change: three seconds after a job is over and nothing of it runs any more, its record shrinks to its ID and queue, on the condition of its revision. The key stays, so that the same ID sent again isn't a new job. Revisions of jobs that are forgotten are forgotten too; they were kept for ever. TestTakeoverReadsOnlyWhatIsOpen: a record of over 4,000 bytes is below 400 ten seconds later, known to the next scheduler, and not run again. Ruled out: moving what is over to another prefix, which needs a second condition on each job's creation and a way to find what to forget.

--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -103,6 +103,10 @@
 		d.handed = now
 		d.handOver(now)
 	}
+	if now.Sub(d.shrunk) > shrinkEvery {
+		d.shrunk = now
+		d.shrink(now)
+	}
 	if now.Sub(d.swept) > collectEvery {
 		d.swept = now
 		d.collect(now)
@@ -319,6 +323,10 @@
 	if len(ids) == 0 {
 		return
 	}
+	for _, id := range ids {
+		delete(d.accepts, id)
+		delete(d.revisions, id)
+	}
 	d.stopped.Go(func() {
 		const keysOfJob = 3
 		for len(ids) > 0 {
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -16,6 +16,8 @@
 	ended   time.Time
 	// stored is set once the final state is in the store.
 	stored bool
+	// shrunk jobs are over, and known by their ID and state only.
+	shrunk bool
 	// begun is set once a task has started.
 	begun bool
 	// earlier jobs may run on hosts that weren't heard yet.
@@ -192,6 +194,13 @@
 	j.state, j.ended = s, now
 }
 
+// running reports whether a worker has a task of the job.
+func (j *job) running() bool {
+	any := false
+	j.each(func(t *task) { any = any || t.worker != nil })
+	return any
+}
+
 // ready reports whether the steps that s waits for are done.
 func (s *step) ready() bool {
 	for _, a := range s.After {
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -165,6 +165,11 @@
 		j.load(p)
 	}
 	s.jobs[b.ID], s.open[b.ID] = j, j
+	if len(b.Steps) == 0 {
+		// Its description was dropped once it was over.
+		j.shrunk = true
+		return
+	}
 	m := s.work[b.Queue]
 	if m == nil {
 		m = &mean{}
@@ -292,6 +297,21 @@
 	return ids
 }
 
+// Shrink drops the descriptions of jobs that were over before the time and of
+// which nothing runs any more, and returns what is left of them.
+func (s *Scheduler) Shrink(before time.Time) []*batch.Job {
+	var jobs []*batch.Job
+	for _, j := range s.jobs {
+		if j.shrunk || !j.state.Final() || !j.stored || !j.ended.Before(before) || j.running() {
+			continue
+		}
+		j.Job = &batch.Job{ID: j.ID, Queue: j.Queue, Accepted: j.Accepted}
+		j.runs, j.shrunk = nil, true
+		jobs = append(jobs, j.Job)
+	}
+	return jobs
+}
+
 // Job returns the description of a job.
 func (s *Scheduler) Job(id batch.JobID) (*batch.Job, bool) {
 	j := s.jobs[id]
--- a/test/fleet/takeover_test.go
+++ b/test/fleet/takeover_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"context"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -9,7 +10,12 @@
 	"testing/synctest"
 	"time"
 
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/internal/dispatch"
 	"github.com/sesamestream/sesamestream/internal/election"
+	"github.com/sesamestream/sesamestream/internal/gateway"
+	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
 // leads reports the process that the store names as the scheduler.
@@ -175,3 +181,45 @@
 		}
 	}
 }
+
+// What is over doesn't weigh on a takeover: the store keeps its ID alone, and
+// it's neither run again nor unknown under the next scheduler.
+func TestTakeoverReadsOnlyWhatIsOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newRig(t, 1, 3, 3)
+		time.Sleep(5 * time.Second)
+		j := &batch.Job{
+			ID: "0123456789abcdef", Queue: "urgent", Spec: strings.Repeat("x", 4000),
+			Steps: []batch.Step{{Count: 3, Need: batch.Resources{MilliCPU: 100, MemoryMB: 10}, Estimate: 200 * time.Millisecond}},
+		}
+		r.submit(j)
+		key := dispatch.JobPrefix + string(j.ID)
+		g.Expect(len(r.store.Items(key)[0].Value)).To(BeNumerically(">", 4000))
+		time.Sleep(10 * time.Second)
+		starts := r.history.Starts(j.ID)
+		g.Expect(r.store.Items(key)).To(HaveLen(1))
+		g.Expect(len(r.store.Items(key)[0].Value)).To(BeNumerically("<", 400))
+		for _, p := range r.procs {
+			if p.name == r.leads() {
+				p.kill()
+				time.Sleep(3 * time.Second)
+				p.start()
+				break
+			}
+		}
+		time.Sleep(6 * time.Second)
+		for _, p := range r.procs {
+			if p.host {
+				continue
+			}
+			s, o := p.gateway().State(context.Background(), time.Now().Add(3*time.Second), j.ID)
+			g.Expect(o).To(Equal(gateway.Known), p.name)
+			g.Expect(s).To(Equal(batch.Completed), p.name)
+		}
+		r.submit(j)
+		time.Sleep(5 * time.Second)
+		g.Expect(r.history.Starts(j.ID)).To(Equal(starts), "the same ID doesn't run again")
+		r.close()
+	})
+}
