Start no new job in a term that may be over; replace a silent scheduler once its lease ends

Change: an entry that has two pings unanswered looks whether the store still names the scheduler, and leaves the session if not. Change: a new job is taken in only while the lease that the store answered last surely goes on, or once it's renewed again; so whatever a term starts was stored before the next one began, which waits for it. A renewal without an answer that finds another leader ends the term.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
+	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
 const (
@@ -101,6 +102,8 @@
 	notes map[batch.WorkerKey]int64
 	// revisions are those of the stored progress, accepts those of the jobs' own keys.
 	revisions, accepts map[batch.JobID]kv.Revision
+	// arrived are new jobs that came while the term may have been over.
+	arrived []arrival
 	// keeping counts the records that are being written for others.
 	keeping int
 	// writing is set while a flush is under way, loaded once the store was read.
@@ -311,6 +314,34 @@
 	d.plan.Learn(p.Entries, p.Idle)
 }
 
+// arrive takes a new job in, once no other term can have begun before it was
+// stored: the next scheduler starts what came after its own begin at once, and
+// takes all that came before it for work that may run.
+func (d *Dispatcher) arrive(now time.Time, i kv.Item, earlier bool) {
+	if !succession.Holds(now, d.Term.Contact()) {
+		d.arrived = append(d.arrived, arrival{i, earlier})
+		return
+	}
+	d.add(now, i, nil, earlier)
+}
+
+// arrival is a new job that waits until it's sure that the term goes on.
+type arrival struct {
+	item    kv.Item
+	earlier bool
+}
+
+// admit takes in the jobs that came while the term may have been over.
+func (d *Dispatcher) admit(now time.Time) {
+	if len(d.arrived) == 0 || !succession.Holds(now, d.Term.Contact()) {
+		return
+	}
+	for _, a := range d.arrived {
+		d.add(now, a.item, nil, a.earlier)
+	}
+	d.arrived = nil
+}
+
 func (d *Dispatcher) add(now time.Time, i kv.Item, p *schedule.Progress, earlier bool) {
 	if d.plan.Knows(batch.JobID(strings.TrimPrefix(i.Key, JobPrefix))) {
 		return
@@ -364,7 +395,7 @@
 		d.post(func(now time.Time) {
 			for _, i := range items {
 				if strings.HasPrefix(i.Key, JobPrefix) && !i.Removed {
-					d.add(now, i, nil, now.Sub(d.begun) < unawareTime)
+					d.arrive(now, i, now.Sub(d.begun) < unawareTime)
 				}
 			}
 			for _, i := range items {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -343,7 +343,7 @@
 	if !d.plan.Settled() {
 		return
 	}
-	d.add(now, kv.Item{Key: JobPrefix + string(a.Job), Value: a.Value, Revision: kv.Revision(a.Revision)}, nil, false)
+	d.arrive(now, kv.Item{Key: JobPrefix + string(a.Job), Value: a.Value, Revision: kv.Revision(a.Revision)}, false)
 }
 
 func (d *Dispatcher) answer(s *session, a *link.Ask) {
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -87,6 +87,7 @@
 	}
 	d.settle(now)
 	d.stepDown(now)
+	d.admit(now)
 	if d.loaded && d.Announce != nil && now.Sub(d.told) > announceEvery {
 		d.told = now
 		for name, n := range d.nodes {
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -226,8 +226,12 @@
 		c, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		at := time.Now()
-		if i, err := t.elector.Store.Get(c, leadKey); err == nil && i.Lease == lease {
+		i, err := t.elector.Store.Get(c, leadKey)
+		switch {
+		case err == nil && i.Lease == lease:
 			t.reached(at)
+		case err == nil:
+			t.superseded(ctx)
 		}
 	}
 }
@@ -255,9 +259,16 @@
 	c, cancel := context.WithTimeout(ctx, 3*callTimeout)
 	defer cancel()
 	if _, err := t.take(c, t.Epoch, false); errors.Is(err, ErrTaken) {
-		if i, err := t.elector.Store.Get(c, EpochKey); err == nil && i.Revision != t.Epoch {
-			t.Lose()
-		}
+		t.superseded(c)
+	}
+}
+
+// superseded loses the term if a newer one has begun.
+func (t *Term) superseded(ctx context.Context) {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if i, err := t.elector.Store.Get(c, EpochKey); err == nil && i.Revision != t.Epoch {
+		t.Lose()
 	}
 }
 
--- a/internal/kv/memory/memory.go
+++ b/internal/kv/memory/memory.go
@@ -38,6 +38,8 @@
 	Refuse bool
 	// LoseAnswers of changes and renewals, which are made.
 	LoseAnswers bool
+	// DropRenewals get no answer and have no effect.
+	DropRenewals bool
 	// Late is how much later a change is made, without an answer.
 	Late time.Duration
 	// Delay is how long each call takes.
@@ -342,6 +344,10 @@
 	if err != nil {
 		return err
 	}
+	if f.DropRenewals {
+		<-ctx.Done()
+		return kv.ErrUnknown
+	}
 	err = c.Store.renew(id)
 	if f.LoseAnswers {
 		<-ctx.Done()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,9 @@
 const (
 	// pingEvery keeps several pings within a session's time-out.
 	pingEvery = 500 * time.Millisecond
+	// quietLeader is how long a scheduler may leave pings unanswered until an
+	// entry looks whether it still leads: two pings and the longest way.
+	quietLeader = 2*pingEvery + 100*time.Millisecond
 	// welcomeTimeout covers the load of a scheduler's state and the registration of a node in the store.
 	welcomeTimeout = 3 * time.Second
 	// dialTimeout bounds the opening of a link; the slowest known takes 30 ms one way.
@@ -434,6 +437,8 @@
 	ping := time.NewTicker(pingEvery)
 	defer ping.Stop()
 	n.ping(c)
+	// looks tells whether the scheduler still leads, once it was looked at.
+	var looks chan bool
 	for open := true; open; {
 		select {
 		case <-ctx.Done():
@@ -455,11 +460,19 @@
 			default:
 				n.Message(m)
 			}
+		case leads := <-looks:
+			looks = nil
+			open = leads || time.Since(last) < quietLeader
 		case <-ping.C:
-			if time.Since(last) > link.SessionTimeout {
+			quiet := time.Since(last)
+			if quiet > link.SessionTimeout {
 				open = false
 				break
 			}
+			if quiet > quietLeader && looks == nil && !n.Self.Host {
+				looks = make(chan bool, 1)
+				go func(answer chan<- bool) { answer <- n.stillLeads(ctx, l) }(looks)
+			}
 			n.ping(c)
 		}
 	}
@@ -470,6 +483,15 @@
 	n.Lost()
 }
 
+// stillLeads reports whether the store names l as the leader, or can't be asked.
+func (n *Node) stillLeads(ctx context.Context, l election.Leader) bool {
+	now, err := n.Elector.Current(ctx)
+	if errors.Is(err, kv.ErrNotFound) {
+		return false
+	}
+	return err != nil || now == l
+}
+
 func (n *Node) ping(c *link.Conn) {
 	age := time.Duration(-1)
 	if at := n.Contact(); !at.IsZero() {
--- a/pkg/decide/succession/tenure.go
+++ b/pkg/decide/succession/tenure.go
@@ -34,14 +34,18 @@
 	Lost iter.Seq[time.Time]
 }
 
+// Holds reports whether no other term can have begun by now, whatever happened
+// to the store: the lease that the store answered lately goes on.
+func Holds(now, answered time.Time) bool { return now.Sub(answered) < Fresh }
+
 // Newest reports whether no other term can have begun, as far as the scheduler
 // can tell: it reached the store lately, or the store is away for all. Only
 // then it may grant leases and take those of lost hosts for over.
 func (t Tenure) Newest(now time.Time) bool {
-	switch age := now.Sub(t.Answered); {
-	case age < Fresh:
+	switch {
+	case Holds(now, t.Answered):
 		return true
-	case age > rideThrough:
+	case now.Sub(t.Answered) > rideThrough:
 		return false
 	}
 	for at := range t.Others {
--- a/test/fleet/takeover_test.go
+++ b/test/fleet/takeover_test.go
@@ -12,9 +12,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sesamestream/sesamestream/internal/control"
 	"github.com/sesamestream/sesamestream/internal/dispatch"
 	"github.com/sesamestream/sesamestream/internal/election"
 	"github.com/sesamestream/sesamestream/internal/gateway"
+	"github.com/sesamestream/sesamestream/internal/kv/memory"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
@@ -223,3 +225,76 @@
 		r.close()
 	})
 }
+
+// A scheduler that falls silent without a word is replaced once its lease is
+// over, not only when the sessions with it time out (seen on incident ae8a of
+// wattle-thread: a machine that lost its power led, and 2.7 s passed to the next lead).
+func TestSilentSchedulerIsReplacedOnceItsLeaseIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newRig(t, 1, 3, 3)
+		time.Sleep(10 * time.Second)
+		r.submitSome(4)
+		lead := r.leads()
+		for _, p := range r.procs {
+			if p.name == lead {
+				r.island([]*proc{p}, true)
+				defer func() {
+					r.island([]*proc{p}, false)
+					time.Sleep(10 * time.Second)
+					r.history.Settled(r.state)
+					r.close()
+				}()
+			}
+		}
+		began := time.Now()
+		for l := lead; l == "" || l == lead; l = r.leads() {
+			time.Sleep(20 * time.Millisecond)
+			if time.Since(began) > 5*time.Second {
+				break
+			}
+		}
+		g.Expect(time.Since(began)).To(BeNumerically("<", control.LeadTTL+time.Second))
+	})
+}
+
+// A scheduler that was cut off for longer than its lease, and that hears of new
+// jobs again before it learns of the next term, starts none of them: the next
+// scheduler has started them (seen: seed 511 of TestFaults under load, two
+// schedulers ordered the same tasks 1.9 s after the second had begun).
+func TestNewJobsAreNotStartedByASchedulerThatMayBeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 3, 3)
+		time.Sleep(10 * time.Second)
+		var lead, other, host *proc
+		for _, p := range r.procs {
+			switch {
+			case p.name == r.leads():
+				lead = p
+			case p.host:
+				host = p
+			default:
+				other = p
+			}
+		}
+		island := []*proc{lead, host}
+		r.island(island, true)
+		// Its watch goes on while its renewals get lost.
+		lead.store.Set(memory.Faults{DropRenewals: true})
+		time.Sleep(3500 * time.Millisecond)
+		if l := r.leads(); l == "" || l == lead.name {
+			t.Fatalf("%q leads", l)
+		}
+		for n := range 4 {
+			j := r.job(n)
+			if v, _ := other.submitOnce(j); v.Outcome == gateway.Accepted {
+				r.history.Accepted(j)
+			}
+		}
+		time.Sleep(time.Second)
+		r.island(island, false)
+		time.Sleep(15 * time.Second)
+		r.history.Settled(r.state)
+		r.close()
+	})
+}
