Send no record whose caller has left already

A hand-over that finds its time over was sent and then told as open; nothing needs to be sent then, so that its outcome is known. Measured: test/fleet passes; linter clean.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -308,6 +308,9 @@
 // nil, as the store may have turned away this process alone. Without a session
 // nothing is sent, so that the outcome is known.
 func (g *Gateway) handOver(ctx context.Context, id batch.JobID, value []byte) link.KeepOutcome {
+	if ctx.Err() != nil {
+		return link.NotKept
+	}
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	r, sent := g.call(ctx, func(n uint64) link.Message {
--- a/pkg/decide/schedule/crowd_test.go
+++ b/pkg/decide/schedule/crowd_test.go
@@ -352,7 +352,7 @@
 	c := newCrowd(seed, l)
 	c.rules = r
 	c.serve(l.serving)
-	c.grown.load = l
+	c.load = l
 	c.play(8*time.Second, l.urgent, l.wide)
 	c.harm, c.served = 0, 0
 	from := c.now
