--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -100,8 +100,8 @@
 	strongest float64
 	// notes are the ends that a worker may forget after the next flush.
 	notes map[batch.WorkerKey]int64
-	// revisions are those of the stored progress, accepts those of the jobs' own keys.
-	revisions, accepts map[batch.JobID]kv.Revision
+	// revisions are those of the stored progress, jobRevisions those of the jobs' own keys.
+	revisions, jobRevisions map[batch.JobID]kv.Revision
 	// arrived are new jobs that came while the term may have been over.
 	arrived []arrival
 	// keeping counts the records that are being written for others.
@@ -157,7 +157,7 @@
 	d.begun = time.Now()
 	d.plan = schedule.New()
 	d.sessions, d.nodes, d.unheard = map[string]*session{}, map[string]node{}, map[string]bool{}
-	d.accepts = map[batch.JobID]kv.Revision{}
+	d.jobRevisions = map[batch.JobID]kv.Revision{}
 	d.revisions, d.leaving, d.lastHeard = map[batch.JobID]kv.Revision{}, map[string]time.Time{}, map[string]time.Time{}
 	d.lapses, d.notes = map[batch.WorkerKey]time.Time{}, map[batch.WorkerKey]int64{}
 	d.wants = make(chan schedule.Want, adviceQueue)
@@ -352,7 +352,7 @@
 		return
 	}
 	d.plan.Add(now, &j, p, earlier)
-	d.accepts[j.ID] = i.Revision
+	d.jobRevisions[j.ID] = i.Revision
 	d.Log.Event(eventlog.JobQueued).Str("job", string(j.ID)).Str("queue", j.Queue).Int64("revision", int64(i.Revision)).
 		Bool("earlier", earlier).Msg("")
 }
--- a/internal/dispatch/shrink.go
+++ b/internal/dispatch/shrink.go
@@ -34,8 +34,8 @@
 		}
 		key := JobPrefix + string(j.ID)
 		puts = append(puts, kv.Put{Key: key, Value: v})
-		conditions = append(conditions, kv.Condition{Key: key, Revision: d.accepts[j.ID]})
-		delete(d.accepts, j.ID)
+		conditions = append(conditions, kv.Condition{Key: key, Revision: d.jobRevisions[j.ID]})
+		delete(d.jobRevisions, j.ID)
 	}
 	d.stopped.Go(func() {
 		for len(puts) > 0 {
--- a/internal/dispatch/step.go
+++ b/internal/dispatch/step.go
@@ -325,7 +325,7 @@
 		return
 	}
 	for _, id := range ids {
-		delete(d.accepts, id)
+		delete(d.jobRevisions, id)
 		delete(d.revisions, id)
 	}
 	d.stopped.Go(func() {
