Find the process that leads in one place of the fleet's tests

Four tests looped over the processes for it. Assertions stay. A comment counted the renewals of the lead wrong.

--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -19,7 +19,7 @@
 	// so their memory: a record is as large as a caller's body.
 	keepsAtOnce = 64
 	// keepContact is how old the store's last answer may be for a record to be
-	// tried at all: two renewals of the lead.
+	// tried at all: three renewals of the lead.
 	keepContact = time.Second
 	// keepCall bounds each of the two calls to the store; the farthest one answers in 70 ms.
 	keepCall = 400 * time.Millisecond
--- a/test/fleet/handover_test.go
+++ b/test/fleet/handover_test.go
@@ -98,11 +98,7 @@
 		r := newRig(t, 1, 3, 3)
 		time.Sleep(5 * time.Second)
 		p := r.withoutStore(memory.Faults{Refuse: true})
-		for _, q := range r.procs {
-			if q.name == r.leads() {
-				q.store.Set(memory.Faults{LoseAnswers: true})
-			}
-		}
+		r.leader().store.Set(memory.Faults{LoseAnswers: true})
 		j := r.job(1)
 		v, _ := p.submitOnce(j)
 		g.Expect(v.Outcome).To(Equal(gateway.Unknown))
--- a/test/fleet/takeover_test.go
+++ b/test/fleet/takeover_test.go
@@ -33,6 +33,18 @@
 	return l.Node
 }
 
+// leader returns the process that schedules.
+func (r *rig) leader() *proc {
+	lead := r.leads()
+	for _, p := range r.procs {
+		if p.name == lead {
+			return p
+		}
+	}
+	r.t.Fatalf("%q leads", lead)
+	return nil
+}
+
 // A host that left for good isn't waited for by the next scheduler, and what
 // a host's worker runs isn't started elsewhere before its lease is over
 // (seen: each takeover waited 5.7 s for a machine whose worker had left).
@@ -202,14 +214,10 @@
 		starts := r.history.Starts(j.ID)
 		g.Expect(r.store.Items(key)).To(HaveLen(1))
 		g.Expect(len(r.store.Items(key)[0].Value)).To(BeNumerically("<", 400))
-		for _, p := range r.procs {
-			if p.name == r.leads() {
-				p.kill()
-				time.Sleep(3 * time.Second)
-				p.start()
-				break
-			}
-		}
+		lead := r.leader()
+		lead.kill()
+		time.Sleep(3 * time.Second)
+		lead.start()
 		time.Sleep(6 * time.Second)
 		for _, p := range r.procs {
 			if p.host {
@@ -235,20 +243,16 @@
 		r := newRig(t, 1, 3, 3)
 		time.Sleep(10 * time.Second)
 		r.submitSome(4)
-		lead := r.leads()
-		for _, p := range r.procs {
-			if p.name == lead {
-				r.island([]*proc{p}, true)
-				defer func() {
-					r.island([]*proc{p}, false)
-					time.Sleep(10 * time.Second)
-					r.history.Settled(r.state)
-					r.close()
-				}()
-			}
-		}
+		lead := r.leader()
+		r.island([]*proc{lead}, true)
+		defer func() {
+			r.island([]*proc{lead}, false)
+			time.Sleep(10 * time.Second)
+			r.history.Settled(r.state)
+			r.close()
+		}()
 		began := time.Now()
-		for l := lead; l == "" || l == lead; l = r.leads() {
+		for l := lead.name; l == "" || l == lead.name; l = r.leads() {
 			time.Sleep(20 * time.Millisecond)
 			if time.Since(began) > 5*time.Second {
 				break
@@ -266,11 +270,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1, 3, 3)
 		time.Sleep(10 * time.Second)
-		var lead, other, host *proc
+		lead := r.leader()
+		var other, host *proc
 		for _, p := range r.procs {
 			switch {
-			case p.name == r.leads():
-				lead = p
+			case p == lead:
 			case p.host:
 				host = p
 			default:
