Measure interference in shares of the worker's processors

A share of 1 was four cores, which is two best-effort tasks on workers of 16 cores. On workers of 64 cores a task has seven, so that the prior of a pair that was never observed refused nearly every placement for the first seconds: tasks waited beside unused processors until the wait limit was reached. The share is now a quarter of the worker's processors.

--- a/internal/hostagent/poll.go
+++ b/internal/hostagent/poll.go
@@ -184,6 +184,7 @@
 	}
 	fence := h.fence
 	now := time.Now()
+	h.pacing.CapacityMilliCPU = h.info.Capacity.MilliCPU
 	h.pacing.InterferenceWeight = func(victim, aggressor string) (float64, bool) {
 		w, ok := h.agent.interference[interfere.Pair{Victim: fleet.Kind(victim), Aggressor: fleet.Kind(aggressor)}]
 		return w, ok
--- a/pkg/decide/interfere/occupancy.go
+++ b/pkg/decide/interfere/occupancy.go
@@ -8,9 +8,17 @@
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
-// MilliCPUPerShare is the processor time that counts as a share of 1 in an
-// OccupancyModel, in thousandths of a core. It is about that of two tasks.
-const MilliCPUPerShare = 4000
+// capacityPerShare is the part of a worker's processors that counts as a share of
+// 1 in an OccupancyModel.
+const capacityPerShare = 0.25
+
+// Share returns the share, in the units of an OccupancyModel, of an aggressor that
+// uses some processor time of a worker. Both are in thousandths of a core. Tasks
+// are sized for the workers that they run on, so a share means about as much on
+// workers of any size.
+func Share(usedMilliCPU, capacityMilliCPU int) float64 {
+	return float64(usedMilliCPU) / (capacityPerShare * float64(max(capacityMilliCPU, 1)))
+}
 
 // PriorWeight is the weight of an unknown pair: half that of a strong aggressor.
 const PriorWeight = 0.25
--- a/pkg/decide/pacing/pacing.go
+++ b/pkg/decide/pacing/pacing.go
@@ -61,9 +61,6 @@
 	// a run may exceed its pace, as the samples are imprecise.
 	paceToleranceFactor   = 1.6
 	paceToleranceMilliCPU = 150
-	// assumedHaltedShare is the share, in units of interfere.MilliCPUPerShare, that
-	// a halted task is assumed to use at full pace.
-	assumedHaltedShare = 0.45
 )
 
 // A RunSample is a run as listed by the worker, with the properties of its step.
@@ -100,6 +97,8 @@
 
 // A Machine paces the runs of one worker.
 type Machine struct {
+	// CapacityMilliCPU is the processor time of the worker, in thousandths of a core.
+	CapacityMilliCPU int
 	// InterferenceWeight returns the occupancy of a victim that a share of 1 of an
 	// aggressor adds, if that is known.
 	InterferenceWeight func(victim, aggressor string) (weight float64, known bool)
@@ -162,7 +161,7 @@
 
 // occupancyTaken returns the part of v's occupancy that is due to r.
 func (m *Machine) occupancyTaken(v, r RunSample) float64 {
-	return m.weight(v.Image, r.Image) * float64(r.UsedMilliCPU) / interfere.MilliCPUPerShare
+	return m.weight(v.Image, r.Image) * interfere.Share(r.UsedMilliCPU, m.CapacityMilliCPU)
 }
 
 // Step takes the samples of one poll of the worker, appends the resulting pace
@@ -339,9 +338,9 @@
 // maxRecoveryStep and half of what the headroom of each victim allows.
 func (m *Machine) recoveredPace(old int, r RunSample, samples []RunSample) int {
 	// The share used at full pace follows from the current use and pace.
-	use := assumedHaltedShare
+	use := interfere.Share(r.RequestedMilliCPU, m.CapacityMilliCPU)
 	if old > 0 && r.UsedMilliCPU > 0 {
-		use = float64(r.UsedMilliCPU) / interfere.MilliCPUPerShare * fullPace / float64(old)
+		use = interfere.Share(r.UsedMilliCPU, m.CapacityMilliCPU) * fullPace / float64(old)
 	}
 	step := float64(maxRecoveryStep)
 	for _, v := range samples {
--- a/pkg/decide/pacing/pacing_test.go
+++ b/pkg/decide/pacing/pacing_test.go
@@ -25,7 +25,8 @@
 
 func newMachine() *Machine {
 	return &Machine{
-		IdleTail: func(string) time.Duration { return 10 * time.Millisecond },
+		CapacityMilliCPU: 16000,
+		IdleTail:         func(string) time.Duration { return 10 * time.Millisecond },
 		InterferenceWeight: func(_, aggressor string) (float64, bool) {
 			return map[string]float64{"heavy": 0.6, "light": 0}[aggressor], true
 		},
--- a/pkg/decide/schedule/fleetsim_test.go
+++ b/pkg/decide/schedule/fleetsim_test.go
@@ -26,6 +26,21 @@
 	// victimImages and aggressorImages are the numbers of images of latency-critical
 	// and best-effort tasks.
 	victimImages, aggressorImages int
+	// cpuFactor multiplies the processors of workers and tasks; 0 counts as 1.
+	cpuFactor float64
+	// lightWeight and heavyWeight are the ranges of the interference weights of a
+	// quarter of 16 cores; zero ranges are those of pacingSim.
+	lightWeight, heavyWeight [2]float64
+	// knownWeights tells the scheduler all weights at the start.
+	knownWeights bool
+}
+
+// milliCPU returns a processor time of the load, in thousandths of a core.
+func (l fleetLoad) milliCPU(x float64) int {
+	if l.cpuFactor > 0 {
+		x *= l.cpuFactor
+	}
+	return int(x)
 }
 
 // The loads of a fleet of 70 workers and one of 240.
--- a/pkg/decide/schedule/interference.go
+++ b/pkg/decide/schedule/interference.go
@@ -64,7 +64,7 @@
 	for _, r := range runs {
 		t := w.tasks[r.Task]
 		if t != nil && t.step.BestEffort && t.run == r.Number && t.step.Image != "" && r.Load > 0 {
-			shares[fleet.Kind(t.step.Image)] += tailSmoothing * float64(r.Load) / interfere.MilliCPUPerShare
+			shares[fleet.Kind(t.step.Image)] += tailSmoothing * interfere.Share(r.Load, w.Capacity.MilliCPU)
 		}
 	}
 	w.bestEffortShares = shares
@@ -125,7 +125,7 @@
 // to stay within its maximum occupancy with st on w, and the total occupancy that
 // st adds to them.
 func (s *Scheduler) expectedInterference(now time.Time, w *worker, st *step) (fits bool, total float64) {
-	share := float64(st.Need.MilliCPU) / interfere.MilliCPUPerShare
+	share := interfere.Share(st.Need.MilliCPU, w.Capacity.MilliCPU)
 	starts := s.recentStarts(now, w)
 	fits = true
 	for _, v := range w.victims {
@@ -174,7 +174,7 @@
 				unobserved = 1
 			}
 		}
-		out = append(out, recentStart{fleet.Kind(t.step.Image), unobserved * float64(t.step.Need.MilliCPU) / interfere.MilliCPUPerShare})
+		out = append(out, recentStart{fleet.Kind(t.step.Image), unobserved * interfere.Share(t.step.Need.MilliCPU, w.Capacity.MilliCPU)})
 	}
 	s.startsBuffer = out
 	return out
--- a/pkg/decide/schedule/pacingsim_test.go
+++ b/pkg/decide/schedule/pacingsim_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/decide/pacing"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
@@ -78,6 +80,8 @@
 	// simMeanLoad is the mean load of a latency-critical task; the load oscillates by half of it.
 	simMeanLoad          = 0.45
 	simLoadPeriod        = 14 * time.Second
+	// simWeightMilliCPU is the processor time of an aggressor to which its weight refers.
+	simWeightMilliCPU    = 4000
 	simStopTime          = 400 * time.Millisecond
 	simRestoreTime       = 600 * time.Millisecond
 	simCheckpointSeconds = 1.0
@@ -90,9 +94,13 @@
 	}
 	for v := range l.victimImages {
 		for d := range l.aggressorImages {
-			w := 0.03 + 0.07*c.random.Float64()
+			light, heavy := l.lightWeight, l.heavyWeight
+			if heavy == [2]float64{} {
+				light, heavy = [2]float64{0.03, 0.1}, [2]float64{0.3, 0.7}
+			}
+			w := light[0] + (light[1]-light[0])*c.random.Float64()
 			if c.random.Float64() < 0.4 {
-				w = 0.3 + 0.4*c.random.Float64()
+				w = heavy[0] + (heavy[1]-heavy[0])*c.random.Float64()
 			}
 			c.interferenceWeights[[2]string{fmt.Sprintf("serve-%d", v), fmt.Sprintf("fill-%d", d)}] = w
 		}
@@ -106,10 +114,12 @@
 			milliCPU = 12500
 		}
 		k := batch.WorkerKey{ID: fmt.Sprintf("%03d", i), StartTime: 1}
+		milliCPU = l.milliCPU(float64(milliCPU))
 		h := &simHost{key: k, milliCPU: milliCPU, reportSlot: i % int(batch.LoadWindow/pacingSimStep)}
 		c.hosts[k] = h
 		c.hostOrder = append(c.hostOrder, h)
 		h.pacer = &pacing.Machine{
+
 			InterferenceWeight: func(v, d string) (float64, bool) {
 				return c.interference.Weight(imageKind(v), imageKind(d)), true
 			},
@@ -117,9 +127,25 @@
 		}
 	}
 	c.Scheduler = newHarness(c.workerList()...).Scheduler
+	if l.knownWeights {
+		c.tellWeights()
+	}
 	return c
 }
 
+// tellWeights loads the actual weights into the scheduler, for the smallest workers.
+func (c *pacingSim) tellWeights() {
+	var es []interfere.Estimate
+	idle := map[fleet.Kind]time.Duration{}
+	scale := 1 / interfere.Share(simWeightMilliCPU, c.load.milliCPU(16000))
+	for p, w := range c.interferenceWeights {
+		idle[imageKind(p[0])] = simIdleTail
+		es = append(es, interfere.Estimate{Pair: interfere.Pair{Victim: imageKind(p[0]), Aggressor: imageKind(p[1])}, Weight: float32(w * scale), Evidence: 100})
+	}
+	slices.SortFunc(es, func(a, b interfere.Estimate) int { return cmp.Or(cmp.Compare(a.Victim, b.Victim), cmp.Compare(a.Aggressor, b.Aggressor)) })
+	c.LoadInterferenceEstimates(es, idle)
+}
+
 func (c *pacingSim) workerList() []batch.Worker {
 	var ws []batch.Worker
 	for _, h := range c.hostOrder {
@@ -132,7 +158,7 @@
 func (c *pacingSim) addServingJobs(jobs int) {
 	for i := range jobs {
 		st := batch.Step{
-			Count: int(c.varied(float64(c.load.servingWidth))), Need: batch.Resources{MilliCPU: int(3200 * (0.75 + 0.5*c.random.Float64())), MemoryMB: 500},
+			Count: int(c.varied(float64(c.load.servingWidth))), Need: batch.Resources{MilliCPU: c.load.milliCPU(3200 * (0.75 + 0.5*c.random.Float64())), MemoryMB: 500},
 			LongRunning: true, LatencyTarget: simTailTarget, Image: fmt.Sprintf("serve-%d", c.random.IntN(c.load.victimImages)),
 		}
 		if i%2 == 0 {
@@ -148,14 +174,14 @@
 	dt := pacingSimStep.Seconds()
 	for range c.poisson(urgentRate * dt) {
 		c.submitJob("urgent", batch.Step{
-			Count: max(int(c.varied(c.load.urgentWidth)), 1), Need: batch.Resources{MilliCPU: int(c.varied(690)), MemoryMB: 300},
+			Count: max(int(c.varied(c.load.urgentWidth)), 1), Need: batch.Resources{MilliCPU: c.load.milliCPU(c.varied(690)), MemoryMB: 300},
 			Estimate: time.Duration(c.varied(float64(time.Second))),
 		})
 	}
 	for range c.poisson(wideRate * dt) {
 		d := c.varied(2.7)
 		id := c.submitJob("wide", batch.Step{
-			Count: max(int(c.varied(c.load.wideWidth)), 1), Need: batch.Resources{MilliCPU: int(1800 * (0.7 + 0.6*c.random.Float64())), MemoryMB: 3200},
+			Count: max(int(c.varied(c.load.wideWidth)), 1), Need: batch.Resources{MilliCPU: c.load.milliCPU(1800 * (0.7 + 0.6*c.random.Float64())), MemoryMB: 3200},
 			// The declared estimate is far from the actual duration.
 			Estimate:   time.Duration(d * (0.5 + c.random.Float64()) * float64(time.Second)),
 			BestEffort: true, Checkpoints: c.random.Float64() < 0.85, Image: fmt.Sprintf("fill-%d", c.random.IntN(c.load.aggressorImages)),
@@ -213,7 +239,7 @@
 		if !c.now.Before(r.readyAt) && r.stopsAt.IsZero() {
 			r.usedMilliCPU = int(float64(r.Step.Need.MilliCPU*r.pace) / 100 * share)
 		}
-		pressure[r.Step.Image] += float64(r.usedMilliCPU) / 4000
+		pressure[r.Step.Image] += float64(r.usedMilliCPU) / simWeightMilliCPU
 	}
 	h.runs = slices.DeleteFunc(h.runs, func(r *simRun) bool { return c.advanceRun(h, r, pressure) })
 }
@@ -448,3 +474,21 @@
 	l.victimImages, l.aggressorImages = 5, 9
 	return l
 }
+
+// dozenLargeWorkers returns the load of a fleet of a dozen workers of four times
+// the processors, whose tasks are larger in proportion. Each task of an aggressor
+// takes more of a victim's headroom than on small workers.
+func dozenLargeWorkers() fleetLoad {
+	l := dozenWorkers()
+	l.cpuFactor = 4
+	l.lightWeight, l.heavyWeight = [2]float64{0, 0.02}, [2]float64{0.1, 0.45}
+	return l
+}
+
+// On workers with many processors, whose tasks are large too, best-effort tasks of
+// images that were never observed start at once, rather than only after the wait limit.
+func TestUnknownImagesStartOnLargeWorkers(t *testing.T) {
+	g := NewWithT(t)
+	mean := meanResult(t, "large workers", 12, dozenLargeWorkers(), policyVariant{})
+	g.Expect(mean.bestEffort).To(BeNumerically(">", 0))
+}
