Follow the load of serving tasks, and learn weights from siblings

Cause: a victim's lowest sibling was taken as its tail without aggressors, though that sibling had aggressors too, so that weights were learned too low. And the processors that serving tasks leave were taken as 0.4 of their reservation at all times, while they use 0.2 to 0.7 of it.

Change: a window is compared with the sibling of the lowest tail by the difference of both tails and of both workers' aggressors. What is left of a tail without the aggressors' part is the load of its step; a line through the last samples gives the processors in use and the room beside each victim.

--- a/pkg/decide/interfere/occupancy.go
+++ b/pkg/decide/interfere/occupancy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -107,24 +108,23 @@
 	return i
 }
 
+// minShareDifference is the smallest difference of an aggressor's shares that shows its effect.
+const minShareDifference = 0.01
+
 // Observe updates the model with one window of a task of the victim: its tail
-// latency, its expected tail latency without the aggressors, and their shares.
-func (c *OccupancyModel) Observe(victim fleet.Kind, tail, alone time.Duration, shares Shares) {
-	if tail <= 0 || alone <= 0 {
+// latency and the shares of the aggressors beside it, and those of a reference
+// under the same load of its own. Only where the shares differ do the tail
+// latencies show an effect of the aggressors.
+func (c *OccupancyModel) Observe(victim fleet.Kind, tail, reference time.Duration, shares, referenceShares Shares) {
+	if tail <= 0 || reference <= 0 {
 		return
 	}
 	n := c.equations(victim)
-	if lowest := min(tail, alone); n.idleTail == 0 || lowest < n.idleTail {
+	if lowest := min(tail, reference); n.idleTail == 0 || lowest < n.idleTail {
 		n.idleTail = lowest
 	}
-	if len(shares) == 0 {
-		return
-	}
 	x := map[int]float64{}
-	for k, s := range shares {
-		if s <= 0 {
-			continue
-		}
+	for k, s := range differences(shares, referenceShares) {
 		i, ok := n.columns[k]
 		if !ok {
 			if len(n.aggressors) >= maxAggressors {
@@ -134,7 +134,10 @@
 		}
 		x[i] = s
 	}
-	taken := max(n.occupancy(tail)-n.occupancy(alone), 0)
+	if len(x) == 0 {
+		return
+	}
+	taken := n.occupancy(tail) - n.occupancy(reference)
 	if n.occupancy(tail) >= SaturatedOccupancy {
 		// A saturated tail latency gives only a lower bound, so it can't reduce the weights.
 		n.solve()
@@ -164,6 +167,26 @@
 	n.solved = false
 }
 
+// differences returns by how much the shares of each aggressor differ between a and
+// b, where they differ at all.
+func differences(a, b Shares) Shares {
+	out := Shares{}
+	for k, s := range a {
+		out[k] = s - b[k]
+	}
+	for k, s := range b {
+		if _, ok := a[k]; !ok {
+			out[k] = -s
+		}
+	}
+	for k, s := range out {
+		if math.Abs(s) < minShareDifference {
+			delete(out, k)
+		}
+	}
+	return out
+}
+
 func (n *normalEquations) occupancy(tail time.Duration) float64 { return Occupancy(n.idleTail, tail) }
 
 // solve computes the weights by Gaussian elimination. It needs no pivoting, as the
--- a/pkg/decide/schedule/interference.go
+++ b/pkg/decide/schedule/interference.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"math"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
@@ -15,16 +14,8 @@
 	// expected to reach after a placement. The rest is headroom for the load of the
 	// latency-critical task itself, which swings by half.
 	maxExpectedTailShare = 0.7
-	// maxTailAge bounds the age of a tail latency sample in use.
-	maxTailAge = 2 * time.Second
-	// startEffectLag is how long a start has no effect on the tail latencies at all: until the next window is reported.
-	startEffectLag = batch.LoadWindow
-	// startEffectTime is when a start shows in the tail latencies almost fully, as they follow it by a part each window.
-	startEffectTime = 6 * batch.LoadWindow
 	// tailSmoothing is the part by which a tail latency follows a change of the colocated work in each window.
 	tailSmoothing = 0.5
-	// defaultOccupancy is assumed of a latency-critical task without a recent tail latency: the middle of its swing.
-	defaultOccupancy = 0.5
 	// defaultMaxOccupancy bounds the occupancy of a victim whose idle tail latency is
 	// unknown. Targets are five times the lowest tail latency.
 	defaultMaxOccupancy = 0.7
@@ -36,14 +27,17 @@
 	measuredAt time.Time
 }
 
-// baselineTail estimates the tail latency of t without best-effort tasks on its
-// worker. The tasks of a step share their load, so the lowest recent tail latency
-// among them is the closest estimate.
-func (t *task) baselineTail(now time.Time) time.Duration {
-	lowest := t.tailLatency.latency
+// reference returns the task of t's step that shows best how much best-effort tasks
+// interfere with t: the one with the lowest recent tail latency, which is t itself
+// if there is no lower one. The tasks of a step share their load.
+func (t *task) reference(now time.Time) *task {
+	lowest := t
 	for _, o := range t.step.tasks {
-		if o.worker != nil && o.tailLatency.latency > 0 && now.Sub(o.tailLatency.measuredAt) <= 2*batch.LoadWindow {
-			lowest = min(lowest, o.tailLatency.latency)
+		if o.worker == nil || o.tailLatency.latency <= 0 || now.Sub(o.tailLatency.measuredAt) > 2*batch.LoadWindow {
+			continue
+		}
+		if o.tailLatency.latency < lowest.tailLatency.latency {
+			lowest = o
 		}
 	}
 	return lowest
@@ -73,7 +67,9 @@
 		if t == nil || t.run != r.Number || t.step.LatencyTarget <= 0 || r.Load <= 0 || now.Sub(t.startedAt) < servingWarmUp {
 			continue
 		}
-		s.interference.Observe(fleet.Kind(t.step.Image), t.tailLatency.latency, t.baselineTail(now), shares)
+		s.observeLoad(now, w, t)
+		o := t.reference(now)
+		s.interference.Observe(fleet.Kind(t.step.Image), t.tailLatency.latency, o.tailLatency.latency, shares, o.worker.bestEffortShares)
 	}
 }
 
@@ -126,7 +122,6 @@
 // st adds to them.
 func (s *Scheduler) expectedInterference(now time.Time, w *worker, st *step) (fits bool, total float64) {
 	share := interfere.Share(st.Need.MilliCPU, w.Capacity.MilliCPU)
-	starts := s.recentStarts(now, w)
 	fits = true
 	for _, v := range w.victims {
 		image := fleet.Kind(v.step.Image)
@@ -135,49 +130,32 @@
 		if added < negligibleInterference {
 			continue
 		}
-		occupancy := defaultOccupancy
-		if now.Sub(v.tailLatency.measuredAt) < maxTailAge {
-			occupancy = s.interference.Occupancy(image, v.tailLatency.latency)
-		}
-		for _, x := range starts {
-			occupancy += s.interference.Weight(image, x.image) * x.share
-		}
-		maxOccupancy := defaultMaxOccupancy
-		if s.interference.IdleTail(image) > 0 {
-			maxOccupancy = s.interference.Occupancy(image, time.Duration(maxExpectedTailShare*float64(v.step.LatencyTarget)))
-		}
-		if occupancy+added > maxOccupancy {
+		if s.expectedOccupancy(now, w, v)+added > s.maxOccupancy(v) {
 			fits = false
 		}
 	}
 	return fits, total
 }
 
-// recentStart is the part of a started task's share that tail latencies don't show yet.
-type recentStart struct {
-	image fleet.Kind
-	share float64
+// expectedOccupancy returns the occupancy of a latency-critical task of w that its
+// own load and the best-effort tasks of w are expected to cause.
+func (s *Scheduler) expectedOccupancy(now time.Time, w *worker, v *task) float64 {
+	occupancy := v.expectedLoad(now)
+	for _, f := range w.bestEffort {
+		weight := s.interference.Weight(fleet.Kind(v.step.Image), fleet.Kind(f.step.Image))
+		occupancy += weight * interfere.Share(f.expectedMilliCPU(now), w.Capacity.MilliCPU)
+	}
+	return occupancy
 }
 
-// recentStarts returns the recent starts of best-effort tasks on w. The next call overwrites the slice.
-func (s *Scheduler) recentStarts(now time.Time, w *worker) []recentStart {
-	out := s.startsBuffer[:0]
-	for _, t := range w.bestEffort {
-		age := now.Sub(t.startedAt)
-		if age >= startEffectTime {
-			continue
-		}
-		unobserved := math.Pow(1-tailSmoothing, max(age-startEffectLag, 0).Seconds()/batch.LoadWindow.Seconds())
-		if s.variant.stepStartEffect {
-			unobserved = 0
-			if age < 2*startEffectLag {
-				unobserved = 1
-			}
-		}
-		out = append(out, recentStart{fleet.Kind(t.step.Image), unobserved * interfere.Share(t.step.Need.MilliCPU, w.Capacity.MilliCPU)})
+// maxOccupancy returns the occupancy of a latency-critical task up to which
+// best-effort tasks are placed beside it.
+func (s *Scheduler) maxOccupancy(v *task) float64 {
+	image := fleet.Kind(v.step.Image)
+	if s.interference.IdleTail(image) == 0 {
+		return defaultMaxOccupancy
 	}
-	s.startsBuffer = out
-	return out
+	return s.interference.Occupancy(image, time.Duration(maxExpectedTailShare*float64(v.step.LatencyTarget)))
 }
 
 // negligibleInterference is the occupancy that an aggressor may always add to a victim.
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -67,6 +67,8 @@
 	searched bool
 	// moveFailedAt is when the last search for a worker to move a task to found none.
 	moveFailedAt time.Time
+	// load is the load of a latency-critical step, as the occupancy that it causes by itself.
+	load trend
 	// peerDurations are the durations of the tasks that are done.
 	peerDurations straggle.PeerDurations
 }
@@ -81,6 +83,8 @@
 	checkpoint  string
 	worker      *worker
 	tailLatency tailSample
+	// usedMilliCPU is the processor time that a best-effort task used in the last window, in thousandths of a core.
+	usedMilliCPU int
 	// throttledSince is since when the host throttles the task below throttledPercent; zero if it doesn't.
 	throttledSince time.Time
 	// moveNotBefore is the earliest time at which the task may be moved or its progress judged again.
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -161,7 +161,7 @@
 
 // orderStart assigns a run of t to w and adds the order to start it to o.
 func (s *Scheduler) orderStart(now time.Time, c pendingStep, t *task, w *worker, run int, o *Orders) {
-	free, spare := w.freeResources(), w.spareMilliCPU(now)
+	free, spare := w.freeResources(), s.spareMilliCPU(now, w)
 	checkpoint := t.checkpoint
 	if c.step.Gang {
 		checkpoint = c.step.checkpoint
@@ -285,7 +285,7 @@
 	v := 0.0
 	switch {
 	case st.BestEffort:
-		v = min(float64(w.spareMilliCPU(now))/float64(max(st.Need.MilliCPU, 1)), maxUsefulSpareRatio) - interferenceCost*interference - bestEffortCompatibilityCost*s.compatibility(now, w)
+		v = min(float64(s.spareMilliCPU(now, w))/float64(max(st.Need.MilliCPU, 1)), maxUsefulSpareRatio) - interferenceCost*interference - bestEffortCompatibilityCost*s.compatibility(now, w)
 	case st.LongRunning:
 		// Tasks of the same image share as few workers as possible. Best-effort tasks
 		// then find workers where they interfere with few latency-critical tasks or none.
@@ -297,7 +297,7 @@
 			}
 		}
 	default:
-		v = float64(w.freeResources().MilliCPU)/1000 + float64(min(w.spareMilliCPU(now), 0))/1000
+		v = float64(w.freeResources().MilliCPU)/1000 + float64(min(s.spareMilliCPU(now, w), 0))/1000
 		if !s.variant.ignoreCompatibility {
 			// Reserved tasks go where latency-critical tasks already exclude best-effort
 			// work, as they take the least capacity from it there.
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -291,6 +291,7 @@
 		}
 		if t.step.BestEffort {
 			t.recordPace(now, r.Pace)
+			t.usedMilliCPU = r.Load
 		}
 		if t.step.BestEffort && now.Sub(t.startedAt) > loadSettleTime && t.step.Need.MilliCPU > 0 {
 			usedMilliCPU += r.Load
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -78,9 +78,8 @@
 	// workerList holds the same workers as a list for searches; the next search starts at nextSearchStart.
 	workerList      []*worker
 	nextSearchStart int
-	// rankingBuffer and startsBuffer are reused by rank and recentStarts.
+	// rankingBuffer is reused by rank.
 	rankingBuffer candidateHeap
-	startsBuffer  []recentStart
 	queues        map[string]batch.Queue
 	// recovered is set once each host that may run tasks of an earlier scheduler has
 	// connected or its wait limit is over.
@@ -104,8 +103,8 @@
 type policyVariant struct {
 	// delayMoves makes every throttled task wait for minThrottledTime before it is moved.
 	delayMoves bool
-	// stepStartEffect assumes that the effect of a start shows fully in the tail latencies after two windows.
-	stepStartEffect bool
+	// constantServingUse takes the same part of each reservation of latency-critical tasks for used.
+	constantServingUse bool
 	// ignoreCompatibility places reserved tasks by free capacity alone.
 	ignoreCompatibility bool
 }
--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -80,7 +80,7 @@
 	}
 	interference := 0.0
 	if st.BestEffort {
-		if x.limitInterference && w.spareMilliCPU(x.now) < minBestEffortCPU(st) {
+		if x.limitInterference && x.scheduler.spareMilliCPU(x.now, w) < minBestEffortCPU(st) {
 			return 0, false
 		}
 		var fits bool
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -44,20 +44,26 @@
 }
 
 // expectedServingUsage is the share of their reservation that long-running tasks
-// are expected to use without a measurement; their load swings by about half.
+// are expected to use where their load isn't known.
 const expectedServingUsage = 0.6
 
 // maxSpareSampleAge bounds the age of a spare time sample in use; loads swing over 14 s or more.
 const maxSpareSampleAge = 3 * time.Second
 
-// spareMilliCPU returns the processor time left for further best-effort tasks, in thousandths of a core.
-func (w *worker) spareMilliCPU(now time.Time) int {
-	otherReserved := w.reserved.MilliCPU - w.servingMilliCPU
-	free := w.Capacity.MilliCPU - otherReserved - int(expectedServingUsage*float64(w.servingMilliCPU))
+// spareMilliCPU returns the processor time left on w for further best-effort tasks, in thousandths of a core.
+func (s *Scheduler) spareMilliCPU(now time.Time, w *worker) int {
+	free := w.Capacity.MilliCPU - (w.reserved.MilliCPU - w.servingMilliCPU)
 	if w.measuredSpare.milliCPU > 0 && now.Sub(w.measuredSpare.measuredAt) < maxSpareSampleAge {
-		free = w.measuredSpare.milliCPU
+		return w.measuredSpare.milliCPU - w.bestEffortMilliCPU
 	}
-	return free - w.bestEffortMilliCPU
+	unknown := w.servingMilliCPU
+	for _, v := range w.victims {
+		if load, ok := v.step.load.forecast(now, loadForecast); ok && v.step.LongRunning && !s.variant.constantServingUse {
+			free -= int(min(max(load, 0), maxLoad) * float64(v.step.Need.MilliCPU))
+			unknown -= v.step.Need.MilliCPU
+		}
+	}
+	return free - int(expectedServingUsage*float64(unknown)) - w.bestEffortMilliCPU
 }
 
 // isEarlierIncarnation reports whether w is an earlier incarnation of x.
