Move single serving tasks so that each image finds open workers

Cause: serving tasks reserve nearly all processors, start before anything is known of their images, and stay. In the replay of a dozen large workers half of the best-effort images found 0 to 3 workers without a victim of theirs; without interference all jobs are in time, so processors bind nothing there.

Change: once a second the move of one serving task (one for each 64 workers) that opens the most processors to the images is made, if it opens a tenth of a worker or more. At most one task of a step is away, and its room is kept for it.

--- a/pkg/decide/schedule/pacingsim_test.go
+++ b/pkg/decide/schedule/pacingsim_test.go
@@ -501,6 +501,19 @@
 	}
 }
 
+// Latency-critical tasks that start before their weights are known share workers so
+// that some best-effort images find none that is open. Moving single ones completes
+// more best-effort jobs in time, and keeps more tail latencies within their targets.
+func TestRearrangedServingTasksLeaveOpenWorkers(t *testing.T) {
+	g := NewWithT(t)
+	for name, l := range map[string]fleetLoad{"small workers": dozenWorkers(), "large workers": dozenLargeWorkers()} {
+		moved := meanResult(t, name+", serving tasks moved", 16, l, policyVariant{})
+		kept := meanResult(t, name+", serving tasks kept", 16, l, policyVariant{keepArrangement: true})
+		g.Expect(moved.bestEffort).To(BeNumerically(">", kept.bestEffort))
+		g.Expect(moved.serving).To(BeNumerically(">", kept.serving))
+	}
+}
+
 // Where the load of latency-critical tasks is followed, best-effort tasks use the
 // processors that it leaves at the time, and more of them complete in time than
 // where the same part of each reservation is taken for used.
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -47,6 +47,7 @@
 		s.relocateStragglers(now, &o)
 	}
 	s.evacuate(now, &o)
+	s.rearrange(now, &o)
 	o.Stops = append(o.Stops, s.pendingStops...)
 	o.HealthChanges = s.healthChanges
 	s.pendingStops, s.healthChanges = nil, nil
@@ -136,6 +137,10 @@
 		if t.done || t.worker != nil || now.Before(t.retryAt) {
 			continue
 		}
+		if c.step.LongRunning && s.placeMoved(now, c, t, o) {
+			x = nil
+			continue
+		}
 		if t.avoidMachine != "" {
 			// The task has machines of its own to avoid, so it needs a separate search. Its
 			// start invalidates the candidates of the other tasks.
--- /dev/null
+++ b/pkg/decide/schedule/rearrange.go
@@ -0,0 +1,254 @@
+package schedule
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/fleet"
+)
+
+// Latency-critical tasks reserve nearly all processors, start before anything is
+// known about their images, and stay for minutes. An image of best-effort tasks
+// then finds hardly any worker where it may run if each has a latency-critical
+// task that it interferes with. Once the weights are known, single latency-critical
+// tasks are moved so that each best-effort image has open workers.
+
+const (
+	// rearrangeInterval is the time between two searches for moves.
+	rearrangeInterval = time.Second
+	// minMoveGain is the least gain of a move, in workers that it opens to all images.
+	// A moved task is away for about a second.
+	minMoveGain = 0.1
+	// minServingTime is how long a latency-critical task stays on a worker before it is moved.
+	minServingTime = 8 * time.Second
+	// moveTimeout bounds how long room is kept for a moved task.
+	moveTimeout = 2 * time.Second
+	// workersPerMove is the number of workers for each of which one move may be ordered per search.
+	workersPerMove = 64
+	// maxMoveSources bounds the tasks that one search considers.
+	maxMoveSources = 32
+	// baseOpenShare is the share of all processors that counts as open to every image,
+	// so that an image without any open worker doesn't outweigh all others.
+	baseOpenShare = 0.03
+)
+
+// A servingMove is a latency-critical task on its way to another worker, which keeps room for it.
+type servingMove struct {
+	task  *task
+	run   int
+	to    *worker
+	until time.Time
+}
+
+// room is the processor time of a worker that is open to best-effort images.
+type room struct {
+	worker *worker
+	// spare is the processor time that latency-critical tasks leave on average, in thousandths of a core.
+	spare float64
+	// images counts the latency-critical tasks by image.
+	images map[fleet.Kind]int
+	// open is the part of spare that is open to each best-effort image.
+	open []float64
+}
+
+// arrangement is where latency-critical tasks leave processors to best-effort images.
+type arrangement struct {
+	aggressors []fleet.Kind
+	// tolerance is the share, from 0 to 1, of full use by each best-effort image that
+	// a latency-critical image tolerates.
+	tolerance map[fleet.Kind][]float64
+	rooms     map[*worker]*room
+	// total is the processor time that is open to each best-effort image.
+	total []float64
+}
+
+// newArrangement returns the present arrangement.
+func (s *Scheduler) newArrangement() *arrangement {
+	a := &arrangement{aggressors: s.interference.Aggressors(), tolerance: map[fleet.Kind][]float64{}, rooms: map[*worker]*room{}}
+	a.total = make([]float64, len(a.aggressors))
+	capacity := 0.0
+	for _, w := range s.workerList {
+		r := &room{worker: w, images: map[fleet.Kind]int{}, spare: float64(w.Capacity.MilliCPU) - defaultLoad*float64(w.servingMilliCPU)}
+		for _, v := range w.victims {
+			image := fleet.Kind(v.step.Image)
+			r.images[image]++
+			if a.tolerance[image] == nil {
+				a.tolerance[image] = s.toleranceOf(image, a.aggressors)
+			}
+		}
+		r.open = a.openTo(r.spare, r.images, "")
+		a.rooms[w] = r
+		capacity += float64(w.Capacity.MilliCPU)
+		for i, v := range r.open {
+			a.total[i] += v
+		}
+	}
+	for i := range a.total {
+		a.total[i] += baseOpenShare * capacity
+	}
+	return a
+}
+
+// toleranceOf returns the tolerance of a latency-critical image for each best-effort image.
+func (s *Scheduler) toleranceOf(image fleet.Kind, aggressors []fleet.Kind) []float64 {
+	out := make([]float64, len(aggressors))
+	for i, d := range aggressors {
+		out[i] = 1 - min(s.interference.Weight(image, d)/incompatibleWeight, 1)
+	}
+	return out
+}
+
+// openTo returns the part of spare that is open to each best-effort image beside
+// latency-critical tasks of some images. One of these may be left out.
+func (a *arrangement) openTo(spare float64, images map[fleet.Kind]int, except fleet.Kind) []float64 {
+	out := make([]float64, len(a.aggressors))
+	for i := range out {
+		out[i] = max(spare, 0)
+	}
+	for v := range images {
+		if v == except {
+			continue
+		}
+		for i, x := range a.tolerance[v] {
+			out[i] = min(out[i], max(spare, 0)*x)
+		}
+	}
+	return out
+}
+
+// gain returns what moving t to another worker gains, in workers that it opens to all images.
+func (a *arrangement) gain(t *task, without []float64, to *worker) float64 {
+	from, dest := a.rooms[t.worker], a.rooms[to]
+	image := fleet.Kind(t.step.Image)
+	spare := dest.spare - defaultLoad*float64(t.step.Need.MilliCPU)
+	sum := 0.0
+	for i, x := range a.tolerance[image] {
+		after := max(spare, 0) * x
+		if dest.spare > 0 {
+			after = min(after, dest.open[i]/dest.spare*max(spare, 0))
+		}
+		change := without[i] - from.open[i] + after - dest.open[i]
+		sum += math.Log(max(a.total[i]+change, 1) / a.total[i])
+	}
+	return sum / float64(len(a.aggressors)) * float64(len(a.rooms))
+}
+
+// rearrange stops latency-critical tasks that are worth moving to another worker.
+func (s *Scheduler) rearrange(now time.Time, o *Orders) {
+	s.dropMoves(now)
+	if s.variant.keepArrangement || now.Sub(s.rearrangedAt) < rearrangeInterval || len(s.interference.Aggressors()) == 0 {
+		return
+	}
+	s.rearrangedAt = now
+	a := s.newArrangement()
+	sources := s.moveSources(now, a)
+	for n := 0; n <= len(s.workerList)/workersPerMove; n++ {
+		var best *task
+		var to *worker
+		most := minMoveGain
+		for _, t := range sources {
+			if t.stopping || !t.mayBeAway() {
+				continue
+			}
+			from := a.rooms[t.worker]
+			without := a.openTo(from.spare+defaultLoad*float64(t.step.Need.MilliCPU), from.images, fleet.Kind(t.step.Image))
+			x := s.newSearch(now, t.step, "", o)
+			x.forEachCandidate(func(w *worker, _ float64) {
+				if w == t.worker {
+					return
+				}
+				if g := a.gain(t, without, w); g > most {
+					best, to, most = t, w, g
+				}
+			})
+		}
+		if best == nil {
+			return
+		}
+		s.moveServing(now, best, to)
+		a = s.newArrangement()
+	}
+}
+
+// moveSources returns latency-critical tasks that may be moved. Moving one of
+// several tasks of an image from a worker opens nothing, so these stay.
+func (s *Scheduler) moveSources(now time.Time, a *arrangement) []*task {
+	var out []*task
+	for i := range s.workerList {
+		w := s.workerList[(s.nextMoveSource+i)%len(s.workerList)]
+		if w.unresponsive {
+			continue
+		}
+		for _, t := range w.victims {
+			st := t.step
+			if a.rooms[w].images[fleet.Kind(st.Image)] > 1 || !st.LongRunning || st.Gang || !t.confirmed || now.Sub(t.startedAt) < minServingTime {
+				continue
+			}
+			out = append(out, t)
+		}
+		if len(out) >= maxMoveSources {
+			s.nextMoveSource = (s.nextMoveSource + i + 1) % len(s.workerList)
+			break
+		}
+	}
+	return out
+}
+
+// mayBeAway reports whether the scheduler may stop t: all other tasks of its step run.
+func (t *task) mayBeAway() bool {
+	for _, o := range t.step.tasks {
+		if o.worker == nil || o.stopping || !o.confirmed {
+			return false
+		}
+	}
+	return true
+}
+
+// moveServing stops a latency-critical task and keeps room for it on another worker.
+func (s *Scheduler) moveServing(now time.Time, t *task, to *worker) {
+	s.moves = append(s.moves, &servingMove{task: t, run: t.run, to: to, until: now.Add(moveTimeout)})
+	to.reserved = to.reserved.Plus(reservation(t.step.Step))
+	s.orderStop(t, "another worker suits it better")
+}
+
+// moveTarget returns the worker that keeps room for t, and gives the room up; nil if there is none.
+func (s *Scheduler) moveTarget(t *task) *worker {
+	i := slices.IndexFunc(s.moves, func(m *servingMove) bool { return m.task == t })
+	if i < 0 {
+		return nil
+	}
+	to := s.moves[i].to
+	s.endMove(i)
+	return to
+}
+
+// dropMoves gives up the room of moves that have not ended in time.
+func (s *Scheduler) dropMoves(now time.Time) {
+	for i := len(s.moves) - 1; i >= 0; i-- {
+		m := s.moves[i]
+		if now.After(m.until) || m.task.step.job.state.Final() || m.task.run != m.run {
+			s.endMove(i)
+		}
+	}
+}
+
+// endMove removes a move and gives up the room that was kept.
+func (s *Scheduler) endMove(i int) {
+	m := s.moves[i]
+	m.to.reserved = m.to.reserved.Minus(reservation(m.task.step.Step))
+	s.moves = slices.Delete(s.moves, i, i+1)
+}
+
+// placeMoved starts a moved task on the worker that keeps room for it, and reports whether it did.
+func (s *Scheduler) placeMoved(now time.Time, c pendingStep, t *task, o *Orders) bool {
+	w := s.moveTarget(t)
+	if w == nil || s.workers[w.Key()] != w {
+		return false
+	}
+	if _, ok := s.newSearch(now, c.step, "", o).evaluate(w); !ok {
+		return false
+	}
+	s.orderStart(now, c, t, w, t.run+1, o)
+	return true
+}
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -96,7 +96,12 @@
 	judgedAt time.Time
 	// interference estimates which images interfere with which.
 	interference interfere.OccupancyModel
-	variant      policyVariant
+	// moves are the latency-critical tasks on their way to another worker; rearrangedAt is
+	// when moves were last searched, nextMoveSource where the next search starts.
+	moves          []*servingMove
+	rearrangedAt   time.Time
+	nextMoveSource int
+	variant        policyVariant
 }
 
 // policyVariant disables single rules, so that a replay can compare their effect.
@@ -105,6 +110,8 @@
 	delayMoves bool
 	// constantServingUse takes the same part of each reservation of latency-critical tasks for used.
 	constantServingUse bool
+	// keepArrangement leaves latency-critical tasks on their workers.
+	keepArrangement bool
 	// ignoreCompatibility places reserved tasks by free capacity alone.
 	ignoreCompatibility bool
 }
