Pace best-effort tasks by the tail latency that the next window will show

Change: a rising tail latency is taken one window on, by the rise of the occupancy. The prior of a pair counts a third as much against what is observed.

--- a/pkg/decide/interfere/occupancy.go
+++ b/pkg/decide/interfere/occupancy.go
@@ -40,7 +40,7 @@
 // The parameters of an OccupancyModel.
 const (
 	// priorEvidence is the evidence of the prior, in windows at a share of 1.
-	priorEvidence = 0.3
+	priorEvidence = 0.1
 	// evidenceRetention is the factor by which each window decays the evidence,
 	// so that the weights follow changes within about a thousand windows.
 	evidenceRetention = 0.999
--- a/pkg/decide/pacing/pacing.go
+++ b/pkg/decide/pacing/pacing.go
@@ -44,6 +44,8 @@
 	defaultThrottleFactor = 0.4
 	// maxRecoveryStep is the largest increase of a pace in one step, in percent.
 	maxRecoveryStep = 50
+	// maxTailForecast bounds a forecast tail latency, as a multiple of the current one.
+	maxTailForecast = 2
 	// minPace is the pace in percent below which a task is halted.
 	minPace = 8
 	// fullPace is the pace in percent of a task that isn't throttled; tasks start at it.
@@ -113,6 +115,8 @@
 	// number of consecutive samples without a violation.
 	violatedSince, intermittentSince map[runKey]time.Time
 	samplesBelowTarget               map[runKey]int
+	// tails are the tail latencies of the previous step.
+	tails map[runKey]time.Duration
 	// throttledAt is when best-effort tasks were last throttled for a victim.
 	throttledAt map[runKey]time.Time
 	lastStep    time.Time
@@ -175,17 +179,25 @@
 	worst := 0.0
 	// factors holds the factor by which the pace of each run is multiplied.
 	factors := map[runKey]float64{}
-	for _, v := range samples {
+	tails := map[runKey]time.Duration{}
+	for i := range samples {
+		v := &samples[i]
 		if v.LatencyTarget <= 0 || v.TailLatency <= 0 {
 			continue
 		}
 		share := float64(v.TailLatency) / float64(v.LatencyTarget)
 		worst = max(worst, share)
-		m.trackViolation(now, v, share)
-		if share > throttleTailShare {
-			m.throttleAggressors(now, v, samples, factors)
+		m.trackViolation(now, *v, share)
+		k := runKey{v.Task, v.Number}
+		tails[k] = v.TailLatency
+		if last, ok := m.tails[k]; ok && last < v.TailLatency {
+			v.TailLatency = forecastTail(last, v.TailLatency)
+		}
+		if float64(v.TailLatency) > throttleTailShare*float64(v.LatencyTarget) {
+			m.throttleAggressors(now, *v, samples, factors)
 		}
 	}
+	m.tails = tails
 	for _, r := range samples {
 		if !r.BestEffort {
 			continue
@@ -212,6 +224,14 @@
 	return out
 }
 
+// forecastTail returns the tail latency of the next window if the occupancy rises
+// as it did from the previous window to this one.
+func forecastTail(previous, current time.Duration) time.Duration {
+	// With the occupancy 1-idle/tail, the inverse of the tail falls by the same amount.
+	inverse := 2/current.Seconds() - 1/previous.Seconds()
+	return time.Duration(min(float64(time.Second)/max(inverse, 1e-9), float64(maxTailForecast*current)))
+}
+
 // exceedsPace reports whether a run uses more than its pace allows: an earlier
 // order may have been executed after the last one.
 func (m *Machine) exceedsPace(now time.Time, k runKey, r RunSample, pace int) bool {
--- a/pkg/decide/pacing/pacing_test.go
+++ b/pkg/decide/pacing/pacing_test.go
@@ -156,3 +156,24 @@
 	}
 	g.Expect(m.Pace(batch.Task{Job: "light"}, 1)).To(Equal(fullPace))
 }
+
+// The own load of a latency-critical task rises by a tenth in each window beside an
+// aggressor. The aggressor is throttled before the tail latency reaches its target.
+func TestAggressorsAreThrottledAheadOfARisingTail(t *testing.T) {
+	g := NewWithT(t)
+	m := newMachine()
+	now := time.Unix(0, 0)
+	pace, load := 100, 0.1
+	for range 7 {
+		now = now.Add(stepInterval)
+		use := 2000 * pace / 100
+		occupancy := load + 0.6*float64(use)/4000
+		tail := time.Duration(float64(10*time.Millisecond) / (1 - min(occupancy, 0.96)))
+		g.Expect(tail).To(BeNumerically("<", 50*time.Millisecond), "load %.1f, pace %d", load, pace)
+		for _, c := range m.Step(now, []RunSample{critical(tail), bestEffort("heavy", use)}, nil) {
+			pace = c.Percent
+		}
+		load += 0.1
+	}
+	g.Expect(pace).To(BeNumerically("<", 100))
+}
