Order equally urgent jobs by their remaining work, with ageing

Cause: the order copied a schedule of payments (a share of the mean and of the job's work, two limits of lateness), which says nothing to callers.

Change: within a priority, jobs that can still be in time go first, then by the remaining work, which counts less the longer a job has waited by its own objective. The mean work of a queue isn't kept any more.

--- a/pkg/decide/schedule/pacingsim_test.go
+++ b/pkg/decide/schedule/pacingsim_test.go
@@ -524,3 +524,16 @@
 	constant := meanResult(t, "constant use", 16, l, policyVariant{constantServingUse: true})
 	g.Expect(followed.bestEffort).To(BeNumerically(">", constant.bestEffort))
 }
+
+// Where more best-effort work waits than the open workers take, the order of least
+// remaining work, with ageing, completes more jobs in time than the order of arrival
+// or of deadlines.
+func TestLeastRemainingWorkFirstCompletesMoreInTime(t *testing.T) {
+	g := NewWithT(t)
+	l := dozenLargeWorkers()
+	least := meanResult(t, "least remaining work", 24, l, policyVariant{})
+	arrival := meanResult(t, "arrival", 24, l, policyVariant{arrivalOrder: true})
+	deadline := meanResult(t, "deadline", 24, l, policyVariant{deadlineOrder: true})
+	g.Expect(least.bestEffort).To(BeNumerically(">", arrival.bestEffort))
+	g.Expect(least.bestEffort).To(BeNumerically(">", deadline.bestEffort))
+}
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -1,22 +1,16 @@
 package schedule
 
 import (
-	"math"
 	"sort"
 	"time"
 )
 
-// usefulLateFactor bounds how long a job may take for a late result to be of use, as a multiple of its objective.
-const usefulLateFactor = 3
-
 // The tiers of pending work, in the order of placement.
 const (
 	// tierInTime is work that can finish within its objective.
 	tierInTime = iota
-	// tierLate is work that can finish within usefulLateFactor times its objective.
+	// tierLate is work that can finish only later. It gets the capacity that the other work leaves.
 	tierLate
-	// tierTooLate is work that can finish only later. It gets the capacity that the other tiers leave.
-	tierTooLate
 )
 
 // pendingStep is a step with unassigned tasks and its rank in the placement order.
@@ -25,8 +19,8 @@
 	priority int
 	tier     int
 	slack    time.Duration
-	// valueDensity is the value of the job divided by its remaining work.
-	valueDensity float64
+	// agedWork ranks equally urgent jobs, the lowest first.
+	agedWork float64
 }
 
 // Schedule returns the runs to start and stop now.
@@ -67,8 +61,6 @@
 		}
 		q := s.queueConfig(j)
 		objective := time.Duration(q.Stretch*float64(j.criticalPath)) + q.Objective
-		meanWork := s.meanWork[j.Queue].value()
-		valueDensity := (0.3*meanWork + 0.7*j.totalWork) / math.Max(j.remainingWork, 0.05*meanWork+1e-3)
 		for _, o := range j.occurrences {
 			if o.unfinished == 0 {
 				continue
@@ -87,15 +79,16 @@
 				if st.unassigned == 0 || st.unfinished == 0 || !st.ready() {
 					continue
 				}
-				c := pendingStep{step: st, priority: q.Priority, valueDensity: valueDensity}
+				c := pendingStep{step: st, priority: q.Priority, agedWork: j.agedWork(now.Sub(objectiveStart), objective)}
 				c.slack = objectiveStart.Add(objective).Sub(now) - st.pathToEnd
-				switch {
-				case c.slack >= 0:
-					c.tier = tierInTime
-				case objectiveStart.Add(usefulLateFactor*objective).Sub(now)-st.pathToEnd >= 0:
+				if c.slack < 0 {
 					c.tier = tierLate
-				default:
-					c.tier = tierTooLate
+				}
+				switch {
+				case s.variant.arrivalOrder:
+					c.tier, c.agedWork = 0, -now.Sub(objectiveStart).Seconds()
+				case s.variant.deadlineOrder:
+					c.tier, c.agedWork = 0, c.slack.Seconds()
 				}
 				cs = append(cs, c)
 			}
@@ -110,8 +103,8 @@
 			return x.priority < y.priority
 		case x.tier != y.tier:
 			return x.tier < y.tier
-		case x.valueDensity != y.valueDensity:
-			return x.valueDensity > y.valueDensity
+		case x.agedWork != y.agedWork:
+			return x.agedWork < y.agedWork
 		case x.step.job.ID != y.step.job.ID:
 			return x.step.job.ID < y.step.job.ID
 		case !x.step.occurrence.startAt.Equal(y.step.occurrence.startAt):
@@ -122,6 +115,13 @@
 	return cs
 }
 
+// agedWork returns the rank of j among equally urgent jobs: its remaining work in
+// core-seconds, which counts the less the longer the job has waited, by its objective.
+// Most jobs are then done early, and none starves.
+func (j *job) agedWork(waited, objective time.Duration) float64 {
+	return j.remainingWork / (1 + max(waited, 0).Seconds()/max(objective, time.Millisecond).Seconds())
+}
+
 // timedStartMargin delays timed starts, so that a clock that runs ahead doesn't start them early.
 const timedStartMargin = 100 * time.Millisecond
 
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -88,8 +88,6 @@
 	// healthChanges are returned by the next Schedule.
 	healthChanges []HealthChange
 	dirtyJobs     map[batch.JobID]bool
-	// meanWork is the mean work of the jobs of a queue, in core-seconds.
-	meanWork map[string]*runningMean
 	// bestEffortPassAt is when all pending best-effort steps were last placed.
 	bestEffortPassAt time.Time
 	// judgedAt is when the progress of runs was last compared with their peers.
@@ -108,6 +106,8 @@
 type policyVariant struct {
 	// delayMoves makes every throttled task wait for minThrottledTime before it is moved.
 	delayMoves bool
+	// arrivalOrder places equally urgent jobs in the order of their arrival, deadlineOrder in that of their slack.
+	arrivalOrder, deadlineOrder bool
 	// constantServingUse takes the same part of each reservation of latency-critical tasks for used.
 	constantServingUse bool
 	// keepArrangement leaves latency-critical tasks on their workers.
@@ -124,26 +124,9 @@
 		workers:   map[batch.WorkerKey]*worker{},
 		queues:    map[string]batch.Queue{},
 		dirtyJobs: map[batch.JobID]bool{},
-		meanWork:  map[string]*runningMean{},
 	}
 }
 
-// runningMean is a running mean.
-type runningMean struct {
-	sum float64
-	n   int
-}
-
-func (m *runningMean) add(v float64) { m.sum += v; m.n++ }
-
-// value returns the mean, or 1 if there is no value yet.
-func (m *runningMean) value() float64 {
-	if m == nil || m.n == 0 {
-		return 1
-	}
-	return m.sum / float64(m.n)
-}
-
 // Configure sets the configuration in force.
 func (s *Scheduler) Configure(c *batch.Config) {
 	s.queues = c.Queues()
@@ -181,12 +164,6 @@
 		j.descriptionDropped = true
 		return
 	}
-	work := s.meanWork[b.Queue]
-	if work == nil {
-		work = &runningMean{}
-		s.meanWork[b.Queue] = work
-	}
-	work.add(j.totalWork)
 }
 
 // HasJob reports whether the job was added.
