--- a/pkg/decide/interfere/occupancy.go
+++ b/pkg/decide/interfere/occupancy.go
@@ -44,6 +44,8 @@
 	// evidenceRetention is the factor by which each window decays the evidence,
 	// so that the weights follow changes within about a thousand windows.
 	evidenceRetention = 0.999
+	// minNewEvidence is the share of the evidence that has to be new for the weights to be computed again.
+	minNewEvidence = 0.02
 	// maxAggressors bounds the aggressors of one victim.
 	maxAggressors = 48
 	// maxOccupancyWeight bounds the weight of a pair.
@@ -75,6 +77,8 @@
 	// w holds the weights; they are up to date while solved is set.
 	w      []float64
 	solved bool
+	// evidence is that of all observations, unsolvedEvidence that of those since the weights were computed.
+	evidence, unsolvedEvidence float64
 }
 
 // equations returns the equations of a victim and creates them on first use.
@@ -163,8 +167,13 @@
 			n.a[i][j] += u * v
 		}
 		n.b[i] += u * taken
+		n.evidence += u * u
+		n.unsolvedEvidence += u * u
+	}
+	n.evidence *= evidenceRetention
+	if n.unsolvedEvidence > minNewEvidence*n.evidence {
+		n.solved = false
 	}
-	n.solved = false
 }
 
 // differences returns by how much the shares of each aggressor differ between a and
@@ -219,7 +228,7 @@
 		}
 		n.w[i] = v / m[i][i]
 	}
-	n.solved = true
+	n.solved, n.unsolvedEvidence = true, 0
 }
 
 // IdleTail returns the lowest tail latency observed of the victim, or 0.
--- a/pkg/decide/schedule/interference.go
+++ b/pkg/decide/schedule/interference.go
@@ -62,12 +62,18 @@
 		}
 	}
 	w.bestEffortShares = shares
-	for _, r := range runs {
-		t := w.tasks[r.Task]
-		if t == nil || t.run != r.Number || t.step.LatencyTarget <= 0 || r.Load <= 0 || now.Sub(t.startedAt) < servingWarmUp {
+	warm := func(t *task) bool {
+		return t.tailLatency.measuredAt.Equal(now) && now.Sub(t.startedAt) >= servingWarmUp
+	}
+	for _, t := range w.victims {
+		if warm(t) {
+			s.observeLoad(now, w, t)
+		}
+	}
+	for _, t := range w.victims {
+		if !warm(t) {
 			continue
 		}
-		s.observeLoad(now, w, t)
 		o := t.reference(now)
 		s.interference.Observe(fleet.Kind(t.step.Image), t.tailLatency.latency, o.tailLatency.latency, shares, o.worker.bestEffortShares)
 	}
@@ -123,20 +129,31 @@
 func (s *Scheduler) expectedInterference(now time.Time, w *worker, st *step) (fits bool, total float64) {
 	share := interfere.Share(st.Need.MilliCPU, w.Capacity.MilliCPU)
 	fits = true
-	for _, v := range w.victims {
-		image := fleet.Kind(v.step.Image)
-		added := s.interference.Weight(image, fleet.Kind(st.Image)) * share
+	headroom := s.headroom(now, w)
+	for i, v := range w.victims {
+		added := s.interference.Weight(fleet.Kind(v.step.Image), fleet.Kind(st.Image)) * share
 		total += added
-		if added < negligibleInterference {
-			continue
-		}
-		if s.expectedOccupancy(now, w, v)+added > s.maxOccupancy(v) {
+		if added >= negligibleInterference && added > headroom[i] {
 			fits = false
 		}
 	}
 	return fits, total
 }
 
+// headroom returns the occupancy that may be added to each latency-critical task of
+// w. It's the same for all tasks that are placed in one pass, until w gets one of them.
+func (s *Scheduler) headroom(now time.Time, w *worker) []float64 {
+	if w.headroomAt.Equal(now) {
+		return w.headroom
+	}
+	w.headroom = w.headroom[:0]
+	for _, v := range w.victims {
+		w.headroom = append(w.headroom, s.maxOccupancy(v)-s.expectedOccupancy(now, w, v))
+	}
+	w.headroomAt = now
+	return w.headroom
+}
+
 // expectedOccupancy returns the occupancy of a latency-critical task of w that its
 // own load and the best-effort tasks of w are expected to cause.
 func (s *Scheduler) expectedOccupancy(now time.Time, w *worker, v *task) float64 {
--- a/pkg/decide/schedule/pacingsim_test.go
+++ b/pkg/decide/schedule/pacingsim_test.go
@@ -537,3 +537,24 @@
 	g.Expect(least.bestEffort).To(BeNumerically(">", arrival.bestEffort))
 	g.Expect(least.bestEffort).To(BeNumerically(">", deadline.bestEffort))
 }
+
+// BenchmarkRearrange measures one search for moves of latency-critical tasks at
+// several fleet sizes.
+func BenchmarkRearrange(b *testing.B) {
+	for _, n := range []int{11, 76, 240, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := largeFleet.scaledTo(n)
+			l.knownWeights = true
+			c := newPacingSim(1, l)
+			c.addServingJobs(max(l.servingJobs, 3))
+			c.variant.keepArrangement = true
+			c.simulate(minServingTime+time.Second, 0, 0)
+			c.variant.keepArrangement = false
+			for b.Loop() {
+				var o Orders
+				c.rearrangedAt = time.Time{}
+				c.rearrange(c.now, &o)
+			}
+		})
+	}
+}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -22,7 +22,10 @@
 	// compatibility is the compatibility with best-effort tasks as computed at compatibilityAt.
 	compatibility   float64
 	compatibilityAt time.Time
-	reserved        batch.Resources
+	// headroom is the occupancy that may be added to each of victims, as computed at headroomAt.
+	headroom   []float64
+	headroomAt time.Time
+	reserved   batch.Resources
 	// servingMilliCPU is the processor time reserved by long-running tasks, in thousandths of a core.
 	servingMilliCPU int
 	// bestEffortMilliCPU is the processor time requested by best-effort tasks, in thousandths of a core.
@@ -87,6 +90,7 @@
 // addTask adds an assigned task and its reservation.
 func (w *worker) addTask(t *task) {
 	w.tasks[t.id] = t
+	w.headroomAt = time.Time{}
 	w.reserved = w.reserved.Plus(reservation(t.step.Step))
 	if t.step.LatencyTarget > 0 {
 		w.victims = append(w.victims, t)
@@ -104,6 +108,7 @@
 // removeTask removes a task and its reservation.
 func (w *worker) removeTask(t *task) {
 	delete(w.tasks, t.id)
+	w.headroomAt = time.Time{}
 	w.reserved = w.reserved.Minus(reservation(t.step.Step))
 	if i := slices.Index(w.victims, t); i >= 0 {
 		w.victims = slices.Delete(w.victims, i, i+1)
