Cancel a job that is cancelled before the scheduler knows it

Cause, from the log: after an outage of the store a job was accepted at 22.291 s, cancelled at 22.319 s, and deferred by the scheduler until 22.446 s, as another term might have begun; the cancellation found no job and was dropped.

Change: the scheduler keeps a cancellation of an unknown job and carries it out when the job is added.

--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -72,6 +72,8 @@
 // A Scheduler holds all jobs and workers. It must be used by one goroutine only.
 type Scheduler struct {
 	jobs map[batch.JobID]*job
+	// earlyCancellations are the cancellations of jobs that weren't added yet, with their times.
+	earlyCancellations map[batch.JobID]time.Time
 	// openJobs are the jobs that weren't final in the last pass.
 	openJobs map[batch.JobID]*job
 	workers  map[batch.WorkerKey]*worker
@@ -119,11 +121,13 @@
 // New returns an empty scheduler.
 func New() *Scheduler {
 	return &Scheduler{
-		jobs:      map[batch.JobID]*job{},
-		openJobs:  map[batch.JobID]*job{},
-		workers:   map[batch.WorkerKey]*worker{},
-		queues:    map[string]batch.Queue{},
-		dirtyJobs: map[batch.JobID]bool{},
+		jobs: map[batch.JobID]*job{},
+
+		earlyCancellations: map[batch.JobID]time.Time{},
+		openJobs:           map[batch.JobID]*job{},
+		workers:            map[batch.WorkerKey]*worker{},
+		queues:             map[string]batch.Queue{},
+		dirtyJobs:          map[batch.JobID]bool{},
 	}
 }
 
@@ -159,6 +163,10 @@
 		j.restore(p)
 	}
 	s.jobs[b.ID], s.openJobs[b.ID] = j, j
+	if _, ok := s.earlyCancellations[b.ID]; ok {
+		delete(s.earlyCancellations, b.ID)
+		defer s.Cancel(now, b.ID)
+	}
 	if len(b.Steps) == 0 {
 		// DropDescriptions has removed the description of the finished job.
 		j.descriptionDropped = true
@@ -169,10 +177,15 @@
 // HasJob reports whether the job was added.
 func (s *Scheduler) HasJob(id batch.JobID) bool { return s.jobs[id] != nil }
 
-// Cancel ends a job; the next Schedule stops its runs.
+// Cancel ends a job; the next Schedule stops its runs. A job that isn't known yet
+// ends as soon as it's added.
 func (s *Scheduler) Cancel(now time.Time, id batch.JobID) {
 	j := s.jobs[id]
-	if j == nil || j.state.Final() {
+	if j == nil {
+		s.earlyCancellations[id] = now
+		return
+	}
+	if j.state.Final() {
 		return
 	}
 	j.finish(now, batch.Cancelled)
@@ -277,6 +290,11 @@
 
 // RemoveExpired removes the finished jobs that ended before the given time and returns their IDs.
 func (s *Scheduler) RemoveExpired(before time.Time) []batch.JobID {
+	for id, at := range s.earlyCancellations {
+		if at.Before(before) {
+			delete(s.earlyCancellations, id)
+		}
+	}
 	var ids []batch.JobID
 	for id, j := range s.jobs {
 		if j.state.Final() && j.finalStateStored && j.endedAt.Before(before) {
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -252,6 +252,24 @@
 	g.Expect(s).To(Equal(batch.Cancelled))
 }
 
+// After an outage of the store a new job is deferred until no other term can have
+// begun. A caller may cancel it meanwhile (UNASKED on a hunted day, hunt-f8ca-39).
+func TestJobCancelledBeforeItIsAddedNeverStarts(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 9000))
+	f.Cancel(f.now, "j")
+	f.Add(f.now, testJob("j", "urgent", testStep(2, 100)), nil, false)
+	g.Expect(f.scheduleAfter(0).Starts).To(BeEmpty())
+	s, _ := f.State("j")
+	g.Expect(s).To(Equal(batch.Cancelled))
+	g.Expect(f.TakeDirty()).To(ContainElement(batch.JobID("j")), "the end of the job has to be stored")
+
+	f.Cancel(f.now, "gone")
+	f.RemoveExpired(f.now.Add(time.Second))
+	f.Add(f.now, testJob("gone", "urgent", testStep(2, 100)), nil, false)
+	g.Expect(f.scheduleAfter(0).Starts).To(HaveLen(2), "the cancellation of a job long gone is forgotten")
+}
+
 func TestLastingTasksRestartAfterAnyEnd(t *testing.T) {
 	for _, how := range []batch.EndKind{batch.Done, batch.Failed, batch.Lapsed, batch.Stopped} {
 		t.Run(string(how), func(t *testing.T) {
