--- a/pkg/decide/interfere/occupancy.go
+++ b/pkg/decide/interfere/occupancy.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -112,90 +111,6 @@
 	return i
 }
 
-// minShareDifference is the smallest difference of an aggressor's shares that shows its effect.
-const minShareDifference = 0.01
-
-// Observe updates the model with one window of a task of the victim: its tail
-// latency and the shares of the aggressors beside it, and those of a reference
-// under the same load of its own. Only where the shares differ do the tail
-// latencies show an effect of the aggressors.
-func (c *OccupancyModel) Observe(victim fleet.Kind, tail, reference time.Duration, shares, referenceShares Shares) {
-	if tail <= 0 || reference <= 0 {
-		return
-	}
-	n := c.equations(victim)
-	if lowest := min(tail, reference); n.idleTail == 0 || lowest < n.idleTail {
-		n.idleTail = lowest
-	}
-	x := map[int]float64{}
-	for k, s := range differences(shares, referenceShares) {
-		i, ok := n.columns[k]
-		if !ok {
-			if len(n.aggressors) >= maxAggressors {
-				continue
-			}
-			i = c.addAggressor(n, k)
-		}
-		x[i] = s
-	}
-	if len(x) == 0 {
-		return
-	}
-	taken := n.occupancy(tail) - n.occupancy(reference)
-	if n.occupancy(tail) >= SaturatedOccupancy {
-		// A saturated tail latency gives only a lower bound, so it can't reduce the weights.
-		n.solve()
-		expected := 0.0
-		for i, s := range x {
-			expected += n.w[i] * s
-		}
-		if expected >= taken {
-			return
-		}
-	}
-	for i := range n.a {
-		for j := range n.a[i] {
-			n.a[i][j] *= evidenceRetention
-		}
-		n.b[i] *= evidenceRetention
-		// The prior doesn't decay.
-		n.a[i][i] += (1 - evidenceRetention) * priorEvidence
-		n.b[i] += (1 - evidenceRetention) * priorEvidence * PriorWeight
-	}
-	for i, u := range x {
-		for j, v := range x {
-			n.a[i][j] += u * v
-		}
-		n.b[i] += u * taken
-		n.evidence += u * u
-		n.unsolvedEvidence += u * u
-	}
-	n.evidence *= evidenceRetention
-	if n.unsolvedEvidence > minNewEvidence*n.evidence {
-		n.solved = false
-	}
-}
-
-// differences returns by how much the shares of each aggressor differ between a and
-// b, where they differ at all.
-func differences(a, b Shares) Shares {
-	out := Shares{}
-	for k, s := range a {
-		out[k] = s - b[k]
-	}
-	for k, s := range b {
-		if _, ok := a[k]; !ok {
-			out[k] = -s
-		}
-	}
-	for k, s := range out {
-		if math.Abs(s) < minShareDifference {
-			delete(out, k)
-		}
-	}
-	return out
-}
-
 func (n *normalEquations) occupancy(tail time.Duration) float64 { return Occupancy(n.idleTail, tail) }
 
 // solve computes the weights by Gaussian elimination. It needs no pivoting, as the
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -28,8 +28,8 @@
 	occurrences        []*occurrence
 	// unfinished counts the tasks that aren't done.
 	unfinished int
-	// totalWork is the estimated work of the job, remainingWork that of its unfinished tasks, in core-seconds.
-	totalWork, remainingWork float64
+	// remainingWork is the estimated work of the unfinished tasks, in core-seconds.
+	remainingWork float64
 	// criticalPath is the estimated duration of the longest chain of steps.
 	criticalPath time.Duration
 }
@@ -132,8 +132,7 @@
 		j.occurrences = append(j.occurrences, o)
 		j.unfinished += o.unfinished
 	}
-	j.totalWork = totalWork(b)
-	j.remainingWork = j.totalWork
+	j.remainingWork = totalWork(b)
 	j.criticalPath = criticalPath(b)
 	return j
 }
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -81,6 +81,7 @@
 				}
 				c := pendingStep{step: st, priority: q.Priority, agedWork: j.agedWork(now.Sub(objectiveStart), objective)}
 				c.slack = objectiveStart.Add(objective).Sub(now) - st.pathToEnd
+				c.tier = tierInTime
 				if c.slack < 0 {
 					c.tier = tierLate
 				}
--- a/pkg/decide/schedule/servingload.go
+++ b/pkg/decide/schedule/servingload.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
@@ -29,8 +31,9 @@
 	if occupancy >= interfere.SaturatedOccupancy {
 		return
 	}
-	for k, share := range w.bestEffortShares {
-		occupancy -= s.interference.Weight(image, k) * share
+	// The order of the sum is fixed, so that the same inputs give the same result.
+	for _, k := range slices.Sorted(maps.Keys(w.bestEffortShares)) {
+		occupancy -= s.interference.Weight(image, k) * w.bestEffortShares[k]
 	}
 	t.step.load.add(now, max(occupancy, 0))
 }
