Move a serving task only while all tasks of its step are at work

A task that was started a moment ago counted as present before it served. The search for the best move is a function of its own.

--- a/pkg/decide/schedule/pacingsim_test.go
+++ b/pkg/decide/schedule/pacingsim_test.go
@@ -558,3 +558,27 @@
 		})
 	}
 }
+
+// While latency-critical tasks are moved, at most one task of a step is away at a time.
+func TestOneTaskOfAStepIsMovedAtATime(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(4) {
+		c := newPacingSim(seed+1, dozenLargeWorkers())
+		c.addServingJobs(c.load.servingJobs)
+		c.simulate(2*time.Second, c.load.urgentRate, c.load.wideRate)
+		moves := 0
+		for range 1200 {
+			c.simulate(pacingSimStep, c.load.urgentRate, c.load.wideRate)
+			moves = max(moves, len(c.moves))
+			away := map[*step]int{}
+			for _, m := range c.moves {
+				away[m.task.step]++
+			}
+			for st, n := range away {
+				g.Expect(n).To(Equal(1), "moved tasks of %v", st.job.ID)
+				g.Expect(st.unassigned).To(BeNumerically("<=", 1), "tasks of %v without a worker", st.job.ID)
+			}
+		}
+		g.Expect(moves).To(BeNumerically(">", 0))
+	}
+}
--- a/pkg/decide/schedule/rearrange.go
+++ b/pkg/decide/schedule/rearrange.go
@@ -28,6 +28,8 @@
 	workersPerMove = 64
 	// maxMoveSources bounds the tasks that one search considers.
 	maxMoveSources = 32
+	// atWorkPercent is the progress in percent of a long-running task that is at work.
+	atWorkPercent = 100
 	// baseOpenShare is the share of all processors that counts as open to every image,
 	// so that an image without any open worker doesn't outweigh all others.
 	baseOpenShare = 0.03
@@ -141,34 +143,39 @@
 		return
 	}
 	s.rearrangedAt = now
-	a := s.newArrangement()
-	sources := s.moveSources(now, a)
+	var sources []*task
 	for n := 0; n <= len(s.workerList)/workersPerMove; n++ {
-		var best *task
-		var to *worker
-		most := minMoveGain
-		for _, t := range sources {
-			if t.stopping || !t.mayBeAway() {
-				continue
-			}
-			from := a.rooms[t.worker]
-			without := a.openTo(from.spare+defaultLoad*float64(t.step.Need.MilliCPU), from.images, fleet.Kind(t.step.Image))
-			x := s.newSearch(now, t.step, "", o)
-			x.forEachCandidate(func(w *worker, _ float64) {
-				if w == t.worker {
-					return
-				}
-				if g := a.gain(t, without, w); g > most {
-					best, to, most = t, w, g
-				}
-			})
+		a := s.newArrangement()
+		if n == 0 {
+			sources = s.moveSources(now, a)
 		}
-		if best == nil {
+		t, to := s.bestMove(now, a, sources, o)
+		if t == nil {
 			return
 		}
-		s.moveServing(now, best, to)
-		a = s.newArrangement()
+		s.moveServing(now, t, to)
+	}
+}
+
+// bestMove returns the move of one of the sources that gains most, or nil if none gains minMoveGain.
+func (s *Scheduler) bestMove(now time.Time, a *arrangement, sources []*task, o *Orders) (best *task, to *worker) {
+	most := minMoveGain
+	for _, t := range sources {
+		if !t.mayBeAway() {
+			continue
+		}
+		from := a.rooms[t.worker]
+		without := a.openTo(from.spare+defaultLoad*float64(t.step.Need.MilliCPU), from.images, fleet.Kind(t.step.Image))
+		s.newSearch(now, t.step, "", o).forEachCandidate(func(w *worker, _ float64) {
+			if w == t.worker {
+				return
+			}
+			if g := a.gain(t, without, w); g > most {
+				best, to, most = t, w, g
+			}
+		})
 	}
+	return best, to
 }
 
 // moveSources returns latency-critical tasks that may be moved. Moving one of
@@ -195,10 +202,10 @@
 	return out
 }
 
-// mayBeAway reports whether the scheduler may stop t: all other tasks of its step run.
+// mayBeAway reports whether the scheduler may stop t: all tasks of its step are at work.
 func (t *task) mayBeAway() bool {
 	for _, o := range t.step.tasks {
-		if o.worker == nil || o.stopping || !o.confirmed {
+		if o.worker == nil || o.stopping || !o.confirmed || o.percent < atWorkPercent {
 			return false
 		}
 	}
