Let the lease of the holder's test lapse in the store too

Trace: the store came back 9.8 s into a lease of 10 s. A lease that had been renewed within the last 0.2 s before the outage was still alive there and was renewed, which is right; the test expected another one.

--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -45,6 +45,8 @@
 		g.Expect(s.SetFault(standin.Fault{Mode: standin.Down})).To(Succeed())
 		time.Sleep(consul.MinTTL - consul.MinTTL/50)
 		g.Expect(l.Held(time.Now())).To(BeFalse())
+		// The store keeps a lease that was renewed just before the outage for the rest of its time to live.
+		time.Sleep(consul.MinTTL / 50)
 		g.Expect(s.SetFault(standin.Fault{Mode: standin.Slow, Delay: "4s"})).To(Succeed())
 		time.Sleep(20 * time.Second)
 		g.Expect(l.ID()).NotTo(Equal(first), "a lapsed lease is replaced")
