Say one thing in one place: expected load and tolerance

The read of the whole change found the bounds of a load's forecast and the tolerance of a weight written twice each, a field that nothing read, and a getter that also gave up the room it returned; pacing replaces samples, which its comment says now.

--- a/pkg/decide/pacing/pacing.go
+++ b/pkg/decide/pacing/pacing.go
@@ -181,6 +181,7 @@
 	factors := map[runKey]float64{}
 	tails := map[runKey]time.Duration{}
 	for i := range samples {
+		// Recovery below also goes by the forecast, so it takes the place of the sample.
 		v := &samples[i]
 		if v.LatencyTarget <= 0 || v.TailLatency <= 0 {
 			continue
--- a/pkg/decide/schedule/interference.go
+++ b/pkg/decide/schedule/interference.go
@@ -250,7 +250,7 @@
 		for _, v := range w.victims {
 			weight = max(weight, s.interference.Weight(fleet.Kind(v.step.Image), i))
 		}
-		sum += 1 - min(weight/incompatibleWeight, 1)
+		sum += tolerance(weight)
 	}
 	w.compatibility, w.compatibilityAt = sum/float64(max(len(images), 1)), now
 	return w.compatibility
@@ -263,3 +263,6 @@
 // incompatibleWeight is the weight from which a worker counts as incompatible with
 // an aggressor: one task of it takes a fifth of the victim's headroom.
 const incompatibleWeight = 0.4
+
+// tolerance returns the share, from 0 to 1, of full use by an aggressor of a weight that a victim tolerates.
+func tolerance(weight float64) float64 { return 1 - min(weight/incompatibleWeight, 1) }
--- a/pkg/decide/schedule/rearrange.go
+++ b/pkg/decide/schedule/rearrange.go
@@ -45,7 +45,6 @@
 
 // room is the processor time of a worker that is open to best-effort images.
 type room struct {
-	worker *worker
 	// spare is the processor time that latency-critical tasks leave on average, in thousandths of a core.
 	spare float64
 	// images counts the latency-critical tasks by image.
@@ -71,7 +70,7 @@
 	a.total = make([]float64, len(a.aggressors))
 	capacity := 0.0
 	for _, w := range s.workerList {
-		r := &room{worker: w, images: map[fleet.Kind]int{}, spare: float64(w.Capacity.MilliCPU) - defaultLoad*float64(w.servingMilliCPU)}
+		r := &room{images: map[fleet.Kind]int{}, spare: float64(w.Capacity.MilliCPU) - defaultLoad*float64(w.servingMilliCPU)}
 		for _, v := range w.victims {
 			image := fleet.Kind(v.step.Image)
 			r.images[image]++
@@ -96,7 +95,7 @@
 func (s *Scheduler) toleranceOf(image fleet.Kind, aggressors []fleet.Kind) []float64 {
 	out := make([]float64, len(aggressors))
 	for i, d := range aggressors {
-		out[i] = 1 - min(s.interference.Weight(image, d)/incompatibleWeight, 1)
+		out[i] = tolerance(s.interference.Weight(image, d))
 	}
 	return out
 }
@@ -219,8 +218,8 @@
 	s.orderStop(t, "another worker suits it better")
 }
 
-// moveTarget returns the worker that keeps room for t, and gives the room up; nil if there is none.
-func (s *Scheduler) moveTarget(t *task) *worker {
+// takeMoveTarget returns the worker that keeps room for t, and gives the room up; nil if there is none.
+func (s *Scheduler) takeMoveTarget(t *task) *worker {
 	i := slices.IndexFunc(s.moves, func(m *servingMove) bool { return m.task == t })
 	if i < 0 {
 		return nil
@@ -249,7 +248,7 @@
 
 // placeMoved starts a moved task on the worker that keeps room for it, and reports whether it did.
 func (s *Scheduler) placeMoved(now time.Time, c pendingStep, t *task, o *Orders) bool {
-	w := s.moveTarget(t)
+	w := s.takeMoveTarget(t)
 	if w == nil || s.workers[w.Key()] != w {
 		return false
 	}
--- a/pkg/decide/schedule/servingload.go
+++ b/pkg/decide/schedule/servingload.go
@@ -40,11 +40,16 @@
 
 // expectedLoad returns the occupancy of t that its own load is expected to cause soon.
 func (t *task) expectedLoad(now time.Time) float64 {
-	load, ok := t.step.load.forecast(now, loadForecast)
-	if !ok {
-		return defaultLoad
+	if load, ok := t.knownLoad(now); ok {
+		return load
 	}
-	return min(max(load, 0), maxLoad)
+	return defaultLoad
+}
+
+// knownLoad returns the load of t that is expected soon, and whether there are recent samples of it.
+func (t *task) knownLoad(now time.Time) (float64, bool) {
+	load, ok := t.step.load.forecast(now, loadForecast)
+	return min(max(load, 0), maxLoad), ok
 }
 
 // expectedMilliCPU returns the processor time that a best-effort task is expected
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -61,8 +61,8 @@
 	}
 	unknown := w.servingMilliCPU
 	for _, v := range w.victims {
-		if load, ok := v.step.load.forecast(now, loadForecast); ok && v.step.LongRunning && !s.variant.constantServingUse {
-			free -= int(min(max(load, 0), maxLoad) * float64(v.step.Need.MilliCPU))
+		if load, ok := v.knownLoad(now); ok && v.step.LongRunning && !s.variant.constantServingUse {
+			free -= int(load * float64(v.step.Need.MilliCPU))
 			unknown -= v.step.Need.MilliCPU
 		}
 	}
