End a process at the second signal however early it comes

Until it ran, a second signal was taken for the first one and lost, while the readiness check already said 503.

The platform's program is as it was: there a second SIGTERM must not cut a drain short.

--- a/cmd/sesamestream/main.go
+++ b/cmd/sesamestream/main.go
@@ -5,12 +5,11 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/sesamestream/sesamestream/internal/shutdown"
 	"github.com/sesamestream/sesamestream/pkg/document"
 )
 
@@ -26,10 +25,8 @@
 
 // run executes the command line and returns the exit code.
 func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := shutdown.Context(context.Background())
 	defer stop()
-	// The first signal removes the handler, so that a second one ends the process at once.
-	context.AfterFunc(ctx, stop)
 	c := &cli.Command{
 		Name:  "sesamestream",
 		Usage: "schedule latency-critical and batch work on the same hosts",
