Give slow workers no work, and learn nothing from their tail latencies

Such a worker gets no work, and its samples aren't learned from, until a tail latency or a short task shows that it has recovered.

--- a/pkg/decide/interfere/filter.go
+++ b/pkg/decide/interfere/filter.go
@@ -114,8 +114,7 @@
 }
 
 // innovate returns the covariance of each variable with an observation, the variance
-// of the observation, and by how much its value differs from the expected one. An
-// observation that the noise can't explain counts as much as one that it just can.
+// of the observation, and by how much its value differs from the expected one.
 func (f *filter) innovate(terms []term, value, noise float64) (covariance []float64, variance, innovation float64) {
 	n := len(f.mean)
 	if cap(f.buffer) < n {
@@ -128,12 +127,14 @@
 			g[i] += x.factor * f.covariance[i][x.row]
 		}
 	}
-	variance = noise
-	for _, x := range terms {
-		variance += x.factor * g[x.row]
-	}
-	limit := maxInnovation * math.Sqrt(variance)
-	return g, variance, min(max(value-f.predict(terms), -limit), limit)
+	limit := f.limit(terms, noise)
+	return g, f.variance(terms) + noise, min(max(value-f.predict(terms), -limit), limit)
+}
+
+// limit returns by how much an observation may differ from the expected one. One that
+// differs more counts as much as one at the limit.
+func (f *filter) limit(terms []term, noise float64) float64 {
+	return maxInnovation * math.Sqrt(f.variance(terms)+noise)
 }
 
 // removeRows removes n variables from row on.
--- a/pkg/decide/interfere/observe.go
+++ b/pkg/decide/interfere/observe.go
@@ -17,15 +17,10 @@
 	if tail <= 0 {
 		return
 	}
-	n := c.victim(victim)
-	c.ObserveIdle(victim, tail)
-	n.age(now)
-	load := n.load(now, g)
+	n, load := c.advance(now, victim, g, tail)
 	weights := c.terms(n, shares)
 	terms := append(slices.Clip(weights), term{load.row, 1})
-	occupancy := n.occupancy(tail)
-	d := tailNoise * (1 - occupancy)
-	noise := modelNoise*modelNoise + d*d
+	occupancy, noise := n.measure(tail)
 	switch {
 	case occupancy >= SaturatedOccupancy:
 		// A saturated tail latency gives only a lower bound. It must not change what
@@ -42,6 +37,33 @@
 	}
 }
 
+// Explains reports whether the load of a group and the shares of the aggressors beside
+// one of its tasks can have caused a tail latency, as far as the model knows.
+func (c *OccupancyModel[G]) Explains(now time.Time, victim fleet.Kind, g G, tail time.Duration, shares Shares) bool {
+	if tail <= 0 {
+		return true
+	}
+	n, load := c.advance(now, victim, g, tail)
+	terms := append(c.terms(n, shares), term{load.row, 1})
+	occupancy, noise := n.measure(tail)
+	return occupancy-n.filter.predict(terms) <= n.filter.limit(terms, noise)
+}
+
+// advance returns the model of a victim and the load of a group at now.
+func (c *OccupancyModel[G]) advance(now time.Time, victim fleet.Kind, g G, tail time.Duration) (*victimModel[G], *groupLoad) {
+	c.ObserveIdle(victim, tail)
+	n := c.victim(victim)
+	n.age(now)
+	return n, n.load(now, g)
+}
+
+// measure returns the occupancy at a tail latency, and the variance of its noise.
+func (n *victimModel[G]) measure(tail time.Duration) (occupancy, noise float64) {
+	occupancy = n.occupancy(tail)
+	d := tailNoise * (1 - occupancy)
+	return occupancy, modelNoise*modelNoise + d*d
+}
+
 func rowsOf(terms []term) []int {
 	var rows []int
 	for _, x := range terms {
--- a/pkg/decide/schedule/fleetsim_test.go
+++ b/pkg/decide/schedule/fleetsim_test.go
@@ -31,6 +31,8 @@
 	// lightWeight and heavyWeight are the ranges of the interference weights of a
 	// quarter of 16 cores; zero ranges are those of pacingSim.
 	lightWeight, heavyWeight [2]float64
+	// slowWorkers makes some workers slow for some seconds.
+	slowWorkers bool
 	// knownWeights tells the scheduler all weights at the start.
 	knownWeights bool
 }
--- a/pkg/decide/schedule/interference.go
+++ b/pkg/decide/schedule/interference.go
@@ -33,7 +33,7 @@
 		return
 	}
 	w.observedAt = now
-	shares := interfere.Shares{}
+	shares, used := interfere.Shares{}, 0.0
 	for k, v := range w.bestEffortShares {
 		if v *= 1 - tailSmoothing; v > 0.01 {
 			shares[k] = v
@@ -42,20 +42,28 @@
 	for _, r := range runs {
 		t := w.tasks[r.Task]
 		if t != nil && t.step.BestEffort && t.run == r.Number && t.step.Image != "" && r.Load > 0 {
-			shares[fleet.Kind(t.step.Image)] += tailSmoothing * interfere.Share(r.Load, w.Capacity.MilliCPU)
+			share := interfere.Share(r.Load, w.Capacity.MilliCPU)
+			shares[fleet.Kind(t.step.Image)] += tailSmoothing * share
+			used += share
 		}
 	}
 	w.bestEffortShares = shares
+	var warm []*task
 	for _, t := range w.victims {
-		image := fleet.Kind(t.step.Image)
 		switch {
 		case !t.tailLatency.measuredAt.Equal(now):
 		case now.Sub(t.startedAt) < servingWarmUp:
-			s.interference.ObserveIdle(image, t.tailLatency.latency)
+			s.interference.ObserveIdle(fleet.Kind(t.step.Image), t.tailLatency.latency)
 		default:
-			s.interference.Observe(now, image, t.step, t.tailLatency.latency, shares)
+			warm = append(warm, t)
 		}
 	}
+	if s.judgeServing(now, w, warm, used, shares); !w.slowServingSince.IsZero() {
+		return
+	}
+	for _, t := range warm {
+		s.interference.Observe(now, fleet.Kind(t.step.Image), t.step, t.tailLatency.latency, shares)
+	}
 }
 
 // servingWarmUp is how long after its start the tail latency of a latency-critical task reflects the start itself.
--- a/pkg/decide/schedule/pacingsim_test.go
+++ b/pkg/decide/schedule/pacingsim_test.go
@@ -38,6 +38,8 @@
 	aboveTarget, servingTime time.Duration
 	// noise is the source of the noise of reported tail latencies.
 	noise *rand.Rand
+	// slowFrom and slowUntil are the time in which each workersPerSlowWorker-th worker is slow.
+	slowFrom, slowUntil time.Time
 	// stoppedRuns counts the orders to stop a run that were carried out.
 	stoppedRuns int
 	// objectives is the time within which each wide job has to complete.
@@ -52,6 +54,8 @@
 	reportSlot int
 	pacer      *pacing.Machine
 	runs       []*simRun
+	// mayTurnSlow is set for the workers that are slow for some time.
+	mayTurnSlow bool
 }
 
 // find returns a run of the host; nil if it doesn't run there.
@@ -82,6 +86,10 @@
 	simTailTarget = 5 * simIdleTail
 	// simTailNoise is the relative deviation of a reported tail latency.
 	simTailNoise = 0.05
+	// slowSpeed is the speed of the tasks on a slow worker, slowTailFactor multiplies its tail latencies.
+	slowSpeed            = 0.2
+	slowTailFactor       = 100
+	workersPerSlowWorker = 10
 	// simMeanLoad is the mean load of a latency-critical task; the load oscillates by half of it.
 	simMeanLoad   = 0.45
 	simLoadPeriod = 14 * time.Second
@@ -121,7 +129,7 @@
 		}
 		k := batch.WorkerKey{ID: fmt.Sprintf("%03d", i), StartTime: 1}
 		milliCPU = l.milliCPU(float64(milliCPU))
-		h := &simHost{key: k, milliCPU: milliCPU, reportSlot: i % int(batch.LoadWindow/pacingSimStep)}
+		h := &simHost{key: k, milliCPU: milliCPU, reportSlot: i % int(batch.LoadWindow/pacingSimStep), mayTurnSlow: i%workersPerSlowWorker == 0}
 		c.hosts[k] = h
 		c.hostOrder = append(c.hostOrder, h)
 		h.pacer = &pacing.Machine{
@@ -256,7 +264,7 @@
 func (c *pacingSim) advanceRun(h *simHost, r *simRun, pressure map[string]float64) bool {
 	switch {
 	case r.Step.LongRunning && r.stopsAt.IsZero():
-		c.updateTail(r, pressure)
+		c.updateTail(h, r, pressure)
 		return false
 	case !r.stopsAt.IsZero():
 		if c.now.Before(r.stopsAt) {
@@ -267,9 +275,9 @@
 	case c.now.Before(r.readyAt):
 		return false
 	case r.Step.BestEffort:
-		r.remainingSeconds -= pacingSimStep.Seconds() * float64(r.usedMilliCPU) / float64(r.Step.Need.MilliCPU)
+		r.remainingSeconds -= c.speed(h) * pacingSimStep.Seconds() * float64(r.usedMilliCPU) / float64(r.Step.Need.MilliCPU)
 	default:
-		r.remainingSeconds -= pacingSimStep.Seconds()
+		r.remainingSeconds -= c.speed(h) * pacingSimStep.Seconds()
 	}
 	if r.remainingSeconds > 0 {
 		return false
@@ -281,8 +289,16 @@
 	return true
 }
 
+// speed returns the present speed of a host's tasks as a share of the usual one.
+func (c *pacingSim) speed(h *simHost) float64 {
+	if h.mayTurnSlow && !c.now.Before(c.slowFrom) && c.now.Before(c.slowUntil) {
+		return slowSpeed
+	}
+	return 1
+}
+
 // updateTail updates the tail latency of a latency-critical task, and counts the time above its target.
-func (c *pacingSim) updateTail(r *simRun, pressure map[string]float64) {
+func (c *pacingSim) updateTail(h *simHost, r *simRun, pressure map[string]float64) {
 	occupancy := c.servingLoad(r.Task.Job)
 	for d, p := range pressure {
 		occupancy += c.interferenceWeights[[2]string{r.Step.Image, d}] * p
@@ -291,6 +307,9 @@
 	if occupancy < 0.96 {
 		tail = time.Duration(float64(simIdleTail) / (1 - occupancy))
 	}
+	if c.speed(h) < 1 {
+		tail *= slowTailFactor
+	}
 	// The reported latency is that of the last half second.
 	r.tail += time.Duration(float64(tail-r.tail) * 2 * float64(pacingSimStep) / float64(batch.LoadWindow))
 	c.servingTime += pacingSimStep
@@ -395,6 +414,9 @@
 	c.simulate(8*time.Second, l.urgentRate, l.wideRate)
 	c.aboveTarget, c.servingTime = 0, 0
 	from := c.now
+	if l.slowWorkers {
+		c.slowFrom, c.slowUntil = from.Add(4*time.Second), from.Add(12*time.Second)
+	}
 	c.simulate(25*time.Second, l.urgentRate, l.wideRate)
 	until := c.now
 	c.simulate(25*time.Second, l.urgentRate, 0)
@@ -557,6 +579,19 @@
 	g.Expect(learned.serving).To(BeNumerically(">", known.serving-0.005))
 }
 
+// A tenth of the workers is slow for eight seconds, which shows in all tail latencies
+// on them. They must get no further work meanwhile, and what they show must not be
+// taken for interference.
+func TestSlowWorkersGetNoWork(t *testing.T) {
+	g := NewWithT(t)
+	l := thirdOfLargeFleet()
+	l.slowWorkers = true
+	left := meanResult(t, "slow workers left out", 6, l, policyVariant{})
+	ignored := meanResult(t, "slow workers ignored", 6, l, policyVariant{ignoreSlowWorkers: true})
+	g.Expect(left.bestEffort).To(BeNumerically(">", ignored.bestEffort))
+	g.Expect(left.serving).To(BeNumerically(">", ignored.serving))
+}
+
 // BenchmarkRearrange measures one search for moves of latency-critical tasks at
 // several fleet sizes.
 func BenchmarkRearrange(b *testing.B) {
--- a/pkg/decide/schedule/quarantine.go
+++ b/pkg/decide/schedule/quarantine.go
@@ -36,3 +36,8 @@
 		s.addHealthChange(w, "runs are held up", job)
 	}
 }
+
+// addSlowWorker records that the latency-critical tasks on w show it as slow.
+func (s *Scheduler) addSlowWorker(now time.Time, w *worker) {
+	s.healthChanges = append(s.healthChanges, HealthChange{Key: w.Key(), QuarantinedUntil: now.Add(minQuarantine), Reason: "serving tasks are held up"})
+}
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -188,6 +188,9 @@
 	} else if w.health.recordSuccess(startedAt) {
 		s.addHealthChange(w, "a run was done", t.id.Job)
 	}
+	if !t.step.BestEffort && !t.step.peerDurations.IsSlow(d) {
+		w.recordInTime(startedAt)
+	}
 	t.step.peerDurations.Add(d)
 }
 
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -101,7 +101,9 @@
 	moves          []*servingMove
 	rearrangedAt   time.Time
 	nextMoveSource int
-	variant        policyVariant
+	// arrangement is the one of the present pass, if it was needed.
+	arrangement *arrangement
+	variant     policyVariant
 }
 
 // policyVariant disables single rules, so that a replay can compare their effect.
@@ -114,6 +116,8 @@
 	constantServingUse bool
 	// keepArrangement leaves latency-critical tasks on their workers.
 	keepArrangement bool
+	// ignoreSlowWorkers takes no tail latency for that of a slow worker.
+	ignoreSlowWorkers bool
 	// ignoreCompatibility places reserved tasks by free capacity alone.
 	ignoreCompatibility bool
 }
--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -69,7 +69,7 @@
 // evaluate returns the score of a worker for a task of the step, and whether the worker may take one.
 func (x *search) evaluate(w *worker) (float64, bool) {
 	st := x.step
-	if w.Service != x.queue.Service || !w.acceptsTasks(x.now) || !x.reservation.Fits(w.freeResources()) {
+	if w.Service != x.queue.Service || !w.acceptsTasks(x.now) || !w.maySuit(x.now, st) || !x.reservation.Fits(w.freeResources()) {
 		return 0, false
 	}
 	if st.RequiredLabel != "" && !w.HasLabel(st.RequiredLabel) || x.rack != "" && w.Rack() != x.rack {
--- a/pkg/decide/schedule/straggler.go
+++ b/pkg/decide/schedule/straggler.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
@@ -19,7 +21,9 @@
 	}
 	s.judgedAt = now
 	reserved := map[*worker]batch.Resources{}
-	for _, j := range s.openJobs {
+	// The order is fixed, so that the same inputs give the same orders.
+	for _, id := range slices.Sorted(maps.Keys(s.openJobs)) {
+		j := s.openJobs[id]
 		if j.state.Final() || j.awaitsHosts {
 			continue
 		}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -37,6 +37,9 @@
 	// bestEffortShares is the recent usage of best-effort images, smoothed as the tail latencies follow it.
 	bestEffortShares interfere.Shares
 	observedAt       time.Time
+	// slowServingSince is since when nothing but a slow worker explains its tail latencies; zero while others do.
+	// slowAt is when they last showed a slow worker; zero once something shows the contrary.
+	slowServingSince, slowAt time.Time
 }
 
 // spareSample is a measurement of the processor time that the best-effort tasks of a worker get.
@@ -147,13 +150,14 @@
 	if w.unresponsive || w.Draining || w.health.quarantined(now) {
 		return false
 	}
-	return !w.health.probing() || !w.hasProbeRun()
+	return !w.health.probing() || !w.hasRunSince(w.health.quarantinedUntil)
 }
 
-// hasProbeRun reports whether the worker has a run since its quarantine, whose outcome shows its health.
-func (w *worker) hasProbeRun() bool {
+// hasRunSince reports whether the worker has a run that started at a time or later
+// and will end, so that its outcome shows the health of the worker.
+func (w *worker) hasRunSince(at time.Time) bool {
 	for _, t := range w.tasks {
-		if !t.step.LongRunning && !t.startedAt.Before(w.health.quarantinedUntil) {
+		if !t.step.LongRunning && !t.startedAt.Before(at) {
 			return true
 		}
 	}
