Let hosts follow a new leader at its announcement

An announcement ended the host's wait, but it then looked the leader up, found one, paused for 150 ms and looked it up again; the scheduler announced itself at its next round only.

Change: a node that found no leader follows the one that announces itself; announcements from before the lookup are dropped. The scheduler announces itself once it has read its state.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -310,9 +310,23 @@
 	}
 	d.Log.Event(eventlog.StateLoaded).Int64("epoch", int64(d.Term.Epoch)).Int("jobs", len(in)).Int("nodes", len(nodes)).
 		Dur("took", now.Sub(d.startTime)).Msg("")
+	d.announce(now)
 	d.tryCompleteTakeover(now)
 }
 
+// announce announces the scheduler to the nodes without a session.
+func (d *Dispatcher) announce(now time.Time) {
+	if d.Announce == nil {
+		return
+	}
+	d.lastAnnounce = now
+	for name, n := range d.nodes {
+		if d.sessions[name] == nil {
+			d.Announce(n.Address, int64(d.Term.Epoch))
+		}
+	}
+}
+
 // restoreEstimates loads the interference estimates stored by the previous scheduler.
 func (d *Dispatcher) restoreEstimates(estimates kv.Item) {
 	if len(estimates.Value) == 0 {
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -92,13 +92,8 @@
 	d.tryCompleteTakeover(now)
 	d.stepDownIfSuperseded(now)
 	d.addDeferredJobs(now)
-	if d.loaded && d.Announce != nil && now.Sub(d.lastAnnounce) > announceInterval {
-		d.lastAnnounce = now
-		for name, n := range d.nodes {
-			if d.sessions[name] == nil {
-				d.Announce(n.Address, int64(d.Term.Epoch))
-			}
-		}
+	if d.loaded && now.Sub(d.lastAnnounce) > announceInterval {
+		d.announce(now)
 	}
 	if now.Sub(d.lastEstimatesSent) > estimatesSendInterval {
 		d.lastEstimatesSent = now
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -293,11 +293,16 @@
 		case err == nil:
 			n.runSession(ctx, l)
 		case errors.Is(err, kv.ErrNotFound):
+			n.dropAnnouncement()
 			n.loadStrongest(ctx)
-			if !n.pause(ctx, n.electionDelay()) {
+			switch l, announced := n.awaitLeader(ctx, n.electionDelay()); {
+			case ctx.Err() != nil:
 				return nil
+			case announced:
+				n.runSession(ctx, l)
+			default:
+				n.tryLeadership(ctx, &terms)
 			}
-			n.tryLeadership(ctx, &terms)
 		default:
 			n.mu.Lock()
 			known := n.knownLeader
@@ -349,6 +354,28 @@
 	n.Log.Event(eventlog.HostUnregistered).Bool("done", n.unregistered).Err(err).Msg("")
 }
 
+// dropAnnouncement drops an announcement that was received before, as its leader may be gone.
+func (n *Node) dropAnnouncement() {
+	select {
+	case <-n.announced:
+	default:
+	}
+}
+
+// awaitLeader waits for t or until a leader announces itself, and returns that leader.
+func (n *Node) awaitLeader(ctx context.Context, t time.Duration) (l election.Leader, announced bool) {
+	select {
+	case <-ctx.Done():
+		return election.Leader{}, false
+	case <-time.After(t):
+		return election.Leader{}, false
+	case <-n.announced:
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.knownLeader, n.knownLeader.Address.IsValid()
+}
+
 // pause waits for t or until an announcement arrives. It reports false where ctx
 // has ended.
 func (n *Node) pause(ctx context.Context, t time.Duration) bool {
--- a/test/fleet/takeover_test.go
+++ b/test/fleet/takeover_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"os"
@@ -302,3 +303,49 @@
 		r.close()
 	})
 }
+
+// maxFollowTime bounds the time from the beginning of a term until all hosts that run
+// have a session, where neither the store nor the network takes any time. A lookup of
+// the leader or a round of the scheduler before it delays each task that waits.
+const maxFollowTime = 50 * time.Millisecond
+
+// After a loss of power all processes start together and find no leader. The hosts
+// must follow the new one as soon as it announces itself.
+func TestHostsFollowANewLeaderAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 2, 4)
+		var log bytes.Buffer
+		time.Sleep(5 * time.Second)
+		for _, p := range r.procs {
+			p.kill()
+		}
+		r.store.EndLeases()
+		r.log = &log
+		for _, p := range r.procs {
+			p.start()
+		}
+		time.Sleep(2 * time.Second)
+		r.close()
+		var began, last time.Time
+		joined := 0
+		for _, l := range strings.Split(log.String(), "\n") {
+			var e struct {
+				Time  time.Time
+				Event string
+			}
+			if json.Unmarshal([]byte(l), &e) != nil {
+				continue
+			}
+			switch e.Event {
+			case "leadTaken":
+				began = e.Time
+			case "hostJoined":
+				joined++
+				last = e.Time
+			}
+		}
+		g := NewWithT(t)
+		g.Expect(joined).To(Equal(len(r.procs)))
+		g.Expect(last.Sub(began)).To(BeNumerically("<", maxFollowTime))
+	})
+}
