Forget the load of a group that wasn't seen for long

It starts again from the prior now, and a weight gets no less certain than the prior. TestOccupancyModelResumesGroups.

--- a/pkg/decide/interfere/filter.go
+++ b/pkg/decide/interfere/filter.go
@@ -34,6 +34,15 @@
 	return n
 }
 
+// resetRow forgets what is known of a variable and gives it a mean and a variance.
+func (f *filter) resetRow(row int, mean, variance float64) {
+	f.mean[row] = mean
+	for i := range f.covariance {
+		f.covariance[i][row], f.covariance[row][i] = 0, 0
+	}
+	f.covariance[row][row] = variance
+}
+
 // advance lets the load in row follow its slope, in the row behind it, for d.
 func (f *filter) advance(row int, d time.Duration, slopeNoise float64) {
 	t := d.Seconds()
--- a/pkg/decide/interfere/observe.go
+++ b/pkg/decide/interfere/observe.go
@@ -100,12 +100,13 @@
 	return out
 }
 
-// age lets the weights become less certain until now.
+// age lets the weights become less certain until now, up to what the prior says.
 func (n *victimModel[G]) age(now time.Time) {
 	if !n.observedAt.IsZero() && now.After(n.observedAt) {
 		v := weightNoise * weightNoise * now.Sub(n.observedAt).Seconds()
 		for _, i := range n.rows {
-			n.filter.covariance[i][i] += v
+			p := &n.filter.covariance[i][i]
+			*p = max(*p, min(*p+v, priorDeviation*priorDeviation))
 		}
 	}
 	n.observedAt = now
@@ -114,20 +115,24 @@
 // load returns the load of a group, advanced to now.
 func (n *victimModel[G]) load(now time.Time, g G) *groupLoad {
 	l := n.groups[g]
-	if l == nil {
+	switch {
+	case l == nil:
 		n.forgetGroups(now)
-		l = &groupLoad{row: n.filter.addRow(priorLoad, priorLoadDeviation*priorLoadDeviation), at: now}
-		n.filter.addRow(0, priorSlopeDeviation*priorSlopeDeviation)
+		l = &groupLoad{row: n.filter.addRow(priorLoad, priorLoadVariance)}
+		n.filter.addRow(0, priorSlopeVariance)
 		n.groups[g] = l
-	}
-	if now.After(l.at) {
+	case now.Sub(l.at) >= groupRetention:
+		n.filter.resetRow(l.row, priorLoad, priorLoadVariance)
+		n.filter.resetRow(l.row+1, 0, priorSlopeVariance)
+	case now.After(l.at):
 		n.filter.advance(l.row, now.Sub(l.at), slopeNoise)
-		l.at = now
 	}
+	l.at = now
 	return l
 }
 
-// groupRetention is how long a group without observations is kept.
+// groupRetention is how long a load is remembered without observations: it swings
+// within as many seconds.
 const groupRetention = 10 * time.Second
 
 // forgetGroups removes the groups without recent observations.
--- a/pkg/decide/interfere/occupancy.go
+++ b/pkg/decide/interfere/occupancy.go
@@ -42,11 +42,13 @@
 	priorDeviation = 0.4
 	// weightNoise is the deviation by which a weight changes in a second.
 	weightNoise = 0.005
-	// priorLoad and priorLoadDeviation are those of the load of a group without observations.
-	priorLoad, priorLoadDeviation = 0.45, 0.25
-	// priorSlopeDeviation is the deviation of the change of a load per second, and
-	// slopeNoise that by which this changes in a second.
-	priorSlopeDeviation, slopeNoise = 0.1, 0.05
+	// priorLoad and priorLoadVariance are those of the load of a group without observations.
+	priorLoad         = 0.45
+	priorLoadVariance = 0.25 * 0.25
+	// priorSlopeVariance is the variance of the change of a load per second, and
+	// slopeNoise the deviation by which this changes in a second.
+	priorSlopeVariance = 0.1 * 0.1
+	slopeNoise         = 0.05
 	// tailNoise is the relative deviation of a reported tail latency.
 	tailNoise = 0.07
 	// modelNoise is the deviation of the occupancies from the model.
--- a/pkg/decide/interfere/occupancy_test.go
+++ b/pkg/decide/interfere/occupancy_test.go
@@ -125,6 +125,24 @@
 	g.Expect(after).To(BeNumerically("~", load, 0.05))
 }
 
+// A group that wasn't observed for long has any load when it's seen again, which must
+// not be taken for a trend, and must not upset what is known of the aggressors.
+func TestOccupancyModelResumesGroups(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestModel()
+	for window := range 20 {
+		share := 0.5 * float64(window%2)
+		c.Observe(windowTime(window), "victim", "group", tailAt(0.3+0.01*float64(window)+0.4*share), Shares{"d": share})
+	}
+	weight := c.Weight("victim", "d")
+	later := windowTime(20).Add(time.Minute)
+	c.Observe(later, "victim", "group", tailAt(0.5), Shares{"d": 0.5})
+	g.Expect(c.Weight("victim", "d")).To(BeNumerically("~", weight, 0.15))
+	load, known := c.Load(later, "victim", "group", 0)
+	g.Expect(known).To(BeTrue())
+	g.Expect(load).To(BeNumerically("~", 0.5-0.5*weight, 0.1))
+}
+
 // A tail latency far above the idle one shows only that no capacity is left, so
 // it must not reduce the weight of an aggressor.
 func TestOccupancyModelKeepsWeightsAtSaturation(t *testing.T) {
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -101,9 +101,7 @@
 	moves          []*servingMove
 	rearrangedAt   time.Time
 	nextMoveSource int
-	// arrangement is the one of the present pass, if it was needed.
-	arrangement *arrangement
-	variant     policyVariant
+	variant        policyVariant
 }
 
 // policyVariant disables single rules, so that a replay can compare their effect.
