Acknowledge a target's departure once no request for it is in flight

A target that announced its departure in between closes its idle connections as soon as the agent has answered, so that the request meets a closed connection, and an unrepeatable one ends unknown. A departure whose announcement was lost wasn't announced again by the stand-in.

Change: the agent answers the announcement once no request is in flight to the target, after half a second at most; the stand-in announces its departure up to three times. TestDepartureWaitsForChosenRequests, TestDepartureWaitIsBounded.

The linter's unused result of node.pause goes.

--- a/internal/agent/listen.go
+++ b/internal/agent/listen.go
@@ -47,6 +47,14 @@
 	}
 	if err := a.targets.Announce(time.Now(), t); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if t.Leaving {
+		// A target closes its idle connections once its departure is acknowledged. A
+		// request for which it was chosen before may still have to be sent on one.
+		c, cancel := context.WithTimeout(r.Context(), target.MaxLeaveWait)
+		defer cancel()
+		a.targets.AwaitIdle(c, t.ID)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -376,16 +376,13 @@
 	return n.knownLeader, n.knownLeader.Address.IsValid()
 }
 
-// pause waits for t or until an announcement arrives. It reports false where ctx
-// has ended.
-func (n *Node) pause(ctx context.Context, t time.Duration) bool {
+// pause waits for t or until an announcement arrives or ctx ends.
+func (n *Node) pause(ctx context.Context, t time.Duration) {
 	select {
 	case <-ctx.Done():
-		return false
 	case <-n.announced:
 	case <-time.After(t):
 	}
-	return ctx.Err() == nil
 }
 
 // tryLeadership takes the leadership if it is vacant.
--- a/internal/target/announcement.go
+++ b/internal/target/announcement.go
@@ -19,6 +19,10 @@
 // AnnounceTimeout is how long an announcement is valid.
 const AnnounceTimeout = 3 * AnnounceInterval
 
+// MaxLeaveWait bounds how long the answer to the announcement of a departure waits for
+// the requests in flight. A target waits for an answer for AnnounceInterval.
+const MaxLeaveWait = AnnounceInterval / 2
+
 // PathTargets is the path of announcements on the host's port.
 const PathTargets = "/v1/targets"
 
--- a/internal/target/registry.go
+++ b/internal/target/registry.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +27,8 @@
 	expires time.Time
 	// inFlight is the number of requests that the target is serving.
 	inFlight int
+	// idle is closed once inFlight is 0; nil if nobody waits for that.
+	idle chan struct{}
 }
 
 // Announce registers a target or renews its registration.
@@ -101,8 +104,34 @@
 func (r *Registry) Release(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.targets[id]; e != nil {
-		e.inFlight--
+	e := r.targets[id]
+	if e == nil {
+		return
+	}
+	e.inFlight--
+	if e.inFlight == 0 && e.idle != nil {
+		close(e.idle)
+		e.idle = nil
+	}
+}
+
+// AwaitIdle waits until no request to a target is in flight, or until ctx ends. A
+// request counts from the moment at which its target was chosen.
+func (r *Registry) AwaitIdle(ctx context.Context, id string) {
+	r.mu.Lock()
+	e := r.targets[id]
+	if e == nil || e.inFlight == 0 {
+		r.mu.Unlock()
+		return
+	}
+	if e.idle == nil {
+		e.idle = make(chan struct{})
+	}
+	idle := e.idle
+	r.mu.Unlock()
+	select {
+	case <-idle:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/target/registry_test.go
+++ b/internal/target/registry_test.go
@@ -1,9 +1,11 @@
 package target_test
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -50,3 +52,48 @@
 	g.Expect(err).To(MatchError(target.ErrNoTarget))
 	g.Expect(r.Kinds(now)).To(BeEmpty())
 }
+
+// TestDepartureWaitsForChosenRequests checks that the departure of a target is not
+// acknowledged while a request for which it was chosen isn't over. The target would
+// close the connection on which that request is about to be sent.
+func TestDepartureWaitsForChosenRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var r target.Registry
+		a := announcement("a", 0, 1)
+		g.Expect(r.Announce(time.Now(), a)).To(Succeed())
+		_, err := r.Acquire(time.Now(), a.Kinds[0])
+		g.Expect(err).NotTo(HaveOccurred())
+		a.Leaving = true
+		g.Expect(r.Announce(time.Now(), a)).To(Succeed())
+
+		began := time.Now()
+		time.AfterFunc(200*time.Millisecond, func() { r.Release("a") })
+		r.AwaitIdle(t.Context(), "a")
+		g.Expect(time.Since(began)).To(Equal(200 * time.Millisecond))
+		r.AwaitIdle(t.Context(), "a")
+		r.AwaitIdle(t.Context(), "unknown")
+		g.Expect(time.Since(began)).To(Equal(200 * time.Millisecond))
+
+		_, err = r.Acquire(time.Now(), a.Kinds[0])
+		g.Expect(err).To(MatchError(target.ErrNoTarget))
+	})
+}
+
+// TestDepartureWaitIsBounded checks that a request that never ends doesn't delay the
+// acknowledgement of a departure for ever.
+func TestDepartureWaitIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var r target.Registry
+		a := announcement("a", 0, 1)
+		g.Expect(r.Announce(time.Now(), a)).To(Succeed())
+		_, err := r.Acquire(time.Now(), a.Kinds[0])
+		g.Expect(err).NotTo(HaveOccurred())
+		began := time.Now()
+		c, cancel := context.WithTimeout(t.Context(), target.MaxLeaveWait)
+		defer cancel()
+		r.AwaitIdle(c, "a")
+		g.Expect(time.Since(began)).To(Equal(target.MaxLeaveWait))
+	})
+}
--- a/internal/target/standin/target.go
+++ b/internal/target/standin/target.go
@@ -116,29 +116,37 @@
 	tick := time.NewTicker(target.AnnounceInterval)
 	defer tick.Stop()
 	for {
-		t.post(a)
+		// A lost announcement needs no handling, as the next one follows soon.
+		_ = t.post(a)
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
 			a.Leaving = true
-			t.post(a)
+			for range leaveAttempts {
+				if t.post(a) == nil {
+					return
+				}
+			}
 			return
 		}
 	}
 }
 
-// post sends one announcement to the agent. Errors are ignored because the
-// announcement is repeated.
-func (t *Target) post(a target.Announcement) {
+// leaveAttempts bounds how often a departure is announced that the agent doesn't acknowledge.
+const leaveAttempts = 3
+
+// post sends one announcement to the agent.
+func (t *Target) post(a target.Announcement) error {
 	b, err := json.Marshal(a)
 	if err != nil {
-		return
+		return err
 	}
 	c := &http.Client{Timeout: target.AnnounceInterval}
 	r, err := c.Post("http://"+t.Agent.String()+target.PathTargets, "application/json", bytes.NewReader(b))
-	if err == nil {
-		r.Body.Close()
+	if err != nil {
+		return err
 	}
+	return r.Body.Close()
 }
 
 // ServeHTTP records the request, waits for Delay and echoes the request.
