Split the observation of a worker's last window

The read of the change as a newcomer: shares, warm victims and the judgement of a slow worker are functions of their own. A comment that a rename had damaged and a repeated beginning of two tests are mended.

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -16,7 +16,7 @@
 
 const ttl = 1200 * time.Millisecond
 
-// newElector returns the newElector of a named process, and its client of the store.
+// newElector returns the elector of a named process, and its client of the store.
 func newElector(s *memory.Store, name string) (*election.Elector, *memory.Client) {
 	c := &memory.Client{Store: s}
 	return &election.Elector{Store: c, Node: name, Address: netip.MustParseAddrPort("10.0.0.1:7000"), TTL: ttl}, c
--- a/internal/target/registry_test.go
+++ b/internal/target/registry_test.go
@@ -59,11 +59,7 @@
 func TestDepartureWaitsForChosenRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		var r target.Registry
-		a := announcement("a", 0, 1)
-		g.Expect(r.Announce(time.Now(), a)).To(Succeed())
-		_, err := r.Acquire(time.Now(), a.Kinds[0])
-		g.Expect(err).NotTo(HaveOccurred())
+		r, a := registryWithRequest(g)
 		a.Leaving = true
 		g.Expect(r.Announce(time.Now(), a)).To(Succeed())
 
@@ -75,25 +71,29 @@
 		r.AwaitIdle(t.Context(), "unknown")
 		g.Expect(time.Since(began)).To(Equal(200 * time.Millisecond))
 
-		_, err = r.Acquire(time.Now(), a.Kinds[0])
+		_, err := r.Acquire(time.Now(), a.Kinds[0])
 		g.Expect(err).To(MatchError(target.ErrNoTarget))
 	})
 }
 
+// registryWithRequest returns a registry with one target, which has a request in flight.
+func registryWithRequest(g *WithT) (*target.Registry, target.Announcement) {
+	r, a := &target.Registry{}, announcement("a", 0, 1)
+	g.Expect(r.Announce(time.Now(), a)).To(Succeed())
+	_, err := r.Acquire(time.Now(), a.Kinds[0])
+	g.Expect(err).NotTo(HaveOccurred())
+	return r, a
+}
+
 // TestDepartureWaitIsBounded checks that a request that never ends doesn't delay the
 // acknowledgement of a departure for ever.
 func TestDepartureWaitIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		var r target.Registry
-		a := announcement("a", 0, 1)
-		g.Expect(r.Announce(time.Now(), a)).To(Succeed())
-		_, err := r.Acquire(time.Now(), a.Kinds[0])
-		g.Expect(err).NotTo(HaveOccurred())
+		r, _ := registryWithRequest(NewWithT(t))
 		began := time.Now()
 		c, cancel := context.WithTimeout(t.Context(), target.MaxLeaveWait)
 		defer cancel()
 		r.AwaitIdle(c, "a")
-		g.Expect(time.Since(began)).To(Equal(target.MaxLeaveWait))
+		NewWithT(t).Expect(time.Since(began)).To(Equal(target.MaxLeaveWait))
 	})
 }
--- a/pkg/decide/schedule/interference.go
+++ b/pkg/decide/schedule/interference.go
@@ -33,7 +33,21 @@
 		return
 	}
 	w.observedAt = now
-	shares, used := interfere.Shares{}, 0.0
+	used := w.updateShares(runs)
+	victims := s.warmVictims(now, w)
+	s.judgeServing(now, w, victims, used)
+	if !w.slowServingSince.IsZero() {
+		return
+	}
+	for _, t := range victims {
+		s.interference.Observe(now, fleet.Kind(t.step.Image), t.step, t.tailLatency.latency, w.bestEffortShares)
+	}
+}
+
+// updateShares lets the shares of the best-effort images on w follow their use in the
+// last window, and returns the sum of what they used in it.
+func (w *worker) updateShares(runs []batch.Run) (used float64) {
+	shares := interfere.Shares{}
 	for k, v := range w.bestEffortShares {
 		if v *= 1 - tailSmoothing; v > 0.01 {
 			shares[k] = v
@@ -48,6 +62,12 @@
 		}
 	}
 	w.bestEffortShares = shares
+	return used
+}
+
+// warmVictims returns the latency-critical tasks of w with a new tail latency that
+// shows their load. Those that have just started show their idle tail latency.
+func (s *Scheduler) warmVictims(now time.Time, w *worker) []*task {
 	var warm []*task
 	for _, t := range w.victims {
 		switch {
@@ -58,12 +78,7 @@
 			warm = append(warm, t)
 		}
 	}
-	if s.judgeServing(now, w, warm, used, shares); !w.slowServingSince.IsZero() {
-		return
-	}
-	for _, t := range warm {
-		s.interference.Observe(now, fleet.Kind(t.step.Image), t.step, t.tailLatency.latency, shares)
-	}
+	return warm
 }
 
 // servingWarmUp is how long after its start the tail latency of a latency-critical task reflects the start itself.
--- a/pkg/decide/schedule/slowserving.go
+++ b/pkg/decide/schedule/slowserving.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
-	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -30,15 +29,16 @@
 )
 
 // judgeServing records whether nothing but a slow worker explains the tail latencies
-// of the tasks on w, beside best-effort tasks that use some share now and had shares lately.
-func (s *Scheduler) judgeServing(now time.Time, w *worker, victims []*task, used float64, shares interfere.Shares) {
+// of the victims, which run on w. used is the share that the best-effort tasks on w
+// used in the last window.
+func (s *Scheduler) judgeServing(now time.Time, w *worker, victims []*task, used float64) {
 	if len(victims) == 0 || s.variant.ignoreSlowWorkers {
 		return
 	}
 	stalled := true
 	for _, t := range victims {
 		tail := t.tailLatency.latency
-		if tail <= t.step.LatencyTarget || s.interference.Explains(now, fleet.Kind(t.step.Image), t.step, tail, shares) {
+		if tail <= t.step.LatencyTarget || s.interference.Explains(now, fleet.Kind(t.step.Image), t.step, tail, w.bestEffortShares) {
 			w.slowServingSince, w.slowAt = time.Time{}, time.Time{}
 			return
 		}
