--- a/test/fleet/takeover_test.go
+++ b/test/fleet/takeover_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -309,12 +310,32 @@
 // the leader or a round of the scheduler before it delays each task that waits.
 const maxFollowTime = 50 * time.Millisecond
 
+// A lockedBuffer is a buffer that several processes may write their logs to.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// String returns what was written.
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // After a loss of power all processes start together and find no leader. The hosts
 // must follow the new one as soon as it announces itself.
 func TestHostsFollowANewLeaderAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 1, 2, 4)
-		var log bytes.Buffer
+		var log lockedBuffer
 		time.Sleep(5 * time.Second)
 		for _, p := range r.procs {
 			p.kill()
