Compute once what was computed twice, and drop derived state

The list of a victim's aggressors was the keys of its rows; the variance of an observation and the judgement of a slow run were computed twice on the path of each report; a pause of a node repeated the wait for a leader; a return and a method had nothing left to do.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -377,13 +377,7 @@
 }
 
 // pause waits for t or until an announcement arrives or ctx ends.
-func (n *Node) pause(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-n.announced:
-	case <-time.After(t):
-	}
-}
+func (n *Node) pause(ctx context.Context, t time.Duration) { n.awaitLeader(ctx, t) }
 
 // tryLeadership takes the leadership if it is vacant.
 func (n *Node) tryLeadership(ctx context.Context, terms *sync.WaitGroup) {
--- a/pkg/decide/interfere/filter.go
+++ b/pkg/decide/interfere/filter.go
@@ -136,15 +136,14 @@
 			g[i] += x.factor * f.covariance[i][x.row]
 		}
 	}
-	limit := f.limit(terms, noise)
-	return g, f.variance(terms) + noise, min(max(value-f.predict(terms), -limit), limit)
+	variance = f.variance(terms) + noise
+	most := limit(variance)
+	return g, variance, min(max(value-f.predict(terms), -most), most)
 }
 
-// limit returns by how much an observation may differ from the expected one. One that
-// differs more counts as much as one at the limit.
-func (f *filter) limit(terms []term, noise float64) float64 {
-	return maxInnovation * math.Sqrt(f.variance(terms)+noise)
-}
+// limit returns by how much an observation of a variance may differ from the expected
+// one. One that differs more counts as much as one at the limit.
+func limit(variance float64) float64 { return maxInnovation * math.Sqrt(variance) }
 
 // removeRows removes n variables from row on.
 func (f *filter) removeRows(row, n int) {
--- a/pkg/decide/interfere/observe.go
+++ b/pkg/decide/interfere/observe.go
@@ -46,7 +46,7 @@
 	n, load := c.advance(now, victim, g, tail)
 	terms := append(c.terms(n, shares), term{load.row, 1})
 	occupancy, noise := n.measure(tail)
-	return occupancy-n.filter.predict(terms) <= n.filter.limit(terms, noise)
+	return occupancy-n.filter.predict(terms) <= limit(n.filter.variance(terms)+noise)
 }
 
 // advance returns the model of a victim and the load of a group at now.
@@ -90,7 +90,7 @@
 		}
 		row, ok := n.rows[k]
 		if !ok {
-			if len(n.aggressors) >= maxAggressors {
+			if len(n.rows) >= maxAggressors {
 				continue
 			}
 			row = c.addAggressor(n, k)
--- a/pkg/decide/interfere/occupancy.go
+++ b/pkg/decide/interfere/occupancy.go
@@ -84,7 +84,6 @@
 	filter   filter
 	// rows maps an aggressor to the row of its weight in the filter, groups a group to its load.
 	rows       map[fleet.Kind]int
-	aggressors []fleet.Kind
 	groups     map[G]*groupLoad
 	observedAt time.Time
 }
@@ -113,7 +112,6 @@
 	if at, known := slices.BinarySearch(c.aggressors, k); !known {
 		c.aggressors = slices.Insert(c.aggressors, at, k)
 	}
-	n.aggressors = append(n.aggressors, k)
 	n.rows[k] = n.filter.addRow(PriorWeight, priorDeviation*priorDeviation)
 	return n.rows[k]
 }
@@ -177,7 +175,7 @@
 	}
 	for _, e := range estimates {
 		n := c.victim(e.Victim)
-		if _, known := n.rows[e.Aggressor]; known || !e.valid() || len(n.aggressors) >= maxAggressors {
+		if _, known := n.rows[e.Aggressor]; known || !e.valid() || len(n.rows) >= maxAggressors {
 			continue
 		}
 		i := c.addAggressor(n, e.Aggressor)
@@ -191,8 +189,7 @@
 func (c *OccupancyModel[G]) Estimates(now time.Time, n int) []Estimate {
 	var out []Estimate
 	for v, x := range c.victims {
-		for _, d := range x.aggressors {
-			i := x.rows[d]
+		for d, i := range x.rows {
 			out = append(out, Estimate{
 				Pair: Pair{Victim: v, Aggressor: d}, Weight: float32(c.Weight(v, d)),
 				Evidence: float32(evidenceOf(x.filter.covariance[i][i])), Seen: now.Unix(),
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -183,12 +183,13 @@
 // startedAt, and adds the duration to those of the step.
 func (s *Scheduler) recordDoneRun(now time.Time, w *worker, t *task, startedAt time.Time) {
 	d := now.Sub(startedAt)
-	if !t.step.BestEffort && t.step.peerDurations.IsSlow(d) {
+	slow := !t.step.BestEffort && t.step.peerDurations.IsSlow(d)
+	if slow {
 		s.recordSlowRun(now, w, t.id.Job)
 	} else if w.health.recordSuccess(startedAt) {
 		s.addHealthChange(w, "a run was done", t.id.Job)
 	}
-	if !t.step.BestEffort && !t.step.peerDurations.IsSlow(d) {
+	if !t.step.BestEffort && !slow {
 		w.recordInTime(startedAt)
 	}
 	t.step.peerDurations.Add(d)
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -123,8 +123,7 @@
 // New returns an empty scheduler.
 func New() *Scheduler {
 	return &Scheduler{
-		jobs: map[batch.JobID]*job{},
-
+		jobs:               map[batch.JobID]*job{},
 		earlyCancellations: map[batch.JobID]time.Time{},
 		openJobs:           map[batch.JobID]*job{},
 		workers:            map[batch.WorkerKey]*worker{},
@@ -172,7 +171,6 @@
 	if len(b.Steps) == 0 {
 		// DropDescriptions has removed the description of the finished job.
 		j.descriptionDropped = true
-		return
 	}
 }
 
--- a/pkg/decide/schedule/slowserving.go
+++ b/pkg/decide/schedule/slowserving.go
@@ -57,18 +57,16 @@
 	}
 }
 
-// slow reports whether the last tail latencies showed a slow worker.
-func (w *worker) slow(now time.Time) bool {
-	return !w.slowAt.IsZero() && now.Sub(w.slowAt) < minQuarantine
-}
-
 // maySuit reports whether w may be given a task of st, as far as its speed is known.
 // Where no latency-critical task shows it any more, single short tasks do.
 func (w *worker) maySuit(now time.Time, st *step) bool {
-	if w.slowAt.IsZero() || now.Sub(w.slowAt) >= maxQuarantine {
+	switch age := now.Sub(w.slowAt); {
+	case w.slowAt.IsZero() || age >= maxQuarantine:
 		return true
+	case age < minQuarantine:
+		return false
 	}
-	return !w.slow(now) && !st.BestEffort && !st.LongRunning && !w.hasRunSince(w.slowAt)
+	return !st.BestEffort && !st.LongRunning && !w.hasRunSince(w.slowAt)
 }
 
 // recordInTime records that a short task that started at startedAt was done in time.
