Read the answer where an agent cancels the body of a request

Trace: the target closes its connection at once, the agent answers Failed and cancels the rest of the body; the test's write of the body met that.

--- a/internal/agent/request_test.go
+++ b/internal/agent/request_test.go
@@ -14,6 +14,8 @@
 	"github.com/asynkron/protoactor-go/actor"
 	. "github.com/onsi/gomega"
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
 
 	"github.com/sesamestream/sesamestream/internal/admission"
 	"github.com/sesamestream/sesamestream/internal/base"
@@ -98,8 +100,13 @@
 	t.Cleanup(s.Abort)
 	g.Expect(peer.Send(s, message.RequestHead{Kind: gust, Method: http.MethodPost, Path: "/x", BodyLength: 4, Remaining: remaining})).To(Succeed())
 	_, err = io.WriteString(s, "wind")
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(s.EndBody()).To(Succeed())
+	if err == nil {
+		err = s.EndBody()
+	}
+	// An agent that has its answer already cancels the body. Its answer is checked all the same.
+	if x := new(quic.StreamError); !errors.As(err, &x) || !x.Remote {
+		g.Expect(err).NotTo(HaveOccurred())
+	}
 	_ = s.SetDeadline(time.Now().Add(testTimeout))
 	h, err := peer.Receive[message.AnswerHead](s)
 	return s, h, err
