Run more tasks in review case 1

50 jobs instead of 40, so that a slower machine still ends over 500 tasks of a worker before the next leader reads its list.

--- a/review/harness/ends.go
+++ b/review/harness/ends.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// unlistedEnds kills the leader while two workers have run about 720 tasks each. All
+// unlistedEnds kills the leader while two workers have run 900 tasks each. All
 // of them end while the next leader takes over, so that a worker lists only the first
 // 500 ends to it. It is broken if a task starts again after it has ended done.
 func unlistedEnds(r *rig, trouble bool) (bool, error) {
 	const (
-		jobs     = 40
+		jobs     = 50
 		width    = 36
 		duration = 3 * time.Second
 	)
@@ -22,7 +22,7 @@
 	begin := time.Now()
 	for i := range jobs {
 		id := fmt.Sprintf("%016x", 0xa000+i)
-		if err := r.submit(id, step{Count: width, CPU: 20, MemMb: 80, EstDurationMs: duration.Milliseconds()}, duration); err != nil {
+		if err := r.submit(id, step{Count: width, CPU: 15, MemMb: 60, EstDurationMs: duration.Milliseconds()}, duration); err != nil {
 			return false, err
 		}
 		time.Sleep(10 * time.Millisecond)
