Replace review case 4: a lasting task gets no room beside batch jobs

The case on foreign heartbeats goes, as PROTOCOL.md can be read to exclude its disruption. A lost worker of the stand-in answers no call that was already waiting.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,11 +29,11 @@
 type testCase func(r *rig, trouble bool) (broken bool, err error)
 
 var cases = map[string]testCase{
-	"avoid":   avoidedWorker,
-	"ends":    unlistedEnds,
-	"foreign": foreignHeartbeat,
-	"ghost":   ghostWorker,
-	"wait":    waitingJobs,
+	"avoid":  avoidedWorker,
+	"ends":   unlistedEnds,
+	"ghost":  ghostWorker,
+	"starve": starvedLasting,
+	"wait":   waitingJobs,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -27,6 +28,9 @@
 
 // A workload tells the workers what the tasks of each job are, as their specs do on the platform.
 type workload struct {
+	// uneven makes the tasks of a step take up to a quarter less than their time. It is set before the first job.
+	uneven bool
+
 	mu   sync.Mutex
 	jobs map[string]jobKind
 }
@@ -255,6 +259,10 @@
 		rw.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if w.isSilent() {
+		<-r.Context().Done()
+		return
+	}
 	answer["clockMs"] = w.clock().Milliseconds()
 	status := http.StatusOK
 	if reason != "" {
@@ -336,7 +344,10 @@
 	w.used.cpu += k.need.cpu
 	w.used.memMb += k.need.memMb
 	if !k.lasts {
-		r.timer = time.AfterFunc(k.duration, func() {
+		if w.load.uneven {
+			r.kind.duration -= time.Duration(rand.Int64N(int64(k.duration)/4 + 1))
+		}
+		r.timer = time.AfterFunc(r.kind.duration, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if !w.dead && w.runs[o.Task] == r {
@@ -377,6 +388,13 @@
 	return true
 }
 
+// has reports whether a run of a task is at work.
+func (w *worker) has(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[task] != nil
+}
+
 // stopRun stops a run; the end is listed after stopDelay.
 func (w *worker) stopRun(o order) string {
 	w.mu.Lock()
