--- a/review/harness/ghost.go
+++ b/review/harness/ghost.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// ghostWorker restarts a worker twice, the second time while the store is down. It
-// is broken if a job has nothing running for 3 s afterwards, though all workers are
-// idle.
+// ghostWorker crashes a worker, which comes back while the store is down and crashes
+// once more before the store is back. It is broken if a job has nothing running for 3 s
+// afterwards, though all workers are idle.
 func ghostWorker(r *rig, trouble bool) (bool, error) {
 	const (
 		outage   = 4500 * time.Millisecond
@@ -30,12 +30,10 @@
 	if err := r.submit(job(0), task, 500*time.Millisecond); err != nil {
 		return false, err
 	}
-	restart := func(w *worker, id string, pause time.Duration) (*worker, error) {
-		w.crash()
-		time.Sleep(pause)
-		n := &worker{id: id, machine: w.machine, capacity: capacity}
-		r.attach(r.sides[0], n)
-		return n, n.start()
+	startNext := func(id string) (*worker, error) {
+		w := &worker{id: id, machine: first.machine, capacity: capacity}
+		r.attach(r.sides[0], w)
+		return w, w.start()
 	}
 	time.Sleep(time.Second)
 	// The first worker is down for 5 s. The store goes down when it is about to return.
@@ -47,13 +45,14 @@
 	}
 	began := time.Now()
 	time.Sleep(200 * time.Millisecond)
-	second := &worker{id: "i-1a00000003", machine: first.machine, capacity: capacity}
-	r.attach(r.sides[0], second)
-	if err := second.start(); err != nil {
+	second, err := startNext("i-1a00000003")
+	if err != nil {
 		return false, err
 	}
 	time.Sleep(lifeTime)
-	if _, err := restart(second, "i-1a00000004", 700*time.Millisecond); err != nil {
+	second.crash()
+	time.Sleep(700 * time.Millisecond)
+	if _, err := startNext("i-1a00000004"); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Until(began.Add(outage)))
--- a/review/harness/rig.go
+++ b/review/harness/rig.go
@@ -299,7 +299,7 @@
 	return m.start()
 }
 
-// leader returns the machine that the log of a process names as the scheduler, as the last that took the leadership.
+// leader returns the machine that took the leadership last, by the logs of all processes.
 func (r *rig) leader() *machine {
 	var leader *machine
 	last := ""
@@ -373,7 +373,7 @@
 // ask sends a request of a client to the entries in turn, and repeats it after no answer or a refusal.
 func (r *rig) ask(method, id, body string) (int, []byte) {
 	status, out := 0, []byte(nil)
-	for try := range clientRetries + 1 {
+	for range clientRetries + 1 {
 		m := r.entries[r.nextEntry%len(r.entries)]
 		r.nextEntry++
 		var h http.Header
@@ -391,7 +391,6 @@
 		default:
 			return status, out
 		}
-		_ = try
 	}
 	return status, out
 }
