--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -41,6 +41,7 @@
 func runCase() int {
 	name := flag.String("case", "", "the case to run")
 	dir := flag.String("dir", ".", "the folder for record.txt")
+	trouble := flag.Bool("trouble", true, "cause the disruption of the case")
 	flag.Parse()
 	c := cases[*name]
 	if c == nil {
@@ -52,7 +53,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	code := runOn(rec, c, os.Getenv("TROUBLE") != "0")
+	code := runOn(rec, c, *trouble)
 	if err := rec.close(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
