--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -152,6 +152,10 @@
 	storeContactSince time.Time
 	// workers are the workers of which the session received a snapshot.
 	workers map[batch.WorkerKey]bool
+	// registering is set while the key of the node is being written.
+	registering bool
+	// pendingSnapshots are the snapshots that wait for the registration, in the order of their arrival.
+	pendingSnapshots []pendingSnapshot
 	// awaitedSnapshots are the workers named in the hello whose snapshots haven't arrived.
 	awaitedSnapshots map[batch.WorkerKey]bool
 	// sentEstimates are the interference estimates last sent to the host.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -92,9 +93,14 @@
 }
 
 // register writes the node's key in the background and then calls then, if the
-// session still exists. A host's key is written before its worker gets a lease,
-// so that the next scheduler knows which hosts to wait for.
+// session still exists. It does nothing while a write is pending. A host's key is
+// written before its worker gets a lease, so that the next scheduler knows which
+// hosts to wait for.
 func (d *Dispatcher) register(name string, s *session, then func(time.Time)) {
+	if s.registering {
+		return
+	}
+	s.registering = true
 	n := node{Address: s.hello.Address, Host: s.hello.Host, revision: d.nodes[name].revision, incarnation: s.hello.Incarnation}
 	v, err := json.Marshal(n)
 	if err != nil {
@@ -117,6 +123,7 @@
 				n.revision = r
 				d.post(func(now time.Time) {
 					d.nodes[name] = n
+					s.registering = false
 					if d.sessions[name] == s {
 						s.hello.Unregistered = false
 						then(now)
@@ -209,6 +216,7 @@
 			Dur("drainLeft", m.WorkerUpdate.Worker.DrainRemaining).Msg("")
 	case m.WorkerGone != nil:
 		d.removeWorker(m.WorkerGone.Key, m.WorkerGone.Reason)
+		s.dropSnapshot(m.WorkerGone.Key)
 		delete(s.workers, m.WorkerGone.Key)
 		delete(s.awaitedSnapshots, m.WorkerGone.Key)
 		if len(s.workers) == 0 {
@@ -262,16 +270,41 @@
 }
 
 // handleSnapshot adds a worker with its running and ended runs, and sends the host
-// the RunInfo of the runs that continue. It registers the host first if necessary,
-// and ignores a snapshot under another fence.
+// the RunInfo of the runs that continue. It ignores a snapshot under another fence.
+// If the host has to be registered first, the snapshot is kept until that is done
+// or the worker is reported as gone.
 func (d *Dispatcher) handleSnapshot(now time.Time, s *session, m *link.Snapshot) {
 	if m.Fence != s.fence {
 		return
 	}
-	if !d.isRegistered(s.hello.Node, s) {
-		d.register(s.hello.Node, s, func(now time.Time) { d.handleSnapshot(now, s, m) })
+	if d.isRegistered(s.hello.Node, s) {
+		d.addWorker(now, s, m, 0)
 		return
 	}
+	s.dropSnapshot(m.Worker.Key())
+	s.pendingSnapshots = append(s.pendingSnapshots, pendingSnapshot{m, now})
+	d.register(s.hello.Node, s, func(now time.Time) {
+		pending := s.pendingSnapshots
+		s.pendingSnapshots = nil
+		for _, p := range pending {
+			d.addWorker(now, s, p.snapshot, now.Sub(p.receivedAt))
+		}
+	})
+}
+
+// pendingSnapshot is a snapshot of a worker whose host isn't registered yet.
+type pendingSnapshot struct {
+	snapshot   *link.Snapshot
+	receivedAt time.Time
+}
+
+// dropSnapshot drops the pending snapshot of a worker, if there is one.
+func (s *session) dropSnapshot(k batch.WorkerKey) {
+	s.pendingSnapshots = slices.DeleteFunc(s.pendingSnapshots, func(p pendingSnapshot) bool { return p.snapshot.Worker.Key() == k })
+}
+
+// addWorker adds the worker of a snapshot, which waited for the registration of the host.
+func (d *Dispatcher) addWorker(now time.Time, s *session, m *link.Snapshot, waited time.Duration) {
 	k := m.Worker.Key()
 	delete(d.workerLeaseEnds, k)
 	s.workers[k] = true
@@ -285,7 +318,7 @@
 	}
 	s.conn.Send(link.Message{SnapshotAck: &f})
 	d.Log.Event(eventlog.WorkerJoined).Str("worker", k.ID).Int64("born", k.StartTime).Str("peer", s.hello.Node).Int64("fence", m.Fence).
-		Int("running", len(m.Running)).Int("kept", len(kept)).Int("ended", len(m.Ended)).Msg("")
+		Int("running", len(m.Running)).Int("kept", len(kept)).Int("ended", len(m.Ended)).Dur("waited", waited).Msg("")
 	d.recordEnds(k, m.Ended)
 	d.checkHostReported(now, s)
 }
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -157,14 +157,17 @@
 }
 
 // startWorker starts a new incarnation of the worker.
-func (p *process) startWorker() {
+func (p *process) startWorker() { p.startWorkerAs("w-" + p.name) }
+
+// startWorkerAs starts a worker with an ID in place of the one before.
+func (p *process) startWorkerAs(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.workerStartTime++
 	h := p.rig.history
 	p.worker = &standin.Worker{
 		Info: batch.Worker{
-			ID: "w-" + p.name, StartTime: p.workerStartTime, Machine: "m-" + p.name, Service: "s", Address: p.addr.String(), DataCentre: "d",
+			ID: id, StartTime: p.workerStartTime, Machine: "m-" + p.name, Service: "s", Address: p.addr.String(), DataCentre: "d",
 			Capacity: workerCapacity, Labels: []string{"a", "r1-1"},
 		},
 		Duration: h.Duration, Fails: h.Fails, OnStart: h.RunStarted, OnEnd: h.RunEnded, OnEndsAcked: h.EndsAcked,
