--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -211,6 +211,7 @@
 	case m.Snapshot != nil:
 		d.handleSnapshot(now, s, m.Snapshot)
 	case m.WorkerUpdate != nil:
+		s.updateSnapshot(m.WorkerUpdate.Worker)
 		d.scheduler.UpdateWorker(now, m.WorkerUpdate.Worker)
 		d.Log.Event(eventlog.WorkerChanged).Str("worker", m.WorkerUpdate.Worker.ID).Bool("draining", m.WorkerUpdate.Worker.Draining).
 			Dur("drainLeft", m.WorkerUpdate.Worker.DrainRemaining).Msg("")
@@ -303,6 +304,15 @@
 	s.pendingSnapshots = slices.DeleteFunc(s.pendingSnapshots, func(p pendingSnapshot) bool { return p.snapshot.Worker.Key() == k })
 }
 
+// updateSnapshot updates the description of a worker in its pending snapshot, if there is one.
+func (s *session) updateSnapshot(w batch.Worker) {
+	for _, p := range s.pendingSnapshots {
+		if p.snapshot.Worker.Key() == w.Key() {
+			p.snapshot.Worker = w
+		}
+	}
+}
+
 // addWorker adds the worker of a snapshot, which waited for the registration of the host.
 func (d *Dispatcher) addWorker(now time.Time, s *session, m *link.Snapshot, waited time.Duration) {
 	k := m.Worker.Key()
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -226,7 +226,8 @@
 	h.info = r.Worker
 	if changed {
 		a.Log.Event(eventlog.WorkerChanged).Str("worker", k.ID).Bool("draining", r.Worker.Draining).Int64("seq", r.Seq).Msg("")
-		if h.snapshotAcked {
+		if h.snapshotFence != 0 {
+			// Links keep the order, so that this arrives after the snapshot that it changes.
 			a.Send(link.Message{WorkerUpdate: &link.WorkerUpdate{Worker: h.info}})
 		}
 	}
--- a/test/fleet/registration_test.go
+++ b/test/fleet/registration_test.go
@@ -1,10 +1,12 @@
 package fleet_test
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sesamestream/sesamestream/internal/hostagent"
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
@@ -48,11 +50,13 @@
 	}},
 }
 
-// withPendingRegistration calls do while a host waits to be registered and the tasks of a
-// job fill all workers, also that of the host if it didn't end before.
+// withPendingRegistration calls do while the host waits to be registered and the tasks of
+// a job fill the workers, also that of the host if it didn't end before. It returns after
+// that job had time to end.
 func (r *rig) withPendingRegistration(host *process, prepare, join func(*process), do func()) {
 	time.Sleep(5 * time.Second)
 	prepare(host)
+	r.history.ExtraDuration = 8 * time.Second
 	r.submitWide(0, 3)
 	time.Sleep(time.Second)
 	store := r.leader().store
@@ -62,6 +66,7 @@
 	do()
 	time.Sleep(2 * time.Second)
 	store.Set(memory.Faults{})
+	time.Sleep(30 * time.Second)
 }
 
 // submitWide submits the nth job, whose tasks fill a number of workers.
@@ -73,12 +78,24 @@
 	return j
 }
 
+// checkWideStarts submits the nth job, which fills a number of workers, and checks that
+// all its tasks start soon and that all jobs complete.
+func (r *rig) checkWideStarts(n, workers int) {
+	const maxStartDelay = 3 * time.Second
+	j := r.submitWide(n, workers)
+	time.Sleep(maxStartDelay)
+	if n := r.history.StartCount(j.ID); n != j.Steps[0].Count {
+		r.t.Errorf("%d tasks have started after %v, want %d", n, maxStartDelay, j.Steps[0].Count)
+	}
+	time.Sleep(20 * time.Second)
+	r.history.CheckFinalState(r.jobState)
+}
+
 // A worker that ends while the registration of its host waits for the store gets no
 // tasks afterwards, and its tasks start again. Before, its snapshot was handled after
 // the notice of its end: its runs counted as running for good, and the starts ordered
 // there were refused and repeated without end (LOST).
 func TestWorkerThatEndsBeforeItsHostIsRegisteredGetsNoTasks(t *testing.T) {
-	const maxStartDelay = 3 * time.Second
 	for _, c := range registrationCases {
 		for _, e := range []struct {
 			name string
@@ -93,21 +110,34 @@
 			t.Run(c.name+" "+e.name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					r := newRig(t, 1, 2, 3)
-					r.history.ExtraDuration = 8 * time.Second
 					host := r.procs[2]
 					r.withPendingRegistration(host, c.prepare, c.join, func() { e.end(host) })
-					time.Sleep(30 * time.Second)
 					r.checkCompleted(1)
-					j := r.submitWide(1, e.workers)
-					time.Sleep(maxStartDelay)
-					if n := r.history.StartCount(j.ID); n != j.Steps[0].Count {
-						t.Errorf("%d tasks have started after %v, want %d", n, maxStartDelay, j.Steps[0].Count)
-					}
-					time.Sleep(20 * time.Second)
-					r.history.CheckFinalState(r.jobState)
+					r.checkWideStarts(1, e.workers)
 					r.close()
 				})
 			})
 		}
 	}
 }
+
+// A worker that starts to drain while the registration of its host waits for the store
+// gets no tasks. Before, the change was dropped: starts were ordered there again and
+// again, and each was refused.
+func TestWorkerThatDrainsBeforeItsHostIsRegisteredGetsNoTasks(t *testing.T) {
+	for _, c := range registrationCases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 1, 2, 3)
+				host := r.procs[2]
+				r.withPendingRegistration(host, c.prepare, c.join, func() {
+					draining := host.worker.Info
+					draining.Draining = true
+					host.control.Agent.Heartbeat(hostagent.Heartbeat{Worker: draining, Seq: math.MaxInt64})
+				})
+				r.checkWideStarts(1, 2)
+				r.close()
+			})
+		})
+	}
+}
