Check stored jobs before they are scheduled

What operators elsewhere saw: one odd entry of another writer ended the machines that read its list, again and again. Here a record below the prefix of the jobs did so to each scheduler in turn (LOST, processes that end by themselves).

Cause: a gateway checks a job before it stores it; the scheduler took each stored record for checked, and made the tasks of a job with 9e17 of them, or followed a step that waits for one out of range. A record of another job was started again after that job's end.

Change: the scheduler checks a stored job as a gateway does, and that its ID is that of its key. A record that fails is logged and passed over. Records that an entry asks the scheduler to store go the same way.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -376,20 +376,37 @@
 // addJob passes a stored job and its progress, if any, to the scheduler. Jobs
 // that the scheduler has already are ignored.
 func (d *Dispatcher) addJob(now time.Time, i kv.Item, p *schedule.Progress, earlier bool) {
-	if d.scheduler.HasJob(batch.JobID(strings.TrimPrefix(i.Key, JobPrefix))) {
+	id := batch.JobID(strings.TrimPrefix(i.Key, JobPrefix))
+	if d.scheduler.HasJob(id) {
 		return
 	}
-	var j batch.Job
-	if err := json.Unmarshal(i.Value, &j); err != nil {
-		d.Log.Warning(eventlog.ReportRejected).Str("key", i.Key).Err(err).Msg("stored job can't be decoded")
+	j, err := decodeJob(id, i.Value)
+	if err != nil {
+		d.Log.Warning(eventlog.ReportRejected).Str("key", i.Key).Err(err).Msg("stored job can't be used")
 		return
 	}
-	d.scheduler.Add(now, &j, p, earlier)
+	d.scheduler.Add(now, j, p, earlier)
 	d.jobRevisions[j.ID] = i.Revision
 	d.Log.Event(eventlog.JobQueued).Str("job", string(j.ID)).Str("queue", j.Queue).Int64("revision", int64(i.Revision)).
 		Bool("earlier", earlier).Msg("")
 }
 
+// decodeJob decodes and checks the stored record of a job, which may come from another writer.
+func decodeJob(id batch.JobID, value []byte) (*batch.Job, error) {
+	var j batch.Job
+	if err := json.Unmarshal(value, &j); err != nil {
+		return nil, errors.Wrap(batch.ErrBadJob, err.Error())
+	}
+	if j.ID != id {
+		return nil, errors.Wrapf(batch.ErrBadJob, "record of %q", j.ID)
+	}
+	if len(j.Steps) == 0 && j.Repeat == 0 {
+		// The description of the ended job has been removed.
+		return &j, nil
+	}
+	return &j, j.Check()
+}
+
 // applyConfig applies a stored configuration unless it's older than the one in force.
 func (d *Dispatcher) applyConfig(i kv.Item) {
 	c, err := d.DecodeConfig(i.Value)
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,9 +45,9 @@
 
 // relayJob stores a job for an entry and passes it to the scheduler.
 func (d *Dispatcher) relayJob(k *link.StoreRequest, reply func(link.StoreOutcome)) {
-	var j batch.Job
-	if err := json.Unmarshal(k.Value, &j); err != nil || j.ID != k.Job {
-		d.Log.Warning(eventlog.ReportRejected).Str("job", string(k.Job)).Err(err).Msg("job to store for an entry can't be decoded")
+	j, err := decodeJob(k.Job, k.Value)
+	if err != nil {
+		d.Log.Warning(eventlog.ReportRejected).Str("job", string(k.Job)).Err(err).Msg("job to store for an entry can't be used")
 		reply(link.NotStored)
 		return
 	}
