Take a task with a number below zero for unknown

Cause: the scheduler compared the numbers of a task with their upper bounds only. Names of tasks can't hold a number below zero, but stored progress isn't decoded from names, so that such a record ended each scheduler that read it.

Change: numbers below zero name no task.

TestOddRecordsEndNoScheduler, "progress of a task out of range": "index out of range [-1]" before, passes now.

--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -193,7 +193,8 @@
 
 // findTask returns the task with an ID, or nil if the job has no such task.
 func (j *job) findTask(id batch.Task) *task {
-	if id.Occurrence >= len(j.occurrences) || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
+	if min(id.Occurrence, id.Step, id.Index) < 0 ||
+		id.Occurrence >= len(j.occurrences) || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
 		return nil
 	}
 	return j.occurrences[id.Occurrence].steps[id.Step].tasks[id.Index]
--- a/test/fleet/oddentry_test.go
+++ b/test/fleet/oddentry_test.go
@@ -33,6 +33,10 @@
 	{"job of another key", map[string]string{dispatch.JobPrefix + oddID: `{"id":"00000000000000fe","queue":"urgent","steps":[{"count":1}]}`}},
 	{"progress nested too deeply", map[string]string{dispatch.StatePrefix + oddID: strings.Repeat("[", 100000)}},
 	{"progress with a number too large", map[string]string{dispatch.StatePrefix + oddID: `{"tasks":[{"run":1e400}]}`}},
+	{"progress of a task out of range", map[string]string{
+		dispatch.JobPrefix + oddID:   `{"id":"` + oddID + `","queue":"unknown","steps":[{"count":1}]}`,
+		dispatch.StatePrefix + oddID: `{"state":"running","tasks":[{"step":-1},{"index":-7},{"k":-1}]}`,
+	}},
 	{"estimates that are no CBOR", map[string]string{"sesame/pairs": "\xff\xfe"}},
 }
 
@@ -43,7 +47,7 @@
 
 // An odd record in the store ends no process, and the others in its list are followed.
 // Before, a stored job with a number too large or a step out of range ended each scheduler
-// that read it, one after another.
+// that read it, one after another, and so did progress of a task out of range.
 func TestOddRecordsEndNoScheduler(t *testing.T) {
 	for _, c := range oddRecords {
 		t.Run(c.name, func(t *testing.T) {
