--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -390,6 +390,9 @@
 
 // handleStarted passes the outcome of a start order to the scheduler.
 func (d *Dispatcher) handleStarted(now time.Time, m *link.StartResult) {
+	if m.Refusal == link.RefusedRunMissing {
+		d.scheduler.HandleMissingRun(m.Key, m.Task)
+	}
 	d.scheduler.HandleStartResult(now, m.Key, m.Task, m.Number, m.Refusal != "", m.Refusal == link.RefusedUnhealthy || m.Refusal == link.RefusedNoAnswer,
 		m.Refusal == link.RefusedOldRun)
 	if m.Refusal != "" {
--- a/internal/hostagent/runs.go
+++ b/internal/hostagent/runs.go
@@ -53,7 +53,12 @@
 // runs. The worker has forgotten the end of a run that is listed neither as
 // running nor as ended, for example because a late call to the previous
 // incarnation acknowledged it. Such a run is reported, and the scheduler starts the task again.
+// Until the snapshot is acknowledged the scheduler may not have handled it, and takes neither
+// such a report nor the ends.
 func (h *workerHandle) reconcile(polledAt time.Duration, l RunLists) {
+	if !h.snapshotAcked {
+		return
+	}
 	listed := map[batch.Task]int{}
 	for _, r := range l.Running {
 		listed[r.Task] = r.Number
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -273,6 +273,14 @@
 	t.retryAt = now.Add(refusedRetryDelay)
 }
 
+// HandleMissingRun releases the resources of a run that was to be stopped and that the
+// worker lists neither as running nor as ended.
+func (s *Scheduler) HandleMissingRun(k batch.WorkerKey, id batch.Task) {
+	if w := s.workers[k]; w != nil {
+		w.removeUnassigned(id)
+	}
+}
+
 // refusedRetryDelay is how long a task waits after a worker refused it; polling the worker takes as long.
 const refusedRetryDelay = 250 * time.Millisecond
 
--- a/test/fleet/registration_test.go
+++ b/test/fleet/registration_test.go
@@ -141,3 +141,21 @@
 		})
 	}
 }
+
+// Runs whose ends a worker forgets before its snapshot is acknowledged leave their room.
+// Before, the host had seen the ends and didn't report the runs as missing, so that the
+// room stayed reserved (LOST on a full fleet).
+func TestRunsForgottenBeforeTheirHostIsRegisteredLeaveTheirRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := registrationCases[1]
+		r := newRig(t, 1, 2, 3)
+		host := r.procs[2]
+		r.withPendingRegistration(host, c.prepare, c.join, func() {
+			// The lease, which isn't renewed, ends the runs.
+			time.Sleep(hostagent.LeaseGrant)
+			host.worker.ForgetEnds()
+		})
+		r.checkWideStarts(1, 3)
+		r.close()
+	})
+}
