Register a host again after a removal whose outcome is open

Cause: a removal of a host's key without an answer may still be carried out, but the scheduler took the key for present. A worker that returned meanwhile got a lease, and the key went away later: the next scheduler wouldn't have waited for that host, and would have started its tasks elsewhere (TWICE).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -127,8 +127,9 @@
 	Host    bool   `json:"host"`
 	// revision is the revision of the node's key.
 	revision kv.Revision
-	// keyRemoved is set once the key is removed because the node's leases have
-	// ended; the scheduler still announces itself to the node.
+	// keyRemoved is set once the key is, or may be, removed because the node's leases
+	// have ended; the scheduler still announces itself to the node. The revision isn't
+	// 0 if the removal has to be repeated.
 	keyRemoved bool
 	// incarnation is that of the process that last registered or connected in this term; 0 if none did.
 	incarnation int64
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -141,34 +141,39 @@
 // scheduler doesn't wait for it. It does nothing if a session reports workers.
 func (d *Dispatcher) removeHost(name string) {
 	delete(d.hostLeaseEnds, name)
-	if s := d.sessions[name]; s != nil && len(s.workers) > 0 {
+	if s := d.sessions[name]; s != nil && len(s.workers)+len(s.pendingSnapshots) > 0 {
 		return
 	}
 	n, ok := d.nodes[name]
-	if !ok || n.keyRemoved {
+	if !ok || n.keyRemoved && n.revision == 0 {
 		return
 	}
-	previous := n
+	revision := n.revision
 	n.keyRemoved, n.revision = true, 0
 	d.nodes[name] = n
 	d.Log.Event(eventlog.HostRemoved).Str("peer", name).Msg("")
 	d.background.Go(func() {
 		_, err := d.applyInTerm(kv.Change{
-			Conditions: []kv.Condition{{Key: nodePrefix + name, Revision: previous.revision}},
+			Conditions: []kv.Condition{{Key: nodePrefix + name, Revision: revision}},
 			Removes:    []string{nodePrefix + name},
 		})
 		var conflict *kv.Conflict
 		if errors.As(err, &conflict) {
-			if r, ok := conflict.Revision(nodePrefix + name); ok && r == 0 {
-				// The host removed the key itself.
+			if r, ok := conflict.Revision(nodePrefix + name); ok {
+				revision = r
+			}
+			if revision == 0 {
+				// The host removed the key itself, or an earlier attempt took effect.
 				return
 			}
 		}
 		if err != nil {
 			d.Log.Warning(eventlog.ProgressNotStored).Str("key", nodePrefix+name).Err(err).Msg("")
 			d.post(func(now time.Time) {
-				if d.nodes[name].keyRemoved {
-					d.nodes[name] = previous
+				// The removal may still take effect, so that the host counts as not registered.
+				if n := d.nodes[name]; n.keyRemoved {
+					n.revision = revision
+					d.nodes[name] = n
 					d.hostLeaseEnds[name] = now.Add(hostRemovalRetryDelay)
 				}
 			})
--- a/test/fleet/registration_test.go
+++ b/test/fleet/registration_test.go
@@ -159,3 +159,31 @@
 		r.close()
 	})
 }
+
+// A host is registered again after a removal of its key whose outcome is unknown, since the
+// store may still carry it out. Before, its worker got a lease and the key went away later, so
+// that the next scheduler wouldn't have waited for it (TWICE).
+func TestHostIsRegisteredAfterALateRemovalOfItsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 2, 3)
+		host := r.procs[2]
+		time.Sleep(5 * time.Second)
+		host.dismissWorker()
+		store := r.leader().store
+		store.Set(memory.Faults{ApplyDelay: 5 * time.Second})
+		time.Sleep(500 * time.Millisecond)
+		store.Set(memory.Faults{})
+		// The worker returns when the leader has given up waiting for the answer, and the
+		// removal comes later.
+		time.Sleep(450 * time.Millisecond)
+		host.startWorker()
+		time.Sleep(10 * time.Second)
+		if n := len(r.store.Items("sesame/node/" + host.name)); n != 1 {
+			t.Errorf("the store holds %d keys of a host with a worker, want 1", n)
+		}
+		r.submitJobs(2)
+		time.Sleep(10 * time.Second)
+		r.history.CheckFinalState(r.jobState)
+		r.close()
+	})
+}
