Bound the tasks of a job over all its occurrences

Cause: a gateway bounded the tasks of a job and its occurrences, not their product. One job of 5,000 tasks that repeats 10,000 times takes 21 GB at the 432 bytes that a task was measured to take, so that any caller could end every scheduler in turn.

Change: the tasks of all occurrences are bounded; such a job is refused as a bad one, and a stored one is passed over.

--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -104,6 +104,8 @@
 	maxTasks    = 5000
 	maxRepeat   = 10000
 	maxSpecSize = 4000
+	// maxTotalTasks bounds the tasks of all occurrences, which a scheduler holds in memory.
+	maxTotalTasks = 10 * maxTasks
 )
 
 // Check validates the job and returns ErrBadJob with the reason if it is invalid.
@@ -136,6 +138,9 @@
 	if tasks > maxTasks {
 		return errors.Wrapf(ErrBadJob, "%d tasks", tasks)
 	}
+	if tasks*j.Occurrences() > maxTotalTasks {
+		return errors.Wrapf(ErrBadJob, "%d tasks in %d occurrences", tasks, j.Repeat)
+	}
 	return nil
 }
 
--- a/test/fleet/oddentry_test.go
+++ b/test/fleet/oddentry_test.go
@@ -28,6 +28,7 @@
 	{"job with a number too large", oddJob(`"steps":[{"count":1e400}]`)},
 	{"job with too many tasks", oddJob(`"steps":[{"count":900000000000000000}]`)},
 	{"job with too many occurrences", oddJob(`"repeat":900000000000000000,"interval":1,"steps":[{"count":1}]`)},
+	{"job with too many tasks in all occurrences", oddJob(`"repeat":10000,"interval":1,"steps":[{"count":5000}]`)},
 	{"job without steps with too many occurrences", oddJob(`"repeat":900000000000000000`)},
 	{"job that waits for a step out of range", oddJob(`"steps":[{"count":1,"after":[7]}]`)},
 	{"job of another key", map[string]string{dispatch.JobPrefix + oddID: `{"id":"00000000000000fe","queue":"urgent","steps":[{"count":1}]}`}},
