Report workers that end before their host's session is opened

Cause: a host names its workers when it requests a session, and a message without a session is dropped.

Change: when the session is opened, the host reports the named ones that have ended.

TestWorkerThatEndsBeforeTheSessionIsOpenedIsReportedAsGone failed in both cases before.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +82,8 @@
 	// replaced are the ended incarnations that aren't reported as gone yet, with
 	// the time by which they are.
 	replaced map[batch.WorkerKey]time.Duration
+	// named are the incarnations that the request for a session named.
+	named []batch.WorkerKey
 	// grantEnd is when the session's lease ends, by Steady.
 	grantEnd time.Duration
 	// interference are the scheduler's interference estimates between images.
@@ -164,18 +168,13 @@
 }
 
 // Workers returns the incarnations that the scheduler counts as present: the
-// current ones, and ended ones that aren't reported as gone yet.
+// current ones, and ended ones that aren't reported as gone yet. They are named when a
+// session is requested; those that end before it is opened are reported then.
 func (a *Agent) Workers() []batch.WorkerKey {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var ks []batch.WorkerKey
-	for k := range a.workers {
-		ks = append(ks, k)
-	}
-	for k := range a.replaced {
-		ks = append(ks, k)
-	}
-	return ks
+	a.named = slices.AppendSeq(slices.Collect(maps.Keys(a.workers)), maps.Keys(a.replaced))
+	return a.named
 }
 
 // NoPriorRuns reports whether no earlier run can still be running on this host:
@@ -275,6 +274,12 @@
 	for _, h := range a.workers {
 		h.setFence(w.Fence)
 	}
+	for _, k := range a.named {
+		if _, pending := a.replaced[k]; !pending && a.workers[k] == nil {
+			a.reportGone(k, "ended before the session")
+		}
+	}
+	a.named = nil
 }
 
 // SessionGranted extends the session's lease by a grant that counts from when the ping was sent.
--- a/internal/hostagent/incarnation_test.go
+++ b/internal/hostagent/incarnation_test.go
@@ -152,6 +152,13 @@
 	return slices.IndexFunc(w.sent, matches)
 }
 
+// forgetMessages drops the messages sent so far, as a node does without a session.
+func (w *harness) forgetMessages() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent = nil
+}
+
 // withHarness runs f with an agent to which incarnation 1 of the worker has joined.
 func withHarness(t *testing.T, f func(w *harness)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -270,3 +277,30 @@
 		}
 	})
 }
+
+// A worker that ends after the request for a session has named it, and before the session is
+// opened, is reported as gone then. Before, its notice was dropped without a session, and a new
+// scheduler waited 5.7 s for its snapshot.
+func TestWorkerThatEndsBeforeTheSessionIsOpenedIsReportedAsGone(t *testing.T) {
+	for name, end := range map[string]func(w *harness){
+		"restarts": func(w *harness) {
+			w.agent.Heartbeat(hostagent.Heartbeat{Worker: w.worker.restart(2).Info, Seq: 1})
+		},
+		"leaves": func(w *harness) { w.agent.WorkerLeft("w", 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(w *harness) {
+				w.agent.SessionLost()
+				if n := len(w.agent.Workers()); n != 1 {
+					t.Fatalf("the request names %d workers, want 1", n)
+				}
+				end(w)
+				w.forgetMessages()
+				w.agent.SessionOpened(link.Welcome{Epoch: 2, Fence: 2 * hostagent.FencesPerSession})
+				if w.indexOfMessage(func(m link.Message) bool { return m.WorkerGone != nil && m.WorkerGone.Key.StartTime == 1 }) < 0 {
+					t.Error("the worker isn't reported as gone")
+				}
+			})
+		})
+	}
+}
