Read the table's versions beside an odd record

Cause: a record in the list of versions that couldn't be read, or isn't under its own key, failed the whole list, so that each process that started stayed without a table.

Change: such a record is passed over and logged. Edits still fail on a taken key.

TestOddRecordsHideNoVersion failed in all four cases before.

--- a/internal/base/base.go
+++ b/internal/base/base.go
@@ -103,7 +103,9 @@
 	b.shardOwners = make(map[int]ownership.Owner)
 	b.ownerRankings = make(map[int]ownerRanking)
 	b.Node = &peer.Node{Listen: b.Self.Address, Keys: b.Keys, Handlers: &b.Handlers, Log: b.Log, Metrics: b.Metrics}
-	b.Tables = &tables.Tables{Store: b.Store}
+	b.Tables = &tables.Tables{Store: b.Store, OnInvalid: func(err error) {
+		b.Log.Warn().Err(err).Msg("record in the list of tables can't be used")
+	}}
 	b.tableSync = newTableSync(b)
 	b.gossip = b.newGossip()
 	peer.Handle(&b.Handlers, message.OperationTable, func(context.Context, message.Empty) (message.TableAnswer, error) {
--- a/internal/tables/tables.go
+++ b/internal/tables/tables.go
@@ -65,6 +65,8 @@
 // Tables reads and edits the table in the store.
 type Tables struct {
 	Store store.Store
+	// OnInvalid is called with each record in the list of versions that isn't one, if set.
+	OnInvalid func(err error)
 }
 
 // versionKey returns the key of revision r. Keys sort in the order of revisions.
@@ -84,7 +86,8 @@
 	return h[len(h)-1], nil
 }
 
-// History returns the versions in the store, oldest first.
+// History returns the versions in the store, oldest first. It passes over records of
+// other writers, which aren't versions.
 func (t *Tables) History(ctx context.Context) ([]Version, error) {
 	pairs, err := t.Store.List(ctx, versionPrefix)
 	if errors.Is(err, store.ErrNotFound) {
@@ -97,7 +100,10 @@
 	for _, p := range pairs {
 		v, err := decodeVersion(p)
 		if err != nil {
-			return nil, err
+			if t.OnInvalid != nil {
+				t.OnInvalid(err)
+			}
+			continue
 		}
 		versions = append(versions, v)
 	}
--- a/internal/tables/tables_test.go
+++ b/internal/tables/tables_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 
@@ -56,6 +57,36 @@
 	g.Expect(v.Table.Revision).To(Equal(table.Revision(2)))
 }
 
+// A record of another writer in the list of versions hides none of them. Before, one that
+// couldn't be read made each process that started stay without a table.
+func TestOddRecordsHideNoVersion(t *testing.T) {
+	for name, c := range map[string]struct{ key, value string }{
+		"nested too deeply":          {"table/revision/00000000000000000000", strings.Repeat("[", 20000)},
+		"number too large":           {"table/revision/00000000000000000000", `{"table":{"revision":1e400}}`},
+		"key that is no revision":    {"table/revision/odd", `{"table":{"revision":2}}`},
+		"revision that is too large": {"table/revision/99999999999999999999", "{}"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := httptest.NewServer(&standin.Server{})
+			defer h.Close()
+			invalid := 0
+			client := &consul.Client{Address: h.URL}
+			x := &tables.Tables{Store: client, OnInvalid: func(error) { invalid++ }}
+			v, err := x.Accept(t.Context(), 0, table.Table{Rows: []table.Row{row("dossier", 1)}}, "editor")
+			g.Expect(err).NotTo(HaveOccurred())
+			_, _, err = client.CAS(t.Context(), c.key, []byte(c.value), 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			got, err := x.Current(t.Context())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(got.ID).To(Equal(v.ID))
+			g.Expect(invalid).To(Equal(1))
+			_, err = x.Accept(t.Context(), 1, table.Table{Rows: []table.Row{row("dossier", 2)}}, "editor")
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+}
+
 func TestEditWithLostAnswerIsAccepted(t *testing.T) {
 	g := NewWithT(t)
 	s := &standin.Server{}
