--- a/internal/agent/shards.go
+++ b/internal/agent/shards.go
@@ -158,8 +158,10 @@
 // newOwner returns an owner of a shard that is not yet running.
 func (s *shardManager) newOwner(n int) *shard.Owner {
 	return &shard.Owner{
-		System:      s.base.System,
-		Log:         &journal.Log{Store: s.base.Store, Shard: n, Process: s.base.Self.ProcessIncarnation, WriteLimiter: s.journalLimiter},
+		System: s.base.System,
+		Log: &journal.Log{Store: s.base.Store, Shard: n, Process: s.base.Self.ProcessIncarnation, WriteLimiter: s.journalLimiter, OnInvalid: func(err error) {
+			s.base.Log.Warn().Err(err).Int("shard", n).Msg("record among the segments can't be used")
+		}},
 		Shard:       n,
 		Shards:      s.shardCount,
 		TaskLease:   s.lease,
--- a/internal/journal/log.go
+++ b/internal/journal/log.go
@@ -51,6 +51,8 @@
 	MaxPending fleet.Bytes
 	// WriteLimiter limits the rate of segment writes of all logs that share it; nil means no limit.
 	WriteLimiter *rate.Limiter
+	// OnInvalid is called with each record below the prefix of the segments that isn't one. It may be nil.
+	OnInvalid func(error)
 	// OnFenced is called once when another owner has taken the journal over. It may be nil.
 	OnFenced func()
 
--- a/internal/journal/log_test.go
+++ b/internal/journal/log_test.go
@@ -186,6 +186,39 @@
 	})
 }
 
+// TestOddKeysHideNoSegment checks that a record of another writer among the segments keeps no
+// owner from the journal. Before, each owner in turn took the journal for corrupt.
+func TestOddKeysHideNoSegment(t *testing.T) {
+	for name, key := range map[string]string{
+		"no number": "odd", "number too large": strings.Repeat("9", 40), "below zero": "-0000000000000000001", "nested": strings.Repeat("[", 20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newClient(&standin.Server{})
+			first := &journal.Log{Store: s, Process: fleet.ProcessIncarnation{ID: "a"}}
+			_, err := first.Open(t.Context())
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = first.Append(t.Context(), []byte("1"))
+			g.Expect(err).NotTo(HaveOccurred())
+			first.Close()
+			const prefix = "shard/0/log/"
+			segments, err := s.List(t.Context(), prefix)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(segments).NotTo(BeEmpty())
+			_, _, err = s.CAS(t.Context(), prefix+key, []byte("x"), 0)
+			g.Expect(err).NotTo(HaveOccurred())
+
+			next := &journal.Log{Store: s, Process: fleet.ProcessIncarnation{ID: "b"}}
+			defer next.Close()
+			r, err := next.Open(t.Context())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(join(r.Records)).To(Equal("1"))
+			_, err = next.Append(t.Context(), []byte("2"))
+			g.Expect(err).NotTo(HaveOccurred())
+		})
+	}
+}
+
 // TestAppendDuringOutage checks that, while the store is down, an append that is still queued ends
 // with ErrUnavailable and one whose write was sent ends with ErrUnknown.
 func TestAppendDuringOutage(t *testing.T) {
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -62,7 +62,15 @@
 		return contents{}, err
 	}
 	for _, p := range pairs {
-		if err := s.addSegment(p, l.logPrefix(), c.Mark); err != nil {
+		n, err := strconv.ParseUint(strings.TrimPrefix(p.Key, l.logPrefix()), 10, 64)
+		if err != nil || l.segmentKey(journal.Position(n)) != p.Key {
+			// No owner writes such a key.
+			if l.OnInvalid != nil {
+				l.OnInvalid(errors.WithMessage(journal.ErrCorrupt, p.Key))
+			}
+			continue
+		}
+		if err := s.addSegment(p, journal.Position(n), c.Mark); err != nil {
 			return contents{}, err
 		}
 	}
@@ -72,13 +80,8 @@
 	return s, nil
 }
 
-// addSegment adds the segment in p without the records before mark, which are in the snapshot.
-func (s *contents) addSegment(p store.Pair, prefix string, mark journal.Mark) error {
-	n, err := strconv.ParseUint(strings.TrimPrefix(p.Key, prefix), 10, 64)
-	if err != nil {
-		return errors.WithMessage(journal.ErrCorrupt, p.Key)
-	}
-	at := journal.Position(n)
+// addSegment adds the segment at a position without the records before mark, which are in the snapshot.
+func (s *contents) addSegment(p store.Pair, at journal.Position, mark journal.Mark) error {
 	if s.lowestPosition == 0 {
 		s.lowestPosition = at
 	}
