--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -90,11 +90,7 @@
 		if !p.host {
 			return
 		}
-		p.worker.Crash()
-		p.mu.Lock()
-		c := p.control
-		p.mu.Unlock()
-		c.Agent.WorkerLeft(p.worker.Info.ID, p.worker.Info.StartTime)
+		p.dismissWorker()
 		time.Sleep(d / 2)
 		p.startWorker()
 	}},
--- a/test/fleet/registration_test.go
+++ b/test/fleet/registration_test.go
@@ -11,12 +11,6 @@
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
-// dismissWorker ends the worker, which gives notice.
-func (p *process) dismissWorker() {
-	p.worker.Crash()
-	p.control.Agent.WorkerLeft(p.worker.Info.ID, p.worker.Info.StartTime)
-}
-
 // restartWorker replaces the worker by its next incarnation.
 func (p *process) restartWorker() {
 	p.worker.Crash()
@@ -33,35 +27,38 @@
 // its host is removed from the store.
 const hostRemovalTime = 6 * time.Second
 
-// registrationCases are the ways in which a host has to be registered again while
-// its worker runs.
-var registrationCases = []struct {
+// A registrationCase is a way in which a host has to be registered again while its
+// worker runs.
+type registrationCase struct {
 	name string
 	// prepare runs while the store answers, join once it doesn't.
 	prepare, join func(p *process)
-}{
-	{"returned worker", func(p *process) {
+}
+
+var (
+	returnedWorker = registrationCase{"returned worker", func(p *process) {
 		p.worker.Crash()
 		time.Sleep(hostRemovalTime)
-	}, (*process).startWorker},
-	{"restarted process", func(*process) {}, func(p *process) {
+	}, (*process).startWorker}
+	restartedProcess = registrationCase{"restarted process", func(*process) {}, func(p *process) {
 		p.kill()
 		p.start()
-	}},
-}
+	}}
+	registrationCases = []registrationCase{returnedWorker, restartedProcess}
+)
 
 // withPendingRegistration calls do while the host waits to be registered and the tasks of
 // a job fill the workers, also that of the host if it didn't end before. It returns after
 // that job had time to end.
-func (r *rig) withPendingRegistration(host *process, prepare, join func(*process), do func()) {
+func (r *rig) withPendingRegistration(host *process, c registrationCase, do func()) {
 	time.Sleep(5 * time.Second)
-	prepare(host)
+	c.prepare(host)
 	r.history.ExtraDuration = 8 * time.Second
 	r.submitWide(0, 3)
 	time.Sleep(time.Second)
 	store := r.leader().store
 	store.Set(memory.Faults{ApplyDelay: 5 * time.Second})
-	join(host)
+	c.join(host)
 	time.Sleep(2 * time.Second)
 	do()
 	time.Sleep(2 * time.Second)
@@ -111,7 +108,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					r := newRig(t, 1, 2, 3)
 					host := r.procs[2]
-					r.withPendingRegistration(host, c.prepare, c.join, func() { e.end(host) })
+					r.withPendingRegistration(host, c, func() { e.end(host) })
 					r.checkCompleted(1)
 					r.checkWideStarts(1, e.workers)
 					r.close()
@@ -130,7 +127,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := newRig(t, 1, 2, 3)
 				host := r.procs[2]
-				r.withPendingRegistration(host, c.prepare, c.join, func() {
+				r.withPendingRegistration(host, c, func() {
 					draining := host.worker.Info
 					draining.Draining = true
 					host.control.Agent.Heartbeat(hostagent.Heartbeat{Worker: draining, Seq: math.MaxInt64})
@@ -147,10 +144,9 @@
 // room stayed reserved (LOST on a full fleet).
 func TestRunsForgottenBeforeTheirHostIsRegisteredLeaveTheirRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := registrationCases[1]
 		r := newRig(t, 1, 2, 3)
 		host := r.procs[2]
-		r.withPendingRegistration(host, c.prepare, c.join, func() {
+		r.withPendingRegistration(host, restartedProcess, func() {
 			// The lease, which isn't renewed, ends the runs.
 			time.Sleep(hostagent.LeaseGrant)
 			host.worker.ForgetEnds()
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -174,6 +174,15 @@
 	}
 }
 
+// dismissWorker ends the worker, which gives notice.
+func (p *process) dismissWorker() {
+	p.mu.Lock()
+	w, c := p.worker, p.control
+	p.mu.Unlock()
+	w.Crash()
+	c.Agent.WorkerLeft(w.Info.ID, w.Info.StartTime)
+}
+
 // dialWorker returns the worker, or an endedWorker if k names a previous incarnation.
 func (p *process) dialWorker(k batch.WorkerKey) hostagent.Worker {
 	p.mu.Lock()
