Report why long-running tasks wait

evaluate now returns why a worker is left out, and the scheduler counts the workers by it for each long-running task that has waited for a second, once a second, 16 tasks at most. Placement is unchanged.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -54,6 +54,7 @@
 	CancelAccepted       = "cancelAccepted"
 	CancelOutcomeUnknown = "cancelOutcomeUnknown"
 	JobStateUnknown      = "stateUnknown"
+	TaskWaiting          = "taskWaiting"
 	RunOrdered           = "runOrdered"
 	RunStarted           = "runStarted"
 	RunRefused           = "runRefused"
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -30,7 +30,8 @@
 	if bestEffortTurn {
 		s.bestEffortPassAt = now
 	}
-	for _, c := range s.pendingSteps(now) {
+	pending := s.pendingSteps(now)
+	for _, c := range pending {
 		if !c.step.BestEffort || bestEffortTurn || !c.step.searched {
 			c.step.searched = true
 			s.placeStep(now, c, &o)
@@ -42,6 +43,7 @@
 	}
 	s.evacuate(now, &o)
 	s.rearrange(now, &o)
+	s.reportWaits(now, pending, &o)
 	o.Stops = append(o.Stops, s.pendingStops...)
 	o.HealthChanges = s.healthChanges
 	s.pendingStops, s.healthChanges = nil, nil
@@ -246,18 +248,14 @@
 // empty. It returns nil if there is none.
 func (s *Scheduler) findWorkerInRack(now time.Time, st *step, t *task, rack string, o *Orders) *worker {
 	x := s.newSearch(now, st, rack, o)
-	avoidRecentFailures := t.onLastAttempt(x.queue) && now.Sub(t.failedAt) < recentFailureWindow
 	var best candidate
 	x.forEachCandidate(func(w *worker, v float64) {
-		switch {
-		case w == t.worker:
+		if w == t.worker || x.avoids(t, w) != eligible {
 			// A task that is to be moved needs another worker.
-		case t.avoidMachine != "" && w.Machine == t.avoidMachine && len(s.workerList) > 1:
-		case avoidRecentFailures && w.health.failedRecently(now):
-		default:
-			if c := (candidate{w, v}); best.worker == nil || c.better(best) {
-				best = c
-			}
+			return
+		}
+		if c := (candidate{w, v}); best.worker == nil || c.better(best) {
+			best = c
 		}
 	})
 	return best.worker
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -65,6 +65,8 @@
 	AdviceRequests []AdviceRequest
 	// HealthChanges are the workers whose quarantine started or ended.
 	HealthChanges []HealthChange
+	// Waits tell why long-running tasks have no worker.
+	Waits []Wait
 	// Searches counts the searches over the workers.
 	Searches int
 }
@@ -96,6 +98,8 @@
 	judgedAt time.Time
 	// interference estimates which images interfere with which.
 	interference interfere.OccupancyModel[*step]
+	// waitsReportedAt is when waiting tasks were last reported.
+	waitsReportedAt time.Time
 	// moves are the latency-critical tasks on their way to another worker; rearrangedAt is
 	// when moves were last searched, nextMoveSource where the next search starts.
 	moves          []*servingMove
--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -48,8 +48,8 @@
 	found := 0
 	for i := range s.workerList {
 		w := s.workerList[(s.nextSearchStart+i)%len(s.workerList)]
-		v, ok := x.evaluate(w)
-		if !ok {
+		v, e := x.evaluate(w)
+		if e != eligible {
 			continue
 		}
 		f(w, v)
@@ -66,39 +66,68 @@
 	}
 }
 
-// evaluate returns the score of a worker for a task of the step, and whether the worker may take one.
-func (x *search) evaluate(w *worker) (float64, bool) {
+// evaluate returns the score of a worker for a task of the step, or why the worker may not take one.
+func (x *search) evaluate(w *worker) (float64, exclusion) {
 	st := x.step
-	if w.Service != x.queue.Service || !w.acceptsTasks(x.now) || !w.maySuit(x.now, st) || !x.reservation.Fits(w.freeResources()) {
-		return 0, false
+	if w.Service != x.queue.Service {
+		return 0, otherService
 	}
-	if st.RequiredLabel != "" && !w.HasLabel(st.RequiredLabel) || x.rack != "" && w.Rack() != x.rack {
-		return 0, false
+	if e := w.refusesTasks(x.now); e != eligible {
+		return 0, e
 	}
-	if st.MaxPerWorker > 0 && st.tasksPerWorker[w] >= st.MaxPerWorker {
-		return 0, false
+	switch {
+	case !w.maySuit(x.now, st):
+		return 0, slow
+	case !x.reservation.Fits(w.freeResources()):
+		return 0, full
+	case st.RequiredLabel != "" && !w.HasLabel(st.RequiredLabel):
+		return 0, lacksLabel
+	case x.rack != "" && w.Rack() != x.rack:
+		return 0, otherRack
+	case st.MaxPerWorker > 0 && st.tasksPerWorker[w] >= st.MaxPerWorker:
+		return 0, atTaskLimit
 	}
 	interference := 0.0
 	if st.BestEffort {
 		if x.limitInterference && x.scheduler.spareMilliCPU(x.now, w) < minBestEffortCPU(st) {
-			return 0, false
+			return 0, lacksSpareCPU
 		}
 		var fits bool
 		if fits, interference = x.scheduler.expectedInterference(x.now, w, st); x.limitInterference && !fits {
-			return 0, false
+			return 0, wouldInterfere
 		}
 	}
 	if x.queue.Advised {
 		switch st.advice.decision(x.now, w) {
 		case adviceUnknown:
 			x.unadvised = append(x.unadvised, w.ID)
-			return 0, false
+			return 0, unadvised
 		case adviceDenied:
-			return 0, false
+			return 0, denied
 		case adviceGranted:
 		}
 	}
-	return x.scheduler.score(x.now, st, w, interference), true
+	return x.scheduler.score(x.now, st, w, interference), eligible
+}
+
+// evaluateFor returns what evaluate does, for the given task of the step.
+func (x *search) evaluateFor(t *task, w *worker) (float64, exclusion) {
+	v, e := x.evaluate(w)
+	if e == eligible {
+		e = x.avoids(t, w)
+	}
+	return v, e
+}
+
+// avoids returns why t isn't given to w, as the outcome of its earlier runs there suggests.
+func (x *search) avoids(t *task, w *worker) exclusion {
+	switch {
+	case t.avoidMachine != "" && w.Machine == t.avoidMachine && len(x.scheduler.workerList) > 1:
+		return avoided
+	case t.onLastAttempt(x.queue) && x.now.Sub(t.failedAt) < recentFailureWindow && w.health.failedRecently(x.now):
+		return failedLately
+	}
+	return eligible
 }
 
 // candidate is a worker with its score for a task.
@@ -141,7 +170,7 @@
 
 // updateFirst updates r after its best candidate was given a task. The scores of the others are unchanged.
 func (x *search) updateFirst(r *candidateHeap) {
-	if v, ok := x.evaluate((*r)[0].worker); ok {
+	if v, e := x.evaluate((*r)[0].worker); e == eligible {
 		(*r)[0].score = v
 		heap.Fix(r, 0)
 		return
--- /dev/null
+++ b/pkg/decide/schedule/wait.go
@@ -0,0 +1,118 @@
+package schedule
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// An exclusion is why a worker may not be given a task.
+type exclusion int
+
+const (
+	// eligible workers may take the task.
+	eligible exclusion = iota
+	otherService
+	unresponsive
+	draining
+	quarantined
+	// probing workers show by one run at a time whether they are healthy again.
+	probing
+	// slow workers were shown as such by their latency-critical tasks.
+	slow
+	full
+	lacksLabel
+	otherRack
+	atTaskLimit
+	lacksSpareCPU
+	wouldInterfere
+	// unadvised workers wait for the decision of the policy service.
+	unadvised
+	denied
+	// avoided workers are on the machine where the task last failed, was refused as unhealthy or was too slow.
+	avoided
+	// failedLately workers get no last attempt of a task.
+	failedLately
+	exclusions
+)
+
+var exclusionNames = [exclusions]string{
+	"eligible", "otherService", "unresponsive", "draining", "quarantined", "probing", "slow", "full", "lacksLabel", "otherRack",
+	"atTaskLimit", "lacksSpareCpu", "wouldInterfere", "unadvised", "denied", "avoided", "failedLately",
+}
+
+// ExclusionCounts counts the workers by why they may not be given a task.
+type ExclusionCounts [exclusions]int
+
+// String returns the counts above zero, such as "full:9 quarantined:2".
+func (c ExclusionCounts) String() string {
+	var b strings.Builder
+	for e, n := range c {
+		if n == 0 || exclusion(e) == otherService {
+			continue
+		}
+		if b.Len() > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s:%d", exclusionNames[e], n)
+	}
+	return b.String()
+}
+
+// A Wait tells why a task has no worker.
+type Wait struct {
+	Task batch.Task
+	// Waited is how long the task has been without a worker.
+	Waited time.Duration
+	// Backoff is how long the task is not started after a refusal; 0 if it may be.
+	Backoff time.Duration
+	// Workers counts the workers of its service by why they may not take it.
+	Workers ExclusionCounts
+}
+
+const (
+	// waitReportInterval is the time between two reports of waiting tasks.
+	waitReportInterval = time.Second
+	// maxWaitReports bounds the tasks of one report.
+	maxWaitReports = 16
+)
+
+// reportWaits adds to o why long-running tasks have no worker, of those that have waited longer than waitReportInterval.
+func (s *Scheduler) reportWaits(now time.Time, pending []pendingStep, o *Orders) {
+	due := now.Sub(s.waitsReportedAt) >= waitReportInterval
+	if due {
+		s.waitsReportedAt = now
+	}
+	for _, c := range pending {
+		if !c.step.LongRunning {
+			// Long-running steps come first.
+			return
+		}
+		for _, t := range c.step.tasks {
+			if t.worker != nil || t.done {
+				continue
+			}
+			if t.waitingSince.IsZero() {
+				t.waitingSince = now
+			}
+			if due && now.Sub(t.waitingSince) >= waitReportInterval && len(o.Waits) < maxWaitReports {
+				o.Waits = append(o.Waits, Wait{
+					Task: t.id, Waited: now.Sub(t.waitingSince), Backoff: max(0, t.retryAt.Sub(now)), Workers: s.countExclusions(now, c.step, t),
+				})
+			}
+		}
+	}
+}
+
+// countExclusions counts the workers by why they may not be given t.
+func (s *Scheduler) countExclusions(now time.Time, st *step, t *task) ExclusionCounts {
+	var n ExclusionCounts
+	x := s.newSearch(now, st, "", nil)
+	for _, w := range s.workerList {
+		_, e := x.evaluateFor(t, w)
+		n[e]++
+	}
+	return n
+}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -145,12 +145,19 @@
 	}
 }
 
-// acceptsTasks reports whether the worker may be given new work at all.
-func (w *worker) acceptsTasks(now time.Time) bool {
-	if w.unresponsive || w.Draining || w.health.quarantined(now) {
-		return false
+// refusesTasks returns why the worker may not be given new work at all.
+func (w *worker) refusesTasks(now time.Time) exclusion {
+	switch {
+	case w.unresponsive:
+		return unresponsive
+	case w.Draining:
+		return draining
+	case w.health.quarantined(now):
+		return quarantined
+	case w.health.probing() && w.hasRunSince(w.health.quarantinedUntil):
+		return probing
 	}
-	return !w.health.probing() || !w.hasRunSince(w.health.quarantinedUntil)
+	return eligible
 }
 
 // hasRunSince reports whether the worker has a run that started at a time or later
