Let the avoidance of a machine end

A task that failed, was refused as unhealthy or was too slow on a machine was never started there again (avoidMachine), also where no other worker may take it: others full, too small, without its label, or taken by siblings that must be apart.

The avoidance is a preference that ends after 2 s, and after 4 s where the task fails again before it has been at work, so that a task that always fails takes few starts. A quarantine still keeps all tasks from the worker.

TestTaskReturnsToTheOnlyWorkerThatMayTakeIt failed in all six cases before.

--- /dev/null
+++ b/pkg/decide/schedule/avoidance_test.go
@@ -0,0 +1,72 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// A task that failed, or was refused, on the only worker that may take it runs there again.
+func TestTaskReturnsToTheOnlyWorkerThatMayTakeIt(t *testing.T) {
+	longRunning := func(s *batch.Step) { s.LongRunning = true }
+	label := func(s *batch.Step) { s.RequiredLabel = "gpu" }
+	failed := func(f *harness, s Start) { f.endRun(s, batch.Failed) }
+	refused := func(f *harness, s Start) {
+		f.HandleStartResult(f.now, s.Key, s.Task, s.Number, true, true, false)
+	}
+	for name, c := range map[string]struct {
+		small batch.Worker
+		step  batch.Step
+		end   func(*harness, Start)
+	}{
+		"long-running, others too small":     {testWorker("2", 1000), testStep(1, 2000, longRunning), failed},
+		"long-running, others lack a label":  {testWorker("2", 4000), testStep(1, 100, longRunning, label), failed},
+		"long-running, siblings are apart":   {testWorker("2", 4000), testStep(2, 100, longRunning, func(s *batch.Step) { s.MaxPerWorker = 1 }), failed},
+		"long-running, refused as unhealthy": {testWorker("2", 1000), testStep(1, 2000, longRunning), refused},
+		"short, others too small":            {testWorker("2", 1000), testStep(1, 2000), failed},
+		"short, others lack a label":         {testWorker("2", 4000), testStep(1, 100, label), failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newHarness(testWorker("1", 4000, "gpu"), c.small)
+			f.Add(f.now, testJob("j", "urgent", c.step), nil, false)
+			var first Start
+			for _, s := range f.scheduleAfter(0).Starts {
+				f.confirmStart(s)
+				if s.Key.ID == "1" {
+					first = s
+				}
+			}
+			g.Expect(first.Key.ID).To(Equal("1"))
+			f.now = f.now.Add(100 * time.Millisecond)
+			c.end(f, first)
+			failedAt := f.now
+			var again []Start
+			for len(again) == 0 && f.now.Sub(failedAt) < maxLongRunningWait {
+				again = f.scheduleAfter(100 * time.Millisecond).Starts
+			}
+			g.Expect(again).To(HaveLen(1), "the task isn't started again within %s", maxLongRunningWait)
+			g.Expect(again[0].Key).To(Equal(first.Key))
+		})
+	}
+}
+
+// A task that fails wherever it runs takes few of a worker's starts.
+func TestTaskThatFailsInARowIsStartedWithPauses(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 4000), testWorker("2", 1000))
+	f.Add(f.now, testJob("j", "urgent", testStep(1, 2000, func(s *batch.Step) { s.LongRunning = true })), nil, false)
+	starts := 0
+	for f.now.Sub(testStart) < 20*time.Second {
+		for _, s := range f.scheduleAfter(100 * time.Millisecond).Starts {
+			f.confirmStart(s)
+			f.endRun(s, batch.Failed)
+			starts++
+		}
+	}
+	g.Expect(starts).To(BeNumerically("<=", 1+int(20*time.Second/maxAvoidance)+1))
+	g.Expect(starts).To(BeNumerically(">", 2))
+}
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -100,8 +100,8 @@
 	firstPercent                              int
 	// relocations counts the runs that were stopped because their worker slowed them down.
 	relocations int
-	// avoidMachine is the machine where the task last failed, was refused as unhealthy or was too slow.
-	avoidMachine string
+	// avoidance is of the machine where the task last failed, was refused as unhealthy or was too slow.
+	avoidance avoidance
 	// failedAt is when the task last failed.
 	failedAt time.Time
 	// retryAt is when the task may be started again after a refusal.
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -144,7 +144,7 @@
 			x = nil
 			continue
 		}
-		if t.avoidMachine != "" {
+		if t.avoidance.active(now) {
 			// The task has machines of its own to avoid, so it needs a separate search. Its
 			// start invalidates the candidates of the other tasks.
 			if w := s.findWorker(now, c.step, t, o); w != nil {
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -84,6 +84,9 @@
 		t.progressedAt = now
 	}
 	t.percent, t.lastReportAt = r.ProgressPercent, now
+	if t.percent >= atWorkPercent {
+		t.avoidance.inRow = 0
+	}
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 		if t.step.Gang {
@@ -228,7 +231,8 @@
 	if t.failedAttempts() == attemptsBefore {
 		return
 	}
-	t.avoidMachine, t.failedAt = w.Machine, now
+	t.failedAt = now
+	t.avoidance.start(now, w.Machine)
 	jobHasDoneTask := j.hasDoneTask()
 	if jobHasDoneTask || j.firstFailedMachine == "" || j.firstFailedMachine == w.Machine {
 		// A job without any done task that also failed on another machine causes its failures itself.
@@ -267,7 +271,7 @@
 	}
 	if unhealthy {
 		s.recordWorkerFailure(now, t.worker, id.Job, false)
-		t.avoidMachine = t.worker.Machine
+		t.avoidance.start(now, t.worker.Machine)
 	}
 	t.release()
 	t.retryAt = now.Add(refusedRetryDelay)
--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -122,7 +122,7 @@
 // avoids returns why t isn't given to w, as the outcome of its earlier runs there suggests.
 func (x *search) avoids(t *task, w *worker) exclusion {
 	switch {
-	case t.avoidMachine != "" && w.Machine == t.avoidMachine && len(x.scheduler.workerList) > 1:
+	case t.avoidance.covers(x.now, w.Machine) && len(x.scheduler.workerList) > 1:
 		return avoided
 	case t.onLastAttempt(x.queue) && x.now.Sub(t.failedAt) < recentFailureWindow && w.health.failedRecently(x.now):
 		return failedLately
--- a/pkg/decide/schedule/straggler.go
+++ b/pkg/decide/schedule/straggler.go
@@ -73,7 +73,8 @@
 			continue
 		}
 		reserved[to] = reserved[to].Plus(reservation(st.Step))
-		t.avoidMachine, t.moveNotBefore = w.Machine, now.Add(minMoveInterval)
+		t.moveNotBefore = now.Add(minMoveInterval)
+		t.avoidance.start(now, w.Machine)
 		t.relocations++
 		if !st.BestEffort {
 			s.recordSlowRun(now, w, st.job.ID)
