Tell which resource a waiting task lacks

taskWaiting named a worker without room "full", which doesn't tell processors, of which a best-effort task reserves none, from memory, which all reserve. Placement is unchanged.

--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -81,9 +81,10 @@
 	if e != eligible && (!x.lastResort || !e.doubtful() || !w.mayTryLongRunning(x.now)) {
 		return 0, e
 	}
+	if e := lacking(x.reservation, w.freeResources()); e != eligible {
+		return 0, e
+	}
 	switch {
-	case !x.reservation.Fits(w.freeResources()):
-		return 0, full
 	case st.RequiredLabel != "" && !w.HasLabel(st.RequiredLabel):
 		return 0, lacksLabel
 	case x.rack != "" && w.Rack() != x.rack:
--- a/pkg/decide/schedule/wait.go
+++ b/pkg/decide/schedule/wait.go
@@ -22,7 +22,9 @@
 	probing
 	// slow workers were shown as such by their latency-critical tasks.
 	slow
-	full
+	lacksCPU
+	lacksMemory
+	lacksGPU
 	lacksLabel
 	otherRack
 	atTaskLimit
@@ -41,15 +43,28 @@
 // doubtful reports whether the worker is left out only as its health is in doubt.
 func (e exclusion) doubtful() bool { return e == quarantined || e == probing || e == slow }
 
+// lacking returns which of the needed resources isn't free, or eligible if all are.
+func lacking(need, free batch.Resources) exclusion {
+	switch {
+	case need.Fits(free):
+		return eligible
+	case need.MilliCPU > free.MilliCPU:
+		return lacksCPU
+	case need.MemoryMB > free.MemoryMB:
+		return lacksMemory
+	}
+	return lacksGPU
+}
+
 var exclusionNames = [exclusions]string{
-	"eligible", "otherService", "unresponsive", "draining", "quarantined", "probing", "slow", "full", "lacksLabel", "otherRack",
+	"eligible", "otherService", "unresponsive", "draining", "quarantined", "probing", "slow", "lacksCpu", "lacksMemory", "lacksGpu", "lacksLabel", "otherRack",
 	"atTaskLimit", "lacksSpareCpu", "wouldInterfere", "unadvised", "denied", "avoided", "failedLately",
 }
 
 // ExclusionCounts counts the workers by why they may not be given a task.
 type ExclusionCounts [exclusions]int
 
-// String returns the counts above zero, such as "full:9 quarantined:2".
+// String returns the counts above zero, such as "quarantined:2 lacksCpu:9".
 func (c ExclusionCounts) String() string {
 	var b strings.Builder
 	for e, n := range c {
--- a/pkg/decide/schedule/wait_test.go
+++ b/pkg/decide/schedule/wait_test.go
@@ -17,7 +17,8 @@
 		change func(f *harness)
 		want   string
 	}{
-		"no room":       {testStep(1, 5000, longRunning), func(*harness) {}, "full:2"},
+		"no room":       {testStep(1, 5000, longRunning), func(*harness) {}, "lacksCpu:2"},
+		"no memory":     {testStep(1, 100, longRunning, func(s *batch.Step) { s.Need.MemoryMB = 100000 }), func(*harness) {}, "lacksMemory:2"},
 		"label":         {testStep(1, 100, longRunning, func(s *batch.Step) { s.RequiredLabel = "gpu" }), func(*harness) {}, "lacksLabel:2"},
 		"drain":         {testStep(1, 100, longRunning), func(f *harness) { f.setDraining("1"); f.MarkUnresponsive("host-2") }, "unresponsive:1 draining:1"},
 		"limit of runs": {testStep(3, 100, longRunning, func(s *batch.Step) { s.MaxPerWorker = 1 }), func(*harness) {}, "atTaskLimit:2"},
