--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -267,7 +267,7 @@
 // long-running task that has waited for longRunningWaitLimit, or nil. The worker may
 // have recovered, and the task has no run to lose.
 func (s *Scheduler) findLastResort(now time.Time, st *step, t *task, o *Orders) *worker {
-	if t.waitingSince.IsZero() || now.Sub(t.waitingSince) < longRunningWaitLimit {
+	if !t.needsLastResort(now) {
 		return nil
 	}
 	x := s.newSearch(now, st, "", o)
@@ -275,6 +275,11 @@
 	return x.bestFor(t)
 }
 
+// needsLastResort reports whether t has waited for longRunningWaitLimit.
+func (t *task) needsLastResort(now time.Time) bool {
+	return !t.waitingSince.IsZero() && now.Sub(t.waitingSince) >= longRunningWaitLimit
+}
+
 // bestFor returns the best worker for t, or nil if there is none.
 func (x *search) bestFor(t *task) *worker {
 	var best candidate
