Let a task in need not wait for its siblings

placeStep ended the step at the first task without a worker, as its tasks need the same. Since the last resort depends on how long a task has waited, a task that had waited for 1.5 s was held up by one with a lower index that had just lost its worker, by up to 1.5 s for each. Such a task is now passed over.

TestTaskInNeedDoesNotWaitForItsSiblings failed before (no start within 0.3 s).

--- a/pkg/decide/schedule/lastresort_test.go
+++ b/pkg/decide/schedule/lastresort_test.go
@@ -20,6 +20,18 @@
 	f.HandleProgress(f.now, s.Key, []batch.Run{{Task: s.Task, Number: s.Number, ProgressPercent: atWorkPercent}}, false)
 }
 
+// startFor schedules every 50 ms for d, confirms each start and returns them all.
+func (f *harness) startFor(d time.Duration) []Start {
+	var all []Start
+	for end := f.now.Add(d); f.now.Before(end); {
+		for _, s := range f.scheduleAfter(50 * time.Millisecond).Starts {
+			f.confirmStart(s)
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
 // The only worker with room has recovered, but its quarantine, its probe or its slow
 // tail latencies keep a long-running task away from it.
 func TestLongRunningTaskRunsBesideRoomOfWorkerInDoubt(t *testing.T) {
@@ -97,3 +109,21 @@
 	}
 	g.Expect(f.workerOf("1").tasks).To(HaveLen(tasks))
 }
+
+// A task that has waited long isn't held up by one of its step that has just begun to wait.
+func TestTaskInNeedDoesNotWaitForItsSiblings(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 32000), testWorker("2", 2000))
+	f.Add(f.now, longRunningJob("long", 2, 2000), nil, false)
+	f.workerOf("1").health.quarantinedUntil = f.now.Add(time.Hour)
+	starts := f.startFor(50 * time.Millisecond)
+	g.Expect(starts).To(HaveLen(1))
+	g.Expect(starts[0].Task.Index).To(Equal(0))
+	f.reportAtWork(starts[0])
+	// The second task has nearly waited for the limit when the first one loses its worker.
+	f.startFor(longRunningWaitLimit - 200*time.Millisecond)
+	f.RemoveWorker(starts[0].Key)
+	again := f.startFor(300 * time.Millisecond)
+	g.Expect(again).To(HaveLen(1))
+	g.Expect(again[0].Task.Index).To(Equal(1))
+}
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -166,6 +166,10 @@
 			r = x.rank()
 		}
 		if len(r) == 0 {
+			if c.step.LongRunning && !t.lastResortDue(now) {
+				// Others of the step may have waited for longer.
+				continue
+			}
 			w := s.findLastResort(now, c.step, t, o)
 			if w == nil {
 				// The tasks of a step need the same resources, so no other task has a worker either.
@@ -267,7 +271,7 @@
 // long-running task that has waited for longRunningWaitLimit, or nil. The worker may
 // have recovered, and the task has no run to lose.
 func (s *Scheduler) findLastResort(now time.Time, st *step, t *task, o *Orders) *worker {
-	if !t.needsLastResort(now) {
+	if !t.lastResortDue(now) {
 		return nil
 	}
 	x := s.newSearch(now, st, "", o)
@@ -275,8 +279,8 @@
 	return x.bestFor(t)
 }
 
-// needsLastResort reports whether t has waited for longRunningWaitLimit.
-func (t *task) needsLastResort(now time.Time) bool {
+// lastResortDue reports whether a long-running task has waited for longRunningWaitLimit.
+func (t *task) lastResortDue(now time.Time) bool {
 	return !t.waitingSince.IsZero() && now.Sub(t.waitingSince) >= longRunningWaitLimit
 }
 
--- a/pkg/decide/schedule/wait.go
+++ b/pkg/decide/schedule/wait.go
@@ -131,7 +131,7 @@
 func (s *Scheduler) countExclusions(now time.Time, st *step, t *task) ExclusionCounts {
 	var n ExclusionCounts
 	x := s.newSearch(now, st, "", nil)
-	x.lastResort = t.needsLastResort(now)
+	x.lastResort = t.lastResortDue(now)
 	for _, w := range s.workerList {
 		_, e := x.evaluateFor(t, w)
 		n[e]++
