Bound the trial of a long-running run

A long-running run counts as the probe of its worker until it is at work. One that never reports to be (a silent program, a hung start) kept all short tasks from a worker after a quarantine, and all long-running ones from the last resort, for good: an exclusion without an end, new with the last resort. It now counts for 4 s, which leaves the next task time to run in its 6 s.

--- a/pkg/decide/schedule/lastresort_test.go
+++ b/pkg/decide/schedule/lastresort_test.go
@@ -127,3 +127,29 @@
 	g.Expect(again).To(HaveLen(1))
 	g.Expect(again[0].Task.Index).To(Equal(1))
 }
+
+// A long-running run that never reports to be at work doesn't keep short tasks from a worker for good.
+func TestTrialThatNeverEndsLeavesWorkerOpen(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 32000))
+	w := f.workerOf("1")
+	w.health.recordFailure(f.now, "x", true)
+	w.health.recordFailure(f.now, "y", true)
+	f.Add(f.now, longRunningJob("silent", 1, 2000), nil, false)
+	g.Expect(f.startFor(4 * time.Second)).To(HaveLen(1))
+	f.Add(f.now, testJob("short", "urgent", testStep(1, 100)), nil, false)
+	g.Expect(f.startFor(maxLongRunningWait)).To(HaveLen(1), "starts of a short task")
+}
+
+// It doesn't keep other long-running tasks from there either.
+func TestTrialThatNeverEndsLeavesWorkerOpenToLongRunningTasks(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 32000))
+	w := f.workerOf("1")
+	w.health.recordFailure(f.now, "x", true)
+	w.health.recordFailure(f.now, "y", true)
+	f.Add(f.now, longRunningJob("silent", 1, 2000), nil, false)
+	g.Expect(f.startFor(4 * time.Second)).To(HaveLen(1))
+	f.Add(f.now, longRunningJob("other", 1, 2000), nil, false)
+	g.Expect(f.startFor(maxLongRunningWait)).To(HaveLen(1), "starts of another long-running task")
+}
--- a/pkg/decide/schedule/slowserving.go
+++ b/pkg/decide/schedule/slowserving.go
@@ -66,7 +66,7 @@
 	case age < minQuarantine:
 		return false
 	}
-	return !st.BestEffort && !st.LongRunning && !w.hasRunSince(w.slowAt)
+	return !st.BestEffort && !st.LongRunning && !w.hasRunSince(now, w.slowAt)
 }
 
 // recordInTime records that a short task that started at startedAt was done in time.
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -154,7 +154,7 @@
 		return draining
 	case w.health.quarantined(now):
 		return quarantined
-	case w.health.probing() && w.hasRunSince(w.health.quarantinedUntil):
+	case w.health.probing() && w.hasRunSince(now, w.health.quarantinedUntil):
 		return probing
 	}
 	return eligible
@@ -165,24 +165,36 @@
 // not sooner than minQuarantine after the last failed run.
 func (w *worker) mayTryLongRunning(now time.Time) bool {
 	failedAt := w.health.recentFailures[0].at
+	if now.Sub(failedAt) < minQuarantine {
+		return false
+	}
 	onTrial := false
 	for _, t := range w.tasks {
-		if !t.step.LongRunning || !t.startedAt.After(failedAt) {
+		if !t.step.LongRunning {
 			continue
 		}
-		if t.percent >= atWorkPercent {
+		if t.percent >= atWorkPercent && t.startedAt.After(failedAt) {
 			return true
 		}
-		onTrial = true
+		onTrial = onTrial || t.onTrial(now)
 	}
-	return !onTrial && now.Sub(failedAt) >= minQuarantine
+	return !onTrial
+}
+
+// onTrial reports whether the long-running task is about to show whether its worker can run it.
+func (t *task) onTrial(now time.Time) bool {
+	return t.percent < atWorkPercent && now.Sub(t.startedAt) < maxTrial
 }
 
+// maxTrial is how long a long-running run that isn't at work keeps others from a worker
+// whose health is in doubt. Some never are, and a task that waits has to run in time.
+const maxTrial = 4 * time.Second
+
 // hasRunSince reports whether the worker has a run that started at a time or later
 // whose outcome will show the health of the worker: its end, or that a long-running one is at work.
-func (w *worker) hasRunSince(at time.Time) bool {
+func (w *worker) hasRunSince(now, at time.Time) bool {
 	for _, t := range w.tasks {
-		if !t.startedAt.Before(at) && (!t.step.LongRunning || t.percent < atWorkPercent) {
+		if !t.startedAt.Before(at) && (!t.step.LongRunning || t.onTrial(now)) {
 			return true
 		}
 	}
