Give a slow worker one waiting long-running task at a time

The last resort took any long-running task at work there that had started after the last failed run as evidence that the worker is well. A worker that was set aside for slow runs or tail latencies has often no failed run, and has such tasks from long ago, so that all waiting tasks were started there at once while it was slow. Only a run that started after the last failure, quarantine or slow tail latency is evidence now.

TestSlowWorkerTakesOneWaitingTaskAtATime failed before (10 starts at once, in both cases).

--- a/pkg/decide/schedule/health.go
+++ b/pkg/decide/schedule/health.go
@@ -23,8 +23,8 @@
 	burstAt time.Time
 	// slowRuns counts the runs that the worker slowed down since the last one done in time.
 	slowRuns int
-	// quarantinedUntil is when the worker may be given work again.
-	quarantinedUntil time.Time
+	// quarantinedAt is when the last quarantine began, quarantinedUntil when the worker may be given work again.
+	quarantinedAt, quarantinedUntil time.Time
 	// backoffLevel counts the quarantines since the last successful run, up to maxBackoffLevel.
 	backoffLevel int
 }
@@ -105,7 +105,7 @@
 	if now.Before(h.quarantinedUntil) {
 		return false
 	}
-	h.quarantinedUntil = now.Add(min(minQuarantine<<h.backoffLevel, maxQuarantine))
+	h.quarantinedAt, h.quarantinedUntil = now, now.Add(min(minQuarantine<<h.backoffLevel, maxQuarantine))
 	h.backoffLevel = min(h.backoffLevel+1, maxBackoffLevel)
 	return true
 }
--- a/pkg/decide/schedule/lastresort_test.go
+++ b/pkg/decide/schedule/lastresort_test.go
@@ -153,3 +153,27 @@
 	f.Add(f.now, longRunningJob("other", 1, 2000), nil, false)
 	g.Expect(f.startFor(maxLongRunningWait)).To(HaveLen(1), "starts of another long-running task")
 }
+
+// Waiting long-running tasks go one at a time to a slow worker, also where others on it are at work.
+func TestSlowWorkerTakesOneWaitingTaskAtATime(t *testing.T) {
+	for name, doubt := range map[string]func(f *harness, w *worker){
+		"tail latencies": func(f *harness, w *worker) { w.slowAt = f.now },
+		"slow runs": func(f *harness, w *worker) {
+			w.health.backoffLevel = maxBackoffLevel
+			w.health.recordSlowRun(f.now)
+			w.health.recordSlowRun(f.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newHarness(testWorker("1", 32000), testWorker("2", 1000))
+			f.Add(f.now, longRunningJob("old", 2, 2000), nil, false)
+			for _, s := range f.startFor(50 * time.Millisecond) {
+				f.reportAtWork(s)
+			}
+			f.Add(f.now, longRunningJob("waiting", 10, 2000), nil, false)
+			doubt(f, f.workerOf("1"))
+			g.Expect(f.startFor(longRunningWaitLimit + maxTrial/2)).To(HaveLen(1))
+		})
+	}
+}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -164,16 +164,21 @@
 // long-running task that finds no other worker: one at a time until it is at work, and
 // not sooner than minQuarantine after the last failed run.
 func (w *worker) mayTryLongRunning(now time.Time) bool {
-	failedAt := w.health.recentFailures[0].at
-	if now.Sub(failedAt) < minQuarantine {
+	doubtAt := w.health.recentFailures[0].at
+	if now.Sub(doubtAt) < minQuarantine {
 		return false
 	}
+	for _, at := range []time.Time{w.health.quarantinedAt, w.slowAt} {
+		if at.After(doubtAt) {
+			doubtAt = at
+		}
+	}
 	onTrial := false
 	for _, t := range w.tasks {
 		if !t.step.LongRunning {
 			continue
 		}
-		if t.percent >= atWorkPercent && t.startedAt.After(failedAt) {
+		if t.percent >= atWorkPercent && t.startedAt.After(doubtAt) {
 			return true
 		}
 		onTrial = onTrial || t.onTrial(now)
