Keep a straggler from its slow worker after the stop

The avoidance of a machine begins with the order to stop and lasts 2 s the first time. Where the worker took longer to stop the run, the task was started at once on the same slow worker, which had the most free capacity, beside another with room. The avoidance now lasts for 2 s after such a run has ended.

--- a/pkg/decide/schedule/avoidance.go
+++ b/pkg/decide/schedule/avoidance.go
@@ -35,3 +35,11 @@
 func (a *avoidance) covers(now time.Time, machine string) bool {
 	return a.active(now) && a.machine == machine
 }
+
+// continueAfterStop lets an avoidance that began with the order to stop a run last for
+// minAvoidance after its end, as a slow machine takes long to carry the order out.
+func (a *avoidance) continueAfterStop(now time.Time, machine string, runStartedAt time.Time) {
+	if until := now.Add(minAvoidance); a.machine == machine && a.until.After(runStartedAt) && until.After(a.until) {
+		a.until = until
+	}
+}
--- a/pkg/decide/schedule/avoidance_test.go
+++ b/pkg/decide/schedule/avoidance_test.go
@@ -70,3 +70,33 @@
 	g.Expect(starts).To(BeNumerically("<=", 1+int(20*time.Second/maxAvoidance)+1))
 	g.Expect(starts).To(BeNumerically(">", 2))
 }
+
+// A straggler doesn't return to the slow worker when its stop takes long and another worker has room.
+func TestStragglerDoesNotReturnToTheSlowWorker(t *testing.T) {
+	for _, stopTime := range []time.Duration{400 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(stopTime.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newHarness(testWorker("1", 9000), testWorker("2", 8000))
+			f.Add(f.now, testJob("j", "urgent", testStep(1, 2000)), nil, false)
+			starts := f.startFor(50 * time.Millisecond)
+			g.Expect(starts).To(HaveLen(1))
+			st := f.jobs["j"].occurrences[0].steps[0]
+			for range 10 {
+				st.peerDurations.Add(500 * time.Millisecond)
+			}
+			var stop Stop
+			for f.now.Sub(testStart) < 20*time.Second && stop.Number == 0 {
+				f.HandleProgress(f.now, starts[0].Key, []batch.Run{{Task: starts[0].Task, Number: 1, ProgressPercent: 10}}, false)
+				if ss := f.scheduleAfter(100 * time.Millisecond).Stops; len(ss) > 0 {
+					stop = ss[0]
+				}
+			}
+			g.Expect(stop.Number).To(Equal(1))
+			g.Expect(f.startFor(stopTime)).To(BeEmpty())
+			f.endRun(starts[0], batch.Stopped)
+			again := f.startFor(50 * time.Millisecond)
+			g.Expect(again).To(HaveLen(1))
+			g.Expect(again[0].Key.ID).NotTo(Equal(starts[0].Key.ID))
+		})
+	}
+}
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -171,6 +171,9 @@
 	}
 	startedAt := t.startedAt
 	if current {
+		if t.stopping {
+			t.avoidance.continueAfterStop(now, w.Machine, startedAt)
+		}
 		t.release()
 	}
 	s.dirtyJobs[j.ID] = true
