Give waiting tasks that fail least the first trial

The last resort gave each trial to the waiting long-running task that ranks first. Two that always fail took all trials of a worker in doubt, one each 2 s, and a sound task behind them had no run for good. Waiting tasks are now tried after all long-running steps were placed, in the order of their failures since they were last at work; a step whose task finds no worker is searched once.

--- a/pkg/decide/schedule/lastresort_test.go
+++ b/pkg/decide/schedule/lastresort_test.go
@@ -177,3 +177,39 @@
 		})
 	}
 }
+
+// Long-running tasks that always fail don't keep a sound one from a worker in doubt.
+func TestFailingTasksDoNotStarveSoundOne(t *testing.T) {
+	for _, bad := range []int{1, 2, 3, 4} {
+		t.Run(fmt.Sprint(bad), func(t *testing.T) {
+			g := NewWithT(t)
+			f := newHarness(testWorker("1", 32000), testWorker("2", 1000))
+			for i := range bad {
+				f.Add(f.now, longRunningJob(fmt.Sprint("a-bad", i), 1, 2000), nil, false)
+			}
+			fail := func(ss []Start) (good bool) {
+				for _, s := range ss {
+					f.confirmStart(s)
+					if s.Task.Job == "good" {
+						good = true
+						f.reportAtWork(s)
+						continue
+					}
+					f.endRun(s, batch.Failed)
+				}
+				return good
+			}
+			for range 40 {
+				fail(f.scheduleAfter(100 * time.Millisecond).Starts)
+			}
+			f.Add(f.now, longRunningJob("good", 1, 2000), nil, false)
+			begin := f.now
+			for f.now.Sub(begin) < time.Minute {
+				if fail(f.scheduleAfter(100 * time.Millisecond).Starts) {
+					break
+				}
+			}
+			g.Expect(f.now.Sub(begin)).To(BeNumerically("<", maxLongRunningWait), "wait of the sound task")
+		})
+	}
+}
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 )
@@ -31,12 +33,13 @@
 		s.bestEffortPassAt = now
 	}
 	pending := s.pendingSteps(now)
-	for _, c := range pending {
-		if !c.step.BestEffort || bestEffortTurn || !c.step.searched {
-			c.step.searched = true
-			s.placeStep(now, c, &o)
-		}
+	longRunning := slices.IndexFunc(pending, func(c pendingStep) bool { return !c.step.LongRunning })
+	if longRunning < 0 {
+		longRunning = len(pending)
 	}
+	s.placeSteps(now, pending[:longRunning], bestEffortTurn, &o)
+	s.placeInNeed(now, pending[:longRunning], &o)
+	s.placeSteps(now, pending[longRunning:], bestEffortTurn, &o)
 	if bestEffortTurn {
 		s.moveThrottled(now, &o)
 		s.relocateStragglers(now, &o)
@@ -50,6 +53,17 @@
 	return o
 }
 
+// placeSteps places steps in their order. It passes over best-effort steps for which
+// workers were searched already, unless it is their turn.
+func (s *Scheduler) placeSteps(now time.Time, steps []pendingStep, bestEffortTurn bool, o *Orders) {
+	for _, c := range steps {
+		if !c.step.BestEffort || bestEffortTurn || !c.step.searched {
+			c.step.searched = true
+			s.placeStep(now, c, o)
+		}
+	}
+}
+
 // pendingSteps returns the steps with unassigned tasks in the order of their placement.
 func (s *Scheduler) pendingSteps(now time.Time) []pendingStep {
 	var cs []pendingStep
@@ -150,11 +164,7 @@
 		if t.avoidance.active(now) {
 			// The task has machines of its own to avoid, so it needs a separate search. Its
 			// start invalidates the candidates of the other tasks.
-			w := s.findWorker(now, c.step, t, o)
-			if w == nil {
-				w = s.findLastResort(now, c.step, t, o)
-			}
-			if w != nil {
+			if w := s.findWorker(now, c.step, t, o); w != nil {
 				s.orderStart(now, c, t, w, t.run+1, o)
 				x = nil
 			}
@@ -166,18 +176,8 @@
 			r = x.rank()
 		}
 		if len(r) == 0 {
-			if c.step.LongRunning && !t.lastResortDue(now) {
-				// Others of the step may have waited for longer.
-				continue
-			}
-			w := s.findLastResort(now, c.step, t, o)
-			if w == nil {
-				// The tasks of a step need the same resources, so no other task has a worker either.
-				return
-			}
-			s.orderStart(now, c, t, w, t.run+1, o)
-			x = nil
-			continue
+			// The tasks of a step need the same resources, so no other task has a worker either.
+			return
 		}
 		s.orderStart(now, c, t, r[0].worker, t.run+1, o)
 		x.updateFirst(&r)
@@ -267,16 +267,37 @@
 	return s.newSearch(now, st, rack, o).bestFor(t)
 }
 
-// findLastResort returns the best of the workers whose health is in doubt for a
-// long-running task that has waited for longRunningWaitLimit, or nil. The worker may
-// have recovered, and the task has no run to lose.
-func (s *Scheduler) findLastResort(now time.Time, st *step, t *task, o *Orders) *worker {
-	if !t.lastResortDue(now) {
-		return nil
+// placeInNeed starts long-running tasks that have waited for longRunningWaitLimit on
+// workers whose health is in doubt: these may have recovered, and the tasks have no run
+// to lose. The tasks that failed least often since they were last at work come first, so
+// that those which always fail don't take all trials.
+func (s *Scheduler) placeInNeed(now time.Time, longRunning []pendingStep, o *Orders) {
+	type need struct {
+		pendingStep
+		task *task
+	}
+	var needs []need
+	for _, c := range longRunning {
+		for _, t := range c.step.tasks {
+			if t.worker == nil && !c.step.Gang && !now.Before(t.retryAt) && t.lastResortDue(now) {
+				needs = append(needs, need{c, t})
+			}
+		}
+	}
+	slices.SortStableFunc(needs, func(a, b need) int { return cmp.Compare(a.task.avoidance.inRow, b.task.avoidance.inRow) })
+	hopeless := map[*step]bool{}
+	for _, n := range needs {
+		if hopeless[n.step] {
+			continue
+		}
+		x := s.newSearch(now, n.step, "", o)
+		x.lastResort = true
+		if w := x.bestFor(n.task); w != nil {
+			s.orderStart(now, n.pendingStep, n.task, w, n.task.run+1, o)
+		} else {
+			hopeless[n.step] = !n.task.avoidance.active(now)
+		}
 	}
-	x := s.newSearch(now, st, "", o)
-	x.lastResort = true
-	return x.bestFor(t)
 }
 
 // lastResortDue reports whether a long-running task has waited for longRunningWaitLimit.
