Keep expired jobs until their runs have ended

A job that was cancelled or failed is removed once its time is over, also while a run of it is still being stopped.

RemoveExpired now leaves jobs with runs for a later call, as DropDescriptions does. TestRunThatOutlastsItsJobGivesUpItsRoom failed before.

--- /dev/null
+++ b/pkg/decide/schedule/accounting_test.go
@@ -0,0 +1,25 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
+)
+
+// A run that outlasts its cancelled job holds its room until its end is listed, and not longer.
+func TestRunThatOutlastsItsJobGivesUpItsRoom(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 4000))
+	f.Add(f.now, longRunningJob("long", 1, 3000), nil, false)
+	s := f.scheduleAfter(0).Starts[0]
+	f.confirmStart(s)
+	f.Cancel(f.now, "long")
+	g.Expect(f.scheduleAfter(time.Second).Stops).To(HaveLen(1))
+	g.Expect(f.RemoveExpired(f.now)).To(BeEmpty(), "the run isn't over")
+	f.endRun(s, batch.Stopped)
+	g.Expect(f.workerOf("1").freeResources()).To(Equal(f.workerOf("1").Capacity))
+	g.Expect(f.RemoveExpired(f.now)).To(ConsistOf(batch.JobID("long")))
+}
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -292,7 +292,8 @@
 // MarkDirty marks a job whose progress couldn't be stored, so that it is stored again.
 func (s *Scheduler) MarkDirty(id batch.JobID) { s.dirtyJobs[id] = true }
 
-// RemoveExpired removes the finished jobs that ended before the given time and returns their IDs.
+// RemoveExpired removes the finished jobs that ended before the given time and have no
+// runs left, and returns their IDs.
 func (s *Scheduler) RemoveExpired(before time.Time) []batch.JobID {
 	for id, at := range s.earlyCancellations {
 		if at.Before(before) {
@@ -301,7 +302,7 @@
 	}
 	var ids []batch.JobID
 	for id, j := range s.jobs {
-		if j.state.Final() && j.finalStateStored && j.endedAt.Before(before) {
+		if j.state.Final() && j.finalStateStored && j.endedAt.Before(before) && !j.running() {
 			ids = append(ids, id)
 			delete(s.jobs, id)
 		}
