Count an unassigned run once if it is listed twice

A run that isn't assigned to its worker holds its room there until its end is listed. If a worker lists such a run twice, its resources were reserved twice and given up once, so that the rest stayed reserved until the worker was removed.

addUnassigned now replaces what was reserved before. TestUnassignedRunThatIsListedTwiceCountsOnce failed before (2000 millicores free, not 3000).

--- a/pkg/decide/schedule/accounting_test.go
+++ b/pkg/decide/schedule/accounting_test.go
@@ -23,3 +23,19 @@
 	g.Expect(f.workerOf("1").freeResources()).To(Equal(f.workerOf("1").Capacity))
 	g.Expect(f.RemoveExpired(f.now)).To(ConsistOf(batch.JobID("long")))
 }
+
+// A run that isn't assigned and that a worker lists twice holds its room once.
+func TestUnassignedRunThatIsListedTwiceCountsOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 4000))
+	f.Add(f.now, testJob("a", "urgent", testStep(1, 1000)), nil, false)
+	s := f.scheduleAfter(0).Starts[0]
+	f.Cancel(f.now, "a")
+	f.RemoveWorker(s.Key)
+	r := batch.Run{Task: s.Task, Number: s.Number}
+	f.SyncWorker(f.now, s.Host, testWorker("1", 4000), []batch.Run{r, r}, nil)
+	w := f.workerOf("1")
+	g.Expect(w.freeResources().MilliCPU).To(Equal(3000))
+	f.endRun(s, batch.Stopped)
+	g.Expect(w.freeResources()).To(Equal(w.Capacity))
+}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -128,8 +128,10 @@
 	}
 }
 
-// addUnassigned reserves the resources of a run that is to be stopped, until its end is listed.
+// addUnassigned reserves the resources of a run that is to be stopped, until its end is
+// listed. A run that is listed twice counts once.
 func (w *worker) addUnassigned(t *task) {
+	w.removeUnassigned(t.id)
 	if w.unassignedRuns == nil {
 		w.unassignedRuns = map[batch.Task]batch.Resources{}
 	}
