Pause long-running tasks that fail wherever they run

A task that fails avoids its last machine only, and none where the fleet has a single worker. A long-running task that fails on each worker, and has no limit of attempts, was therefore started again on the other worker, or on the only one, in each pass: 400 starts in 20 s, on one worker and on two. Failures of one job alone, without a done task, don't quarantine a worker, so nothing else bounded them.

From the second failure in a row, without the task having been at work in between, it now waits a second for its next start. The first failure is still followed by a start elsewhere at once. TestTaskThatFailsOnAllWorkersIsStartedWithPauses failed before (400 starts; at most 22 allowed).

--- a/pkg/decide/schedule/avoidance.go
+++ b/pkg/decide/schedule/avoidance.go
@@ -17,6 +17,9 @@
 	minAvoidance = minQuarantine
 	// maxAvoidance leaves a long-running task enough of the time within which it has to run again.
 	maxAvoidance = 4 * time.Second
+	// repeatedFailureDelay is the pause of a long-running task between starts while it fails
+	// wherever it runs. The avoidance of one machine doesn't bound its starts.
+	repeatedFailureDelay = time.Second
 )
 
 // start begins to avoid a machine.
@@ -43,3 +46,11 @@
 		a.until = until
 	}
 }
+
+// retryDelay returns how long a long-running task that has just failed waits for its next start.
+func (a *avoidance) retryDelay() time.Duration {
+	if a.inRow > 1 {
+		return repeatedFailureDelay
+	}
+	return 0
+}
--- a/pkg/decide/schedule/avoidance_test.go
+++ b/pkg/decide/schedule/avoidance_test.go
@@ -100,3 +100,28 @@
 		})
 	}
 }
+
+// The same with room for the task on several workers, or with a single worker.
+func TestTaskThatFailsOnAllWorkersIsStartedWithPauses(t *testing.T) {
+	for name, workers := range map[string][]batch.Worker{
+		"one worker":  {testWorker("1", 4000)},
+		"two workers": {testWorker("1", 4000), testWorker("2", 4000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newHarness(workers...)
+			f.Add(f.now, longRunningJob("long", 1, 2000), nil, false)
+			const trial = 20 * time.Second
+			starts := 0
+			for f.now.Sub(testStart) < trial {
+				for _, s := range f.scheduleAfter(50 * time.Millisecond).Starts {
+					f.confirmStart(s)
+					f.endRun(s, batch.Failed)
+					starts++
+				}
+			}
+			g.Expect(starts).To(BeNumerically("<=", 2+int(trial/repeatedFailureDelay)))
+			g.Expect(starts).To(BeNumerically(">", 4))
+		})
+	}
+}
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -236,6 +236,9 @@
 	}
 	t.failedAt = now
 	t.avoidance.start(now, w.Machine)
+	if t.step.LongRunning {
+		t.retryAt = now.Add(t.avoidance.retryDelay())
+	}
 	jobHasDoneTask := j.hasDoneTask()
 	if jobHasDoneTask || j.firstFailedMachine == "" || j.firstFailedMachine == w.Machine {
 		// A job without any done task that also failed on another machine causes its failures itself.
