Skip the last resort where no worker is in doubt

Each waiting long-running step was searched twice in each turn, also where all workers are full and sound.

--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -284,6 +284,9 @@
 			}
 		}
 	}
+	if len(needs) == 0 || !slices.ContainsFunc(s.workerList, func(w *worker) bool { return w.onProbation(now, needs[0].step) }) {
+		return
+	}
 	slices.SortStableFunc(needs, func(a, b need) int { return cmp.Compare(a.task.avoidance.inRow, b.task.avoidance.inRow) })
 	hopeless := map[*step]bool{}
 	for _, n := range needs {
--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -74,10 +74,7 @@
 	if w.Service != x.queue.Service {
 		return 0, otherService
 	}
-	e := w.refusesTasks(x.now)
-	if e == eligible && !w.maySuit(x.now, st) {
-		e = slow
-	}
+	e := w.refusesStep(x.now, st)
 	if e != eligible && (!x.lastResort || !e.doubtful() || !w.mayTryLongRunning(x.now)) {
 		return 0, e
 	}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -162,6 +162,20 @@
 	return eligible
 }
 
+// refusesStep returns why the worker may not be given work of a step, whatever its size.
+func (w *worker) refusesStep(now time.Time, st *step) exclusion {
+	e := w.refusesTasks(now)
+	if e == eligible && !w.maySuit(now, st) {
+		e = slow
+	}
+	return e
+}
+
+// onProbation reports whether the worker may be given a task of a long-running step only as a last resort.
+func (w *worker) onProbation(now time.Time, st *step) bool {
+	return w.refusesStep(now, st).doubtful() && w.mayTryLongRunning(now)
+}
+
 // mayTryLongRunning reports whether w, whose health is in doubt, may be given a
 // long-running task that finds no other worker: one at a time until it is at work, and
 // not sooner than minQuarantine after the last failed run.
