Tell the scheduler when a worker doesn't answer its host

A host knows within a second that its worker doesn't answer, and then refuses every start with leaseOver. The scheduler learned it when the lease was over, 4 to 5 s later. Until then it chose the same worker again each quarter of a second, also beside another with room, and stopped tasks to move them there.

A host now reports that its worker has stopped to answer, and that it answers again (WorkerSilent). Meanwhile the worker gets no tasks and keeps its runs, as one whose host has no session. Hosts of earlier versions send no report, and earlier schedulers read it as an empty message.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -220,6 +220,8 @@
 		d.scheduler.UpdateWorker(now, m.WorkerUpdate.Worker)
 		d.Log.Event(eventlog.WorkerChanged).Str("worker", m.WorkerUpdate.Worker.ID).Bool("draining", m.WorkerUpdate.Worker.Draining).
 			Dur("drainLeft", m.WorkerUpdate.Worker.DrainRemaining).Msg("")
+	case m.WorkerSilent != nil:
+		d.handleSilence(s, m.WorkerSilent)
 	case m.WorkerGone != nil:
 		d.removeWorker(m.WorkerGone.Key, m.WorkerGone.Reason)
 		s.dropSnapshot(m.WorkerGone.Key)
@@ -288,12 +290,13 @@
 		return
 	}
 	s.dropSnapshot(m.Worker.Key())
-	s.pendingSnapshots = append(s.pendingSnapshots, pendingSnapshot{m, now})
+	s.pendingSnapshots = append(s.pendingSnapshots, pendingSnapshot{snapshot: m, receivedAt: now})
 	d.register(s.hello.Node, s, func(now time.Time) {
 		pending := s.pendingSnapshots
 		s.pendingSnapshots = nil
 		for _, p := range pending {
 			d.addWorker(now, s, p.snapshot, now.Sub(p.receivedAt))
+			d.scheduler.SetSilent(p.snapshot.Worker.Key(), p.silent)
 		}
 	})
 }
@@ -302,6 +305,8 @@
 type pendingSnapshot struct {
 	snapshot   *link.Snapshot
 	receivedAt time.Time
+	// silent is set if the worker has stopped to answer since.
+	silent bool
 }
 
 // dropSnapshot drops the pending snapshot of a worker, if there is one.
@@ -318,6 +323,21 @@
 	}
 }
 
+// handleSilence records whether a worker answers its host. A worker whose snapshot is
+// pending, or hasn't come in this session, may be known from an earlier session, of which this tells nothing.
+func (d *Dispatcher) handleSilence(s *session, m *link.WorkerSilent) {
+	for i, p := range s.pendingSnapshots {
+		if p.snapshot.Worker.Key() == m.Key {
+			s.pendingSnapshots[i].silent = m.Silent
+			return
+		}
+	}
+	if s.workers[m.Key] {
+		d.scheduler.SetSilent(m.Key, m.Silent)
+		d.Log.Event(eventlog.WorkerChanged).Str("worker", m.Key.ID).Bool("silent", m.Silent).Msg("")
+	}
+}
+
 // addWorker adds the worker of a snapshot, which waited for the registration of the host.
 func (d *Dispatcher) addWorker(now time.Time, s *session, m *link.Snapshot, waited time.Duration) {
 	k := m.Worker.Key()
--- a/internal/hostagent/poll.go
+++ b/internal/hostagent/poll.go
@@ -80,6 +80,7 @@
 	if h.unresponsive {
 		h.unresponsive = false
 		a.Log.Event(eventlog.WorkerJoined).Str("worker", h.info.ID).Str("why", "answers again").Msg("")
+		h.reportSilence(false)
 	}
 	h.readClock(answer, a.Steady())
 	if h.leaseLapsed {
@@ -110,7 +111,7 @@
 	return len(lists.Ended) == 0
 }
 
-// pollFailed handles the error of a poll. It marks the worker as unresponsive,
+// pollFailed handles the error of a poll. It marks and reports the worker as unresponsive,
 // and reports it as gone once its last lease has expired.
 func (h *workerHandle) pollFailed(err error) {
 	a := h.agent
@@ -120,6 +121,7 @@
 	if !h.unresponsive {
 		h.unresponsive = true
 		a.Log.Warning(eventlog.WorkerUnreachable).Str("worker", h.info.ID).Err(err).Msg("")
+		h.reportSilence(true)
 	}
 	if h.snapshotAcked && !h.leaseLapsed && a.Steady() > h.leaseEnd+leaseClockSlack {
 		h.leaseLapsed, h.snapshotAcked = true, false
@@ -128,6 +130,16 @@
 	}
 }
 
+// reportSilence reports that the worker has stopped to answer, or answers again. Without a
+// snapshot in the session there is nothing to report: the scheduler gives the worker no
+// tasks before it, and a worker answers before its snapshot is sent.
+func (h *workerHandle) reportSilence(silent bool) {
+	if h.snapshotFence == 0 || h.leaseLapsed {
+		return
+	}
+	h.agent.Send(link.Message{WorkerSilent: &link.WorkerSilent{Key: h.info.Key(), Silent: silent}})
+}
+
 // reportRuns sends new ends to the scheduler immediately, and the progress of
 // running runs once per progressInterval.
 func (h *workerHandle) reportRuns(l RunLists) {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -9,7 +9,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/sesamestream/sesamestream/internal/codec"
 	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
 // Messages arrive in the order in which they were sent, also when they are queued first.
@@ -83,3 +85,16 @@
 		l.Close()
 	}
 }
+
+// A process of an earlier version, which doesn't know a kind of message, reads it as an empty one.
+func TestUnknownMessageIsReadAsEmpty(t *testing.T) {
+	g := NewWithT(t)
+	b, err := codec.Encode(link.Message{WorkerSilent: &link.WorkerSilent{Key: batch.WorkerKey{ID: "w", StartTime: 1}, Silent: true}})
+	g.Expect(err).NotTo(HaveOccurred())
+	type earlierMessage struct {
+		WorkerGone *link.WorkerGone `cbor:"7,keyasint,omitempty"`
+	}
+	m, err := codec.Decode[earlierMessage](b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(m.WorkerGone).To(BeNil())
+}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -31,6 +31,7 @@
 	JobCancelled *JobCancelled `cbor:"22,keyasint,omitempty"`
 	TakeOver     *TakeOver     `cbor:"23,keyasint,omitempty"`
 	StoreRequest *StoreRequest `cbor:"24,keyasint,omitempty"`
+	WorkerSilent *WorkerSilent `cbor:"25,keyasint,omitempty"`
 }
 
 // Hello opens a session with the scheduler.
@@ -96,6 +97,14 @@
 	Worker batch.Worker `cbor:"1,keyasint"`
 }
 
+// WorkerSilent reports that a worker has stopped to answer its host, or answers again. It
+// follows a Snapshot of the worker in the same session; a later Snapshot ends the silence too.
+// Hosts of earlier versions don't send it.
+type WorkerSilent struct {
+	Key    batch.WorkerKey `cbor:"1,keyasint"`
+	Silent bool            `cbor:"2,keyasint,omitempty"`
+}
+
 // WorkerGone reports that nothing runs on a worker incarnation any more.
 type WorkerGone struct {
 	Key batch.WorkerKey `cbor:"1,keyasint"`
--- a/pkg/decide/schedule/evacuate.go
+++ b/pkg/decide/schedule/evacuate.go
@@ -38,7 +38,7 @@
 func (s *Scheduler) evacuate(now time.Time, o *Orders) {
 	reserved := map[*worker]batch.Resources{}
 	for _, w := range s.workerList {
-		if !w.Draining || w.unresponsive {
+		if !w.Draining || w.outOfReach() {
 			continue
 		}
 		for _, t := range w.tasks {
--- a/pkg/decide/schedule/interference.go
+++ b/pkg/decide/schedule/interference.go
@@ -209,7 +209,7 @@
 // when the step ends, so a task that loses little by a move is moved at once.
 func (s *Scheduler) moveThrottled(now time.Time, o *Orders) {
 	for _, w := range s.workerList {
-		if w.unresponsive {
+		if w.outOfReach() {
 			continue
 		}
 		for _, t := range w.bestEffort {
--- a/pkg/decide/schedule/rearrange.go
+++ b/pkg/decide/schedule/rearrange.go
@@ -183,7 +183,7 @@
 	var out []*task
 	for i := range s.workerList {
 		w := s.workerList[(s.nextMoveSource+i)%len(s.workerList)]
-		if w.unresponsive {
+		if w.outOfReach() {
 			continue
 		}
 		for _, t := range w.victims {
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -16,7 +16,7 @@
 		s.workers[b.Key()] = w
 		s.workerList = append(s.workerList, w)
 	}
-	w.Worker, w.host, w.unresponsive = b, host, false
+	w.Worker, w.host, w.unresponsive, w.silent = b, host, false, false
 	w.setDrainDeadline(now)
 	for _, e := range ends {
 		s.handleEnd(now, w, e)
@@ -114,6 +114,13 @@
 	}
 }
 
+// SetSilent records whether a worker has stopped to answer its host. Its runs stay assigned.
+func (s *Scheduler) SetSilent(k batch.WorkerKey, silent bool) {
+	if w := s.workers[k]; w != nil {
+		w.silent = silent
+	}
+}
+
 // RemoveWorker removes an incarnation of a worker on which nothing runs any more.
 // It returns how many tasks were assigned to it.
 func (s *Scheduler) RemoveWorker(k batch.WorkerKey) int {
--- a/pkg/decide/schedule/straggler.go
+++ b/pkg/decide/schedule/straggler.go
@@ -50,7 +50,7 @@
 	for _, t := range st.tasks {
 		w := t.worker
 		// The worker isn't the cause if its host throttles the task.
-		if w == nil || w.unresponsive || !t.confirmed || t.stopping || t.firstReportAt.IsZero() || !t.throttledSince.IsZero() || now.Before(t.moveNotBefore) {
+		if w == nil || w.outOfReach() || !t.confirmed || t.stopping || t.firstReportAt.IsZero() || !t.throttledSince.IsZero() || now.Before(t.moveNotBefore) {
 			continue
 		}
 		r := t.runProgress()
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -14,7 +14,9 @@
 	host string
 	// unresponsive workers are given no orders; their runs stay assigned to them.
 	unresponsive bool
-	tasks        map[batch.Task]*task
+	// silent workers don't answer their host and are treated likewise.
+	silent bool
+	tasks  map[batch.Task]*task
 	// unassignedRuns are the resources of runs that are not assigned to the worker, until it lists their ends.
 	unassignedRuns map[batch.Task]batch.Resources
 	// victims are the tasks with a tail latency target, bestEffort the best-effort tasks.
@@ -147,10 +149,13 @@
 	}
 }
 
+// outOfReach reports whether no order reaches the worker at present.
+func (w *worker) outOfReach() bool { return w.unresponsive || w.silent }
+
 // refusesTasks returns why the worker may not be given new work at all.
 func (w *worker) refusesTasks(now time.Time) exclusion {
 	switch {
-	case w.unresponsive:
+	case w.outOfReach():
 		return unresponsive
 	case w.Draining:
 		return draining
