Start a task that a host refuses on another worker at once

A start refused with leaseOver or fenced says that the host may give its worker no orders. The task waited for 250 ms all the same, beside other workers with room, and the worker was not marked: the next task, or the same one, was sent there again.

Now the worker gets no tasks for 250 ms, and the task may start elsewhere at once. A second refusal within 250 ms makes it wait as before, which bounds its unrecorded starts.

TestTaskRefusedByHostStartsElsewhereAtOnce and TestLateRefusalByHostIsIgnored are new and pass.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -418,8 +418,13 @@
 	if m.Refusal == link.RefusedRunMissing {
 		d.scheduler.HandleMissingRun(m.Key, m.Task)
 	}
-	d.scheduler.HandleStartResult(now, m.Key, m.Task, m.Number, m.Refusal != "", m.Refusal == link.RefusedUnhealthy || m.Refusal == link.RefusedNoAnswer,
-		m.Refusal == link.RefusedOldRun)
+	switch m.Refusal {
+	case link.RefusedLeaseExpired, link.RefusedFenced:
+		d.scheduler.HandleUnavailable(now, m.Key, m.Task, m.Number)
+	default:
+		d.scheduler.HandleStartResult(now, m.Key, m.Task, m.Number, m.Refusal != "", m.Refusal == link.RefusedUnhealthy || m.Refusal == link.RefusedNoAnswer,
+			m.Refusal == link.RefusedOldRun)
+	}
 	if m.Refusal != "" {
 		d.Log.Warning(eventlog.RunRefused).Str("job", string(m.Task.Job)).Str("task", m.Task.String()).Int("run", m.Number).
 			Str("worker", m.Key.ID).Str("why", string(m.Refusal)).Msg("")
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -16,7 +16,7 @@
 		s.workers[b.Key()] = w
 		s.workerList = append(s.workerList, w)
 	}
-	w.Worker, w.host, w.unresponsive, w.silent = b, host, false, false
+	w.Worker, w.host, w.unresponsive, w.silent, w.unavailableUntil = b, host, false, false, time.Time{}
 	w.setDrainDeadline(now)
 	for _, e := range ends {
 		s.handleEnd(now, w, e)
@@ -117,7 +117,7 @@
 // SetSilent records whether a worker has stopped to answer its host. Its runs stay assigned.
 func (s *Scheduler) SetSilent(k batch.WorkerKey, silent bool) {
 	if w := s.workers[k]; w != nil {
-		w.silent = silent
+		w.silent, w.unavailableUntil = silent, time.Time{}
 	}
 }
 
@@ -290,6 +290,22 @@
 	t.retryAt = now.Add(refusedRetryDelay)
 }
 
+// HandleUnavailable records that a host refused a start as it may give its worker no orders.
+// That says nothing about the task: the first time it may be started elsewhere at once.
+func (s *Scheduler) HandleUnavailable(now time.Time, k batch.WorkerKey, id batch.Task, run int) {
+	t := s.findTask(id)
+	if t == nil || t.worker == nil || t.worker.Key() != k || t.run != run {
+		return
+	}
+	t.worker.unavailableUntil = now.Add(refusedRetryDelay)
+	t.release()
+	if now.Sub(t.retryAt) < refusedRetryDelay {
+		t.retryAt = now.Add(refusedRetryDelay)
+		return
+	}
+	t.retryAt = now
+}
+
 // HandleMissingRun releases the resources of a run that was to be stopped and that the
 // worker lists neither as running nor as ended.
 func (s *Scheduler) HandleMissingRun(k batch.WorkerKey, id batch.Task) {
@@ -298,7 +314,8 @@
 	}
 }
 
-// refusedRetryDelay is how long a task waits after a worker refused it; polling the worker takes as long.
+// refusedRetryDelay is how long a task waits after a worker refused it, and a worker gets no
+// tasks after its host refused one; polling the worker takes as long.
 const refusedRetryDelay = 250 * time.Millisecond
 
 // HandleProgress records the progress and load of the runs on a worker. throttled
--- a/pkg/decide/schedule/silent_test.go
+++ b/pkg/decide/schedule/silent_test.go
@@ -86,3 +86,35 @@
 		})
 	}
 }
+
+// A task that a host refuses without asking its worker is started on the next worker with
+// room at once. The first worker gets no tasks for a while, so that a host of an earlier
+// version, which doesn't report silences, isn't asked again and again.
+func TestTaskRefusedByHostStartsElsewhereAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 4000), testWorker("2", 8000))
+	f.Add(f.now, longRunningJob("a", 1, 1000), nil, false)
+	first := f.scheduleAfter(0).Starts[0]
+	g.Expect(first.Key.ID).To(Equal("1"))
+	f.HandleUnavailable(f.now, first.Key, first.Task, first.Number)
+	second := f.scheduleAfter(0).Starts
+	g.Expect(second).To(HaveLen(1))
+	g.Expect(second[0].Key.ID).To(Equal("2"))
+	// Another host that refuses it makes it wait, so that starts don't go round many hosts.
+	f.HandleUnavailable(f.now, second[0].Key, second[0].Task, second[0].Number)
+	g.Expect(f.scheduleAfter(refusedRetryDelay - 1).Starts).To(BeEmpty())
+	g.Expect(f.scheduleAfter(1).Starts).To(HaveLen(1))
+}
+
+// A refusal of an earlier run says nothing about the present one.
+func TestLateRefusalByHostIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 4000))
+	f.Add(f.now, longRunningJob("a", 1, 1000), nil, false)
+	first := f.scheduleAfter(0).Starts[0]
+	f.HandleUnavailable(f.now, first.Key, first.Task, first.Number)
+	second := f.scheduleAfter(refusedRetryDelay).Starts
+	g.Expect(second).To(HaveLen(1))
+	f.HandleUnavailable(f.now, first.Key, first.Task, first.Number)
+	g.Expect(f.workerOf("1").tasks).To(HaveLen(1))
+}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -16,7 +16,9 @@
 	unresponsive bool
 	// silent workers don't answer their host and are treated likewise.
 	silent bool
-	tasks  map[batch.Task]*task
+	// unavailableUntil is until when the worker gets no tasks after its host refused one.
+	unavailableUntil time.Time
+	tasks            map[batch.Task]*task
 	// unassignedRuns are the resources of runs that are not assigned to the worker, until it lists their ends.
 	unassignedRuns map[batch.Task]batch.Resources
 	// victims are the tasks with a tail latency target, bestEffort the best-effort tasks.
@@ -155,7 +157,7 @@
 // refusesTasks returns why the worker may not be given new work at all.
 func (w *worker) refusesTasks(now time.Time) exclusion {
 	switch {
-	case w.outOfReach():
+	case w.outOfReach() || now.Before(w.unavailableUntil):
 		return unresponsive
 	case w.Draining:
 		return draining
