Report a replaced incarnation as silent until it is gone

Until then the scheduler took it for healthy and offered it tasks; its host refused each as fenced.

This is the one case found in which fenced refusals last longer than a round trip: in all others the end of the worker or of the session is reported before, on the same link.

TestReplacedIncarnationIsReportedAsSilent failed before: nothing was reported.

--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -68,6 +68,8 @@
 	if !a.removeWorker(h, reason) {
 		return
 	}
+	// All starts there are refused until it's reported as gone.
+	h.reportSilence(true)
 	k, end := h.info.Key(), a.Steady()+a.MaxLease+leaseClockSlack
 	a.replaced[k] = end
 	a.background.Go(func() {
--- a/internal/hostagent/silent_test.go
+++ b/internal/hostagent/silent_test.go
@@ -69,3 +69,25 @@
 		checkSilences(t, w, true)
 	})
 }
+
+// An incarnation that another one has replaced, and that isn't reported as gone yet since the
+// other one may have carried out a start, is reported as silent. Its host refuses starts
+// there for as long as the longest lease.
+func TestReplacedIncarnationIsReportedAsSilent(t *testing.T) {
+	withHarness(t, func(w *harness) {
+		w.worker.restart(2)
+		w.start(1, 0)
+		time.Sleep(time.Second)
+		checkSilences(t, w, true)
+		silent := w.indexOfMessage(func(m link.Message) bool { return m.WorkerSilent != nil && m.WorkerSilent.Key.StartTime == 1 })
+		w.start(1, 1)
+		refused := w.indexOfMessage(func(m link.Message) bool { return m.StartResult != nil && m.StartResult.Refusal == link.RefusedFenced })
+		if silent < 0 || refused < silent {
+			t.Errorf("the silence is message %d and the refusal message %d, want the silence first", silent, refused)
+		}
+		time.Sleep(8 * time.Second)
+		if gone := w.indexOfMessage(func(m link.Message) bool { return m.WorkerGone != nil && m.WorkerGone.Key.StartTime == 1 }); gone < refused {
+			t.Errorf("the end is message %d, want it later than %d", gone, refused)
+		}
+	})
+}
