Give up a move whose target or source can't do its part

The room kept for a moved long-running task stayed reserved for up to 2 s when the target had begun to drain, fallen silent, been quarantined or gone, and when the stop couldn't reach the task's own worker. After a new session of that worker the stop was ordered again, though the room was no longer kept.

Such a move is now given up in the next pass. A run that proves to go on after it stays. A stop is sent in the pass that decides on the move, so there is none to be withdrawn before; one that a host repeats until its worker answers isn't withdrawn.

TestMoveWhoseTargetFailsIsGivenUp (5 cases) and TestMoveWhoseStopIsNotAnsweredIsGivenUp (2 cases) failed before; TestOtherStopIsOrderedAgain passed and passes.

--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -92,7 +92,9 @@
 	// confirmed is set once the worker has reported or listed the run.
 	confirmed bool
 	stopping  bool
-	percent   int
+	// moving is set if the run was stopped for a move.
+	moving  bool
+	percent int
 	// firstReportAt is when the worker first listed the progress of the run and
 	// firstPercent that progress. progressedAt is when the progress last rose, and
 	// lastReportAt when it was last listed.
@@ -245,7 +247,7 @@
 		t.step.unassigned--
 	}
 	t.worker, t.run, t.startedAt = w, run, now
-	t.confirmed, t.stopping, t.percent, t.throttledSince = false, false, 0, time.Time{}
+	t.confirmed, t.stopping, t.moving, t.percent, t.throttledSince = false, false, false, 0, time.Time{}
 	t.firstReportAt, t.progressedAt, t.lastReportAt, t.firstPercent = time.Time{}, time.Time{}, time.Time{}, 0
 	w.addTask(t)
 	if t.step.tasksPerWorker != nil {
--- a/pkg/decide/schedule/rearrange.go
+++ b/pkg/decide/schedule/rearrange.go
@@ -215,9 +215,15 @@
 func (s *Scheduler) moveServing(now time.Time, t *task, to *worker) {
 	s.moves = append(s.moves, &servingMove{task: t, run: t.run, to: to, until: now.Add(moveTimeout)})
 	to.reserved = to.reserved.Plus(reservation(t.step.Step))
+	t.moving = true
 	s.orderStop(t, "another worker suits it better")
 }
 
+// moveGivenUp reports whether the run of t was stopped only for a move that was given up.
+func (s *Scheduler) moveGivenUp(t *task) bool {
+	return t.moving && !t.done && !t.step.job.state.Final() && !slices.ContainsFunc(s.moves, func(m *servingMove) bool { return m.task == t })
+}
+
 // takeMoveTarget returns the worker that keeps room for t, and gives the room up; nil if there is none.
 func (s *Scheduler) takeMoveTarget(t *task) *worker {
 	i := slices.IndexFunc(s.moves, func(m *servingMove) bool { return m.task == t })
@@ -229,16 +235,26 @@
 	return to
 }
 
-// dropMoves gives up the room of moves that have not ended in time.
+// dropMoves gives up the room of moves that have not ended in time, or of which either
+// worker can't do its part any more.
 func (s *Scheduler) dropMoves(now time.Time) {
 	for i := len(s.moves) - 1; i >= 0; i-- {
 		m := s.moves[i]
-		if now.After(m.until) || m.task.step.job.state.Final() || m.task.run != m.run {
+		if now.After(m.until) || m.task.step.job.state.Final() || m.task.run != m.run || !s.canMove(now, m) {
 			s.endMove(i)
 		}
 	}
 }
 
+// canMove reports whether the target of a move may be given its task, and the stop, if it is
+// still awaited, reaches its worker.
+func (s *Scheduler) canMove(now time.Time, m *servingMove) bool {
+	if s.workers[m.to.Key()] != m.to || m.to.refusesTasks(now) != eligible {
+		return false
+	}
+	return m.task.worker == nil || !m.task.worker.outOfReach()
+}
+
 // endMove removes a move and gives up the room that was kept.
 func (s *Scheduler) endMove(i int) {
 	m := s.moves[i]
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -53,10 +53,13 @@
 		t.recordProgress(now, r)
 	}
 	for id, t := range w.tasks {
-		if !listed[id] {
+		switch {
+		case !listed[id]:
 			// The run has neither started nor ended, so the worker never carried out the start.
 			t.release()
-		} else if t.stopping {
+		case t.stopping && s.moveGivenUp(t):
+			t.stopping, t.moving = false, false
+		case t.stopping:
 			s.orderStop(t, "again")
 		}
 	}
