Hold room for long-running tasks that wait

A long-running task that has waited for 1.5 s is now held room on the worker where the estimated ends of the running tasks free it soonest, within 4 s. Other tasks start there only if they end before or leave the room (EASY backfilling). The hold is given up when the task runs elsewhere or is cancelled, and when its worker drains, goes, doesn't answer, or is quarantined or slow. Gangs aren't held room.

--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -65,6 +65,8 @@
 	idleSince time.Time
 	// searched is set once workers were searched for all waiting tasks, and reset when one of the tasks is released.
 	searched bool
+	// holdFailedAt is when the last search for room to hold for a task found none.
+	holdFailedAt time.Time
 	// moveFailedAt is when the last search for a worker to move a task to found none.
 	moveFailedAt time.Time
 	// peerDurations are the durations of the tasks that are done.
@@ -108,6 +110,8 @@
 	failedAt time.Time
 	// retryAt is when the task may be started again after a refusal.
 	retryAt time.Time
+	// hold is the hold of room for the waiting long-running task, or nil.
+	hold *hold
 	// waitingSince is since when the long-running task, whose turn has come, has not been at work; zero while it is.
 	waitingSince time.Time
 }
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -37,6 +37,7 @@
 	if longRunning < 0 {
 		longRunning = len(pending)
 	}
+	s.updateHolds(now, pending[:longRunning], &o)
 	s.placeSteps(now, pending[:longRunning], bestEffortTurn, &o)
 	s.placeInNeed(now, pending[:longRunning], &o)
 	s.placeSteps(now, pending[longRunning:], bestEffortTurn, &o)
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -98,6 +98,9 @@
 	judgedAt time.Time
 	// interference estimates which images interfere with which.
 	interference interfere.OccupancyModel[*step]
+	// holds keep room for waiting long-running tasks; heldAt is when room was last looked for.
+	holds  []*hold
+	heldAt time.Time
 	// waitsReportedAt is when waiting tasks were last reported.
 	waitsReportedAt time.Time
 	// moves are the latency-critical tasks on their way to another worker; rearrangedAt is
--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -25,6 +25,8 @@
 	limitInterference bool
 	// lastResort admits workers whose health is in doubt, one such run at a time.
 	lastResort bool
+	// ignoreRoom admits workers that have no room now.
+	ignoreRoom bool
 	// unadvised are the workers on which the policy service has not decided.
 	unadvised []string
 	orders    *Orders
@@ -78,7 +80,7 @@
 	if e != eligible && (!x.lastResort || !e.doubtful() || !w.mayTryLongRunning(x.now)) {
 		return 0, e
 	}
-	if e := lacking(x.reservation, w.freeResources()); e != eligible {
+	if e := lacking(x.reservation, w.freeResources()); e != eligible && !x.ignoreRoom {
 		return 0, e
 	}
 	switch {
@@ -86,6 +88,8 @@
 		return 0, lacksLabel
 	case x.rack != "" && w.Rack() != x.rack:
 		return 0, otherRack
+	case w.hold.delays(x.now, st, x.reservation):
+		return 0, held
 	case st.MaxPerWorker > 0 && st.tasksPerWorker[w] >= st.MaxPerWorker:
 		return 0, atTaskLimit
 	}
--- a/pkg/decide/schedule/wait.go
+++ b/pkg/decide/schedule/wait.go
@@ -27,6 +27,8 @@
 	lacksGPU
 	lacksLabel
 	otherRack
+	// held workers keep their room for a long-running task.
+	held
 	atTaskLimit
 	lacksSpareCPU
 	wouldInterfere
@@ -57,7 +59,7 @@
 }
 
 var exclusionNames = [exclusions]string{
-	"eligible", "otherService", "unresponsive", "draining", "quarantined", "probing", "slow", "lacksCpu", "lacksMemory", "lacksGpu", "lacksLabel", "otherRack",
+	"eligible", "otherService", "unresponsive", "draining", "quarantined", "probing", "slow", "lacksCpu", "lacksMemory", "lacksGpu", "lacksLabel", "otherRack", "held",
 	"atTaskLimit", "lacksSpareCpu", "wouldInterfere", "unadvised", "denied", "avoided", "failedLately",
 }
 
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -35,7 +35,9 @@
 	// bestEffortMilliCPU is the processor time requested by best-effort tasks, in thousandths of a core.
 	bestEffortMilliCPU int
 	health             health
-	measuredSpare      spareSample
+	// hold is the hold of room on the worker, or nil.
+	hold          *hold
+	measuredSpare spareSample
 	// drainDeadline is when a draining worker may be gone.
 	drainDeadline time.Time
 	// bestEffortShares is the recent usage of best-effort images, smoothed as the tail latencies follow it.
