Count all failed runs for the pause between trials

A job that first failed on another machine and has no done task, as any long-running one, is taken for the cause of its failures, so that these weren't recorded at the worker. The pause of 2 s between two trials in a quarantine then didn't begin, and each waiting task was started there in turn.

TestPauseBetweenTrialsCountsAllFailures failed before: 24 starts in 7 s, of 12 such tasks, on a worker that fails all it starts.

--- a/pkg/decide/schedule/health.go
+++ b/pkg/decide/schedule/health.go
@@ -18,6 +18,8 @@
 	failedJobs    int
 	// recentFailures are the last failed runs, newest first.
 	recentFailures [burstFailures]failure
+	// lastFailedAt is when a run last failed, whatever the cause.
+	lastFailedAt time.Time
 	// burstAt is the time of the last burst of failures. Runs that started before it
 	// are no evidence that the worker is healthy again.
 	burstAt time.Time
@@ -63,6 +65,7 @@
 // job is not the cause.
 func (h *health) recordFailure(now time.Time, job batch.JobID, jobHasDoneTask bool) bool {
 	h.failuresInRow++
+	h.lastFailedAt = now
 	copy(h.recentFailures[1:], h.recentFailures[:])
 	h.recentFailures[0] = failure{now, job, jobHasDoneTask}
 	if h.lastFailedJob != job {
@@ -117,7 +120,7 @@
 		return false
 	}
 	wasProbing := h.probing()
-	*h = health{recentFailures: h.recentFailures}
+	*h = health{recentFailures: h.recentFailures, lastFailedAt: h.lastFailedAt}
 	return wasProbing
 }
 
--- a/pkg/decide/schedule/lastresort_test.go
+++ b/pkg/decide/schedule/lastresort_test.go
@@ -213,3 +213,25 @@
 		})
 	}
 }
+
+// Failures of jobs that failed elsewhere first count for the pause between trials in a quarantine.
+func TestPauseBetweenTrialsCountsAllFailures(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 32000), testWorker("2", 1000))
+	w := f.workerOf("1")
+	w.health.backoffLevel = maxBackoffLevel
+	w.health.quarantine(f.now)
+	for i := range 12 {
+		f.Add(f.now, longRunningJob(fmt.Sprint("long", i), 1, 2000), nil, false)
+		f.jobs[batch.JobID(fmt.Sprint("long", i))].firstFailedMachine = "elsewhere"
+	}
+	starts := 0
+	for f.now.Sub(testStart) < maxQuarantine-time.Second {
+		for _, s := range f.scheduleAfter(50 * time.Millisecond).Starts {
+			f.confirmStart(s)
+			f.endRun(s, batch.Failed)
+			starts++
+		}
+	}
+	g.Expect(starts).To(BeNumerically("<=", int(maxQuarantine/minQuarantine)))
+}
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -244,7 +244,7 @@
 	if t.failedAttempts() == attemptsBefore {
 		return
 	}
-	t.failedAt = now
+	t.failedAt, w.health.lastFailedAt = now, now
 	t.avoidance.start(now, w.Machine)
 	if t.step.LongRunning {
 		t.retryAt = now.Add(t.avoidance.retryDelay())
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -189,7 +189,7 @@
 // long-running task that finds no other worker: one at a time until it is at work, and
 // not sooner than minQuarantine after the last failed run.
 func (w *worker) mayTryLongRunning(now time.Time) bool {
-	doubtAt := w.health.recentFailures[0].at
+	doubtAt := w.health.lastFailedAt
 	if now.Sub(doubtAt) < minQuarantine {
 		return false
 	}
