Give a second drain its whole time

The deadline of a drain stayed where the worker took the drain back. When it drained again, the deadline was over, and all runs that another worker has room for were stopped at once.

TestSecondDrainHasItsTime failed before.

--- a/pkg/decide/schedule/evacuate.go
+++ b/pkg/decide/schedule/evacuate.go
@@ -19,7 +19,10 @@
 
 // setDrainDeadline records the time after which a draining worker may be gone.
 func (w *worker) setDrainDeadline(now time.Time) {
-	if w.Draining && w.drainDeadline.IsZero() {
+	switch {
+	case !w.Draining:
+		w.drainDeadline = time.Time{}
+	case w.drainDeadline.IsZero():
 		w.drainDeadline = now.Add(w.DrainRemaining)
 	}
 }
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -402,3 +402,15 @@
 	state, _ := f.State("j")
 	g.Expect(state).To(Equal(batch.Completed))
 }
+
+// A drain that is taken back and begins again has its whole time.
+func TestSecondDrainHasItsTime(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 4000))
+	f.setDraining("1")
+	first := f.workerOf("1").drainDeadline
+	f.now = f.now.Add(10 * time.Minute)
+	f.UpdateWorker(f.now, testWorker("1", 4000))
+	f.setDraining("1")
+	g.Expect(f.workerOf("1").drainDeadline).To(BeTemporally(">", first))
+}
