Count runs that are to be stopped for the limit per worker

A run that a worker lists and that isn't assigned to it kept its resources until its end, but didn't count for MaxPerWorker.

TestUnassignedRunCountsForTheLimit failed before.

--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -54,7 +54,7 @@
 	unfinished int
 	// unassigned counts the tasks that have no worker and aren't done.
 	unassigned int
-	// tasksPerWorker counts the tasks on each worker, if MaxPerWorker bounds them.
+	// tasksPerWorker counts the runs on each worker, with those that are to be stopped, if MaxPerWorker bounds them.
 	tasksPerWorker map[*worker]int
 	// lastRun is the highest run number of its tasks; those of a gang share it.
 	lastRun    int
@@ -230,6 +230,16 @@
 	return true
 }
 
+// countOn adds n to the number of runs of the step on a worker, if MaxPerWorker bounds it.
+func (s *step) countOn(w *worker, n int) {
+	if s.tasksPerWorker == nil {
+		return
+	}
+	if s.tasksPerWorker[w] += n; s.tasksPerWorker[w] == 0 {
+		delete(s.tasksPerWorker, w)
+	}
+}
+
 // markDone marks the task as done and updates the counts of its step, occurrence and job.
 func (t *task) markDone() {
 	if t.done {
@@ -254,9 +264,7 @@
 	t.confirmed, t.stopping, t.moving, t.percent, t.throttledSince = false, false, false, 0, time.Time{}
 	t.firstReportAt, t.progressedAt, t.lastReportAt, t.firstPercent = time.Time{}, time.Time{}, time.Time{}, 0
 	w.addTask(t)
-	if t.step.tasksPerWorker != nil {
-		t.step.tasksPerWorker[w]++
-	}
+	t.step.countOn(w, 1)
 	t.step.job.started = true
 }
 
@@ -267,11 +275,7 @@
 		return
 	}
 	w.removeTask(t)
-	if t.step.tasksPerWorker != nil {
-		if t.step.tasksPerWorker[w]--; t.step.tasksPerWorker[w] == 0 {
-			delete(t.step.tasksPerWorker, w)
-		}
-	}
+	t.step.countOn(w, -1)
 	t.worker, t.confirmed, t.stopping = nil, false, false
 	if !t.done {
 		t.step.unassigned++
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -414,3 +414,16 @@
 	f.setDraining("1")
 	g.Expect(f.workerOf("1").drainDeadline).To(BeTemporally(">", first))
 }
+
+// Runs that are to be stopped count for the limit per worker.
+func TestUnassignedRunCountsForTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("2", 2000))
+	job := longRunningJob("a", 2, 1000)
+	job.Steps[0].MaxPerWorker = 1
+	f.Add(f.now, job, nil, false)
+	s := f.startFor(50 * time.Millisecond)
+	g.Expect(s).To(HaveLen(1))
+	f.SyncWorker(f.now, "host-1", testWorker("1", 8000), []batch.Run{{Task: s[0].Task, Number: 7}}, nil)
+	g.Expect(f.startFor(time.Second)).To(BeEmpty(), "a second task of the step starts beside a run that is to be stopped")
+}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -19,8 +19,8 @@
 	// unavailableUntil is until when the worker gets no tasks after its host refused one.
 	unavailableUntil time.Time
 	tasks            map[batch.Task]*task
-	// unassignedRuns are the resources of runs that are not assigned to the worker, until it lists their ends.
-	unassignedRuns map[batch.Task]batch.Resources
+	// unassignedRuns are the steps of runs that are not assigned to the worker, until it lists their ends.
+	unassignedRuns map[batch.Task]*step
 	// victims are the tasks with a tail latency target, bestEffort the best-effort tasks.
 	victims, bestEffort []*task
 	// compatibility is the compatibility with best-effort tasks as computed at compatibilityAt.
@@ -139,16 +139,18 @@
 func (w *worker) addUnassigned(t *task) {
 	w.removeUnassigned(t.id)
 	if w.unassignedRuns == nil {
-		w.unassignedRuns = map[batch.Task]batch.Resources{}
+		w.unassignedRuns = map[batch.Task]*step{}
 	}
-	w.unassignedRuns[t.id] = reservation(t.step.Step)
-	w.reserved = w.reserved.Plus(w.unassignedRuns[t.id])
+	w.unassignedRuns[t.id] = t.step
+	w.reserved = w.reserved.Plus(reservation(t.step.Step))
+	t.step.countOn(w, 1)
 }
 
 // removeUnassigned releases the resources of an unassigned run.
 func (w *worker) removeUnassigned(t batch.Task) {
-	if n, ok := w.unassignedRuns[t]; ok {
-		w.reserved = w.reserved.Minus(n)
+	if st, ok := w.unassignedRuns[t]; ok {
+		w.reserved = w.reserved.Minus(reservation(st.Step))
+		st.countOn(w, -1)
 		delete(w.unassignedRuns, t)
 	}
 }
