--- a/pkg/decide/schedule/move_test.go
+++ b/pkg/decide/schedule/move_test.go
@@ -14,7 +14,7 @@
 func movingTask(t *testing.T) (*harness, Start) {
 	g := NewWithT(t)
 	f := newHarness(testWorker("1", 2000))
-	f.Add(f.now, longRunningJob("a", 1, 2000), nil, false)
+	f.Add(f.now, lastingJob("a", 2000), nil, false)
 	s := f.scheduleAfter(0).Starts[0]
 	f.confirmStart(s)
 	f.reportAtWork(s)
--- a/pkg/decide/schedule/silent_test.go
+++ b/pkg/decide/schedule/silent_test.go
@@ -12,6 +12,11 @@
 // keyOf returns the key of a worker of the harness.
 func keyOf(id string) batch.WorkerKey { return batch.WorkerKey{ID: id, StartTime: 1} }
 
+// lastingJob returns a job of one long-running task.
+func lastingJob(id string, milliCPU int) *batch.Job {
+	return testJob(id, "urgent", testStep(1, milliCPU, func(s *batch.Step) { s.LongRunning = true }))
+}
+
 // A worker that doesn't answer its host gets no tasks until it answers again or sends a
 // snapshot, and keeps its runs.
 func TestSilentWorkerGetsNoTasks(t *testing.T) {
@@ -23,13 +28,13 @@
 			g := NewWithT(t)
 			b := testWorker("1", 4000)
 			f := newHarness(b)
-			f.Add(f.now, longRunningJob("a", 1, 1000), nil, false)
+			f.Add(f.now, lastingJob("a", 1000), nil, false)
 			first := f.scheduleAfter(0).Starts
 			g.Expect(first).To(HaveLen(1))
 			f.confirmStart(first[0])
 			f.SetSilent(b.Key(), true)
 			f.UpdateWorker(f.now, b)
-			f.Add(f.now, longRunningJob("b", 1, 1000), nil, false)
+			f.Add(f.now, lastingJob("b", 1000), nil, false)
 			for range 20 {
 				o := f.scheduleAfter(100 * time.Millisecond)
 				g.Expect(o.Starts).To(BeEmpty())
@@ -50,7 +55,7 @@
 	f.SetSilent(keyOf("1"), true)
 	f.MarkUnresponsive("host-1")
 	f.SetSilent(keyOf("1"), false)
-	f.Add(f.now, longRunningJob("a", 1, 1000), nil, false)
+	f.Add(f.now, lastingJob("a", 1000), nil, false)
 	g.Expect(f.scheduleAfter(0).Starts).To(BeEmpty())
 }
 
@@ -62,7 +67,7 @@
 	next := testWorker("1", 4000)
 	next.StartTime = 2
 	f.SyncWorker(f.now, "host-1", next, nil, nil)
-	f.Add(f.now, longRunningJob("a", 1, 1000), nil, false)
+	f.Add(f.now, lastingJob("a", 1000), nil, false)
 	starts := f.scheduleAfter(0).Starts
 	g.Expect(starts).To(HaveLen(1))
 	g.Expect(starts[0].Key).To(Equal(next.Key()))
@@ -75,7 +80,7 @@
 		t.Run(silent, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newHarness(testWorker("1", 4000))
-			f.Add(f.now, longRunningJob("a", 1, 1000), nil, false)
+			f.Add(f.now, lastingJob("a", 1000), nil, false)
 			f.confirmStart(f.scheduleAfter(0).Starts[0])
 			f.SyncWorker(f.now, "host-2", testWorker("2", 4000), nil, nil)
 			f.setDraining("1")
@@ -93,7 +98,7 @@
 func TestTaskRefusedByHostStartsElsewhereAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	f := newHarness(testWorker("1", 4000), testWorker("2", 8000))
-	f.Add(f.now, longRunningJob("a", 1, 1000), nil, false)
+	f.Add(f.now, lastingJob("a", 1000), nil, false)
 	first := f.scheduleAfter(0).Starts[0]
 	g.Expect(first.Key.ID).To(Equal("1"))
 	f.HandleUnavailable(f.now, first.Key, first.Task, first.Number)
@@ -110,7 +115,7 @@
 func TestLateRefusalByHostIsIgnored(t *testing.T) {
 	g := NewWithT(t)
 	f := newHarness(testWorker("1", 4000))
-	f.Add(f.now, longRunningJob("a", 1, 1000), nil, false)
+	f.Add(f.now, lastingJob("a", 1000), nil, false)
 	first := f.scheduleAfter(0).Starts[0]
 	f.HandleUnavailable(f.now, first.Key, first.Task, first.Number)
 	second := f.scheduleAfter(refusedRetryDelay).Starts
