--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -143,7 +143,7 @@
 		d.Log.Event(eventlog.RunOrdered).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Int("run", x.Number).
 			Str("worker", x.Key.ID).Str("peer", x.Host).Str("image", x.Step.Image).Int("tier", x.Reason.Tier).Dur("slack", x.Reason.Slack).Int("roomMilliCpu", x.Reason.Free.MilliCPU).
 			Int("roomMb", x.Reason.Free.MemoryMB).Int("leftoverMilliCpu", x.Reason.SpareMilliCPU).
-			Bool("longRunning", x.Step.LongRunning).Msg("")
+			Bool("endless", x.Step.LongRunning).Msg("")
 		if n := d.sessions[x.Host]; n != nil && (x.Step.BestEffort || x.Step.LatencyTarget > 0) {
 			// The run may interfere with others, or be a victim, from its start on.
 			d.sendHostEstimates(n)
--- a/pkg/decide/schedule/accounting_test.go
+++ b/pkg/decide/schedule/accounting_test.go
@@ -13,7 +13,7 @@
 func TestRunThatOutlastsItsJobGivesUpItsRoom(t *testing.T) {
 	g := NewWithT(t)
 	f := newHarness(testWorker("1", 4000))
-	f.Add(f.now, longRunningJob("long", 1, 3000), nil, false)
+	f.Add(f.now, endlessJob("long", 1, 3000), nil, false)
 	s := f.scheduleAfter(0).Starts[0]
 	f.confirmStart(s)
 	f.Cancel(f.now, "long")
--- a/pkg/decide/schedule/avoidance_test.go
+++ b/pkg/decide/schedule/avoidance_test.go
@@ -11,7 +11,7 @@
 
 // A task that failed, or was refused, on the only worker that may take it runs there again.
 func TestTaskReturnsToTheOnlyWorkerThatMayTakeIt(t *testing.T) {
-	longRunning := func(s *batch.Step) { s.LongRunning = true }
+	endless := func(s *batch.Step) { s.LongRunning = true }
 	label := func(s *batch.Step) { s.RequiredLabel = "gpu" }
 	failed := func(f *harness, s Start) { f.endRun(s, batch.Failed) }
 	refused := func(f *harness, s Start) {
@@ -22,10 +22,10 @@
 		step  batch.Step
 		end   func(*harness, Start)
 	}{
-		"long-running, others too small":     {testWorker("2", 1000), testStep(1, 2000, longRunning), failed},
-		"long-running, others lack a label":  {testWorker("2", 4000), testStep(1, 100, longRunning, label), failed},
-		"long-running, siblings are apart":   {testWorker("2", 4000), testStep(2, 100, longRunning, func(s *batch.Step) { s.MaxPerWorker = 1 }), failed},
-		"long-running, refused as unhealthy": {testWorker("2", 1000), testStep(1, 2000, longRunning), refused},
+		"long-running, others too small":     {testWorker("2", 1000), testStep(1, 2000, endless), failed},
+		"long-running, others lack a label":  {testWorker("2", 4000), testStep(1, 100, endless, label), failed},
+		"long-running, siblings are apart":   {testWorker("2", 4000), testStep(2, 100, endless, func(s *batch.Step) { s.MaxPerWorker = 1 }), failed},
+		"long-running, refused as unhealthy": {testWorker("2", 1000), testStep(1, 2000, endless), refused},
 		"short, others too small":            {testWorker("2", 1000), testStep(1, 2000), failed},
 		"short, others lack a label":         {testWorker("2", 4000), testStep(1, 100, label), failed},
 	} {
@@ -110,7 +110,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newHarness(workers...)
-			f.Add(f.now, longRunningJob("long", 1, 2000), nil, false)
+			f.Add(f.now, endlessJob("long", 1, 2000), nil, false)
 			const trial = 20 * time.Second
 			starts := 0
 			for f.now.Sub(testStart) < trial {
--- a/pkg/decide/schedule/backfill.go
+++ b/pkg/decide/schedule/backfill.go
@@ -33,8 +33,8 @@
 )
 
 // updateHolds gives up the holds that are of no use any more, and holds room for
-// long-running tasks that have waited for longRunningWaitLimit, in the order of their placement.
-func (s *Scheduler) updateHolds(now time.Time, longRunning []pendingStep, o *Orders) {
+// long-running tasks that have waited for healthyWorkerWait, in the order of their placement.
+func (s *Scheduler) updateHolds(now time.Time, pending []pendingStep, o *Orders) {
 	s.holds = slices.DeleteFunc(s.holds, func(h *hold) bool {
 		if s.needsHold(now, h, o) {
 			return false
@@ -47,7 +47,7 @@
 	}
 	s.heldAt = now
 	searches := 0
-	for _, c := range longRunning {
+	for _, c := range pending {
 		if c.step.Gang || now.Sub(c.step.holdFailedAt) < holdRetryInterval {
 			continue
 		}
--- a/pkg/decide/schedule/backfill_test.go
+++ b/pkg/decide/schedule/backfill_test.go
@@ -21,8 +21,8 @@
 	f.startFor(50 * time.Millisecond)
 	f.Add(f.now, testJob("on1", "urgent", testStep(4, 1000, estimate(3*time.Second, ""))), nil, false)
 	f.startFor(50 * time.Millisecond)
-	f.Add(f.now, longRunningJob("long", 1, 2000), nil, false)
-	g.Expect(f.startFor(longRunningWaitLimit + 2*holdInterval)).To(BeEmpty())
+	f.Add(f.now, endlessJob("long", 1, 2000), nil, false)
+	g.Expect(f.startFor(healthyWorkerWait + 2*holdInterval)).To(BeEmpty())
 	g.Expect(f.workerOf("1").hold).NotTo(BeNil())
 	g.Expect(f.workerOf("2").hold).To(BeNil())
 	return f
@@ -102,9 +102,9 @@
 	f.Add(f.now, testJob("full", "urgent", testStep(12, 1000)), nil, false)
 	f.startFor(50 * time.Millisecond)
 	for i := range 5 {
-		f.Add(f.now, longRunningJob(fmt.Sprint("long", i), 1, 2000), nil, false)
+		f.Add(f.now, endlessJob(fmt.Sprint("long", i), 1, 2000), nil, false)
 	}
-	f.startFor(longRunningWaitLimit + 10*holdInterval)
+	f.startFor(healthyWorkerWait + 10*holdInterval)
 	g.Expect(f.holds).To(HaveLen(3))
 	for range 12 {
 		for _, id := range []string{"1", "2", "3"} {
--- a/pkg/decide/schedule/exclusion_test.go
+++ b/pkg/decide/schedule/exclusion_test.go
@@ -13,11 +13,11 @@
 func TestRoomOfAMoveIsGivenUp(t *testing.T) {
 	g := NewWithT(t)
 	f := newHarness(testWorker("1", 2000), testWorker("2", 2000))
-	f.Add(f.now, longRunningJob("a", 1, 2000), nil, false)
+	f.Add(f.now, endlessJob("a", 1, 2000), nil, false)
 	s := f.startFor(50 * time.Millisecond)[0]
 	f.reportAtWork(s)
 	f.moveServing(f.now, f.jobs["a"].occurrences[0].steps[0].tasks[0], f.workerOf("2"))
-	f.Add(f.now, longRunningJob("b", 1, 2000), nil, false)
+	f.Add(f.now, endlessJob("b", 1, 2000), nil, false)
 	g.Expect(f.startFor(time.Second)).To(BeEmpty())
 	g.Expect(f.startFor(moveTimeout)).To(HaveLen(1))
 }
@@ -27,7 +27,7 @@
 	g := NewWithT(t)
 	f := newHarness(testWorker("1", 2000))
 	f.MarkUnresponsive("host-1")
-	f.Add(f.now, longRunningJob("a", 1, 2000), nil, false)
+	f.Add(f.now, endlessJob("a", 1, 2000), nil, false)
 	g.Expect(f.startFor(10 * time.Second)).To(BeEmpty())
 	f.SyncWorker(f.now, "host-1", testWorker("1", 2000), nil, nil)
 	g.Expect(f.startFor(50 * time.Millisecond)).To(HaveLen(1))
@@ -37,11 +37,11 @@
 func TestRoomOfAMissingRunIsFree(t *testing.T) {
 	g := NewWithT(t)
 	f := newHarness(testWorker("2", 2000))
-	f.Add(f.now, longRunningJob("a", 1, 2000), nil, false)
+	f.Add(f.now, endlessJob("a", 1, 2000), nil, false)
 	s := f.startFor(50 * time.Millisecond)[0]
 	f.reportAtWork(s)
 	f.SyncWorker(f.now, "host-1", testWorker("1", 2000), []batch.Run{{Task: s.Task, Number: 7}}, nil)
-	f.Add(f.now, longRunningJob("b", 1, 2000), nil, false)
+	f.Add(f.now, endlessJob("b", 1, 2000), nil, false)
 	g.Expect(f.startFor(10 * time.Second)).To(BeEmpty())
 	f.HandleMissingRun(batch.WorkerKey{ID: "1", StartTime: 1}, s.Task)
 	g.Expect(f.startFor(50 * time.Millisecond)).To(HaveLen(1))
--- a/pkg/decide/schedule/lastresort_test.go
+++ b/pkg/decide/schedule/lastresort_test.go
@@ -10,8 +10,8 @@
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
-// longRunningJob returns a job with one step of long-running tasks.
-func longRunningJob(id string, count, milliCPU int) *batch.Job {
+// endlessJob returns a job with one step of long-running tasks.
+func endlessJob(id string, count, milliCPU int) *batch.Job {
 	return testJob(id, "urgent", testStep(count, milliCPU, func(s *batch.Step) { s.LongRunning = true }))
 }
 
@@ -58,7 +58,7 @@
 			g := NewWithT(t)
 			f := newHarness(testWorker("1", 8000), testWorker("2", 1000))
 			doubt(f, f.workerOf("1"))
-			f.Add(f.now, longRunningJob("long", 3, 2000), nil, false)
+			f.Add(f.now, endlessJob("long", 3, 2000), nil, false)
 			begin := f.now
 			started := 0
 			for started < 3 && f.now.Sub(begin) < maxLongRunningWait {
@@ -84,7 +84,7 @@
 	f := newHarness(testWorker("1", 32000), testWorker("2", 1000))
 	const tasks = 12
 	for i := range tasks {
-		f.Add(f.now, longRunningJob(fmt.Sprint("long", i), 1, 2000), nil, false)
+		f.Add(f.now, endlessJob(fmt.Sprint("long", i), 1, 2000), nil, false)
 	}
 	starts := 0
 	const trouble = 20 * time.Second
@@ -114,14 +114,14 @@
 func TestTaskInNeedDoesNotWaitForItsSiblings(t *testing.T) {
 	g := NewWithT(t)
 	f := newHarness(testWorker("1", 32000), testWorker("2", 2000))
-	f.Add(f.now, longRunningJob("long", 2, 2000), nil, false)
+	f.Add(f.now, endlessJob("long", 2, 2000), nil, false)
 	f.workerOf("1").health.quarantinedUntil = f.now.Add(time.Hour)
 	starts := f.startFor(50 * time.Millisecond)
 	g.Expect(starts).To(HaveLen(1))
 	g.Expect(starts[0].Task.Index).To(Equal(0))
 	f.reportAtWork(starts[0])
 	// The second task has nearly waited for the limit when the first one loses its worker.
-	f.startFor(longRunningWaitLimit - 200*time.Millisecond)
+	f.startFor(healthyWorkerWait - 200*time.Millisecond)
 	f.RemoveWorker(starts[0].Key)
 	again := f.startFor(300 * time.Millisecond)
 	g.Expect(again).To(HaveLen(1))
@@ -135,7 +135,7 @@
 	w := f.workerOf("1")
 	w.health.recordFailure(f.now, "x", true)
 	w.health.recordFailure(f.now, "y", true)
-	f.Add(f.now, longRunningJob("silent", 1, 2000), nil, false)
+	f.Add(f.now, endlessJob("silent", 1, 2000), nil, false)
 	g.Expect(f.startFor(4 * time.Second)).To(HaveLen(1))
 	f.Add(f.now, testJob("short", "urgent", testStep(1, 100)), nil, false)
 	g.Expect(f.startFor(maxLongRunningWait)).To(HaveLen(1), "starts of a short task")
@@ -148,9 +148,9 @@
 	w := f.workerOf("1")
 	w.health.recordFailure(f.now, "x", true)
 	w.health.recordFailure(f.now, "y", true)
-	f.Add(f.now, longRunningJob("silent", 1, 2000), nil, false)
+	f.Add(f.now, endlessJob("silent", 1, 2000), nil, false)
 	g.Expect(f.startFor(4 * time.Second)).To(HaveLen(1))
-	f.Add(f.now, longRunningJob("other", 1, 2000), nil, false)
+	f.Add(f.now, endlessJob("other", 1, 2000), nil, false)
 	g.Expect(f.startFor(maxLongRunningWait)).To(HaveLen(1), "starts of another long-running task")
 }
 
@@ -167,13 +167,13 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newHarness(testWorker("1", 32000), testWorker("2", 1000))
-			f.Add(f.now, longRunningJob("old", 2, 2000), nil, false)
+			f.Add(f.now, endlessJob("old", 2, 2000), nil, false)
 			for _, s := range f.startFor(50 * time.Millisecond) {
 				f.reportAtWork(s)
 			}
-			f.Add(f.now, longRunningJob("waiting", 10, 2000), nil, false)
+			f.Add(f.now, endlessJob("waiting", 10, 2000), nil, false)
 			doubt(f, f.workerOf("1"))
-			g.Expect(f.startFor(longRunningWaitLimit + maxTrial/2)).To(HaveLen(1))
+			g.Expect(f.startFor(healthyWorkerWait + maxTrial/2)).To(HaveLen(1))
 		})
 	}
 }
@@ -185,7 +185,7 @@
 			g := NewWithT(t)
 			f := newHarness(testWorker("1", 32000), testWorker("2", 1000))
 			for i := range bad {
-				f.Add(f.now, longRunningJob(fmt.Sprint("a-bad", i), 1, 2000), nil, false)
+				f.Add(f.now, endlessJob(fmt.Sprint("a-bad", i), 1, 2000), nil, false)
 			}
 			fail := func(ss []Start) (good bool) {
 				for _, s := range ss {
@@ -202,7 +202,7 @@
 			for range 40 {
 				fail(f.scheduleAfter(100 * time.Millisecond).Starts)
 			}
-			f.Add(f.now, longRunningJob("good", 1, 2000), nil, false)
+			f.Add(f.now, endlessJob("good", 1, 2000), nil, false)
 			begin := f.now
 			for f.now.Sub(begin) < time.Minute {
 				if fail(f.scheduleAfter(100 * time.Millisecond).Starts) {
@@ -222,7 +222,7 @@
 	w.health.backoffLevel = maxBackoffLevel
 	w.health.quarantine(f.now)
 	for i := range 12 {
-		f.Add(f.now, longRunningJob(fmt.Sprint("long", i), 1, 2000), nil, false)
+		f.Add(f.now, endlessJob(fmt.Sprint("long", i), 1, 2000), nil, false)
 		f.jobs[batch.JobID(fmt.Sprint("long", i))].firstFailedMachine = "elsewhere"
 	}
 	starts := 0
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -33,14 +33,14 @@
 		s.bestEffortPassAt = now
 	}
 	pending := s.pendingSteps(now)
-	longRunning := slices.IndexFunc(pending, func(c pendingStep) bool { return !c.step.LongRunning })
-	if longRunning < 0 {
-		longRunning = len(pending)
+	finite := slices.IndexFunc(pending, func(c pendingStep) bool { return !c.step.LongRunning })
+	if finite < 0 {
+		finite = len(pending)
 	}
-	s.updateHolds(now, pending[:longRunning], &o)
-	s.placeSteps(now, pending[:longRunning], bestEffortTurn, &o)
-	s.placeInNeed(now, pending[:longRunning], &o)
-	s.placeSteps(now, pending[longRunning:], bestEffortTurn, &o)
+	s.updateHolds(now, pending[:finite], &o)
+	s.placeSteps(now, pending[:finite], bestEffortTurn, &o)
+	s.placeInNeed(now, pending[:finite], &o)
+	s.placeSteps(now, pending[finite:], bestEffortTurn, &o)
 	if bestEffortTurn {
 		s.moveThrottled(now, &o)
 		s.relocateStragglers(now, &o)
@@ -268,17 +268,17 @@
 	return s.newSearch(now, st, rack, o).bestFor(t)
 }
 
-// placeInNeed starts long-running tasks that have waited for longRunningWaitLimit on
+// placeInNeed starts long-running tasks that have waited for healthyWorkerWait on
 // workers whose health is in doubt: these may have recovered, and the tasks have no run
 // to lose. The tasks that failed least often since they were last at work come first, so
 // that those which always fail don't take all trials.
-func (s *Scheduler) placeInNeed(now time.Time, longRunning []pendingStep, o *Orders) {
+func (s *Scheduler) placeInNeed(now time.Time, pending []pendingStep, o *Orders) {
 	type need struct {
 		pendingStep
 		task *task
 	}
 	var needs []need
-	for _, c := range longRunning {
+	for _, c := range pending {
 		for _, t := range c.step.tasks {
 			if t.worker == nil && !c.step.Gang && !now.Before(t.retryAt) && t.lastResortDue(now) {
 				needs = append(needs, need{c, t})
@@ -304,9 +304,9 @@
 	}
 }
 
-// lastResortDue reports whether a long-running task has waited for longRunningWaitLimit.
+// lastResortDue reports whether a long-running task has waited for healthyWorkerWait.
 func (t *task) lastResortDue(now time.Time) bool {
-	return !t.waitingSince.IsZero() && now.Sub(t.waitingSince) >= longRunningWaitLimit
+	return !t.waitingSince.IsZero() && now.Sub(t.waitingSince) >= healthyWorkerWait
 }
 
 // bestFor returns the best worker for t, or nil if there is none.
@@ -324,10 +324,10 @@
 	return best.worker
 }
 
-// longRunningWaitLimit is how long a long-running task waits for a worker whose health
+// healthyWorkerWait is how long a long-running task waits for a worker whose health
 // is in no doubt. The silence of the lost worker and the trial of another one take the
 // rest of the time within which the task has to run again.
-const longRunningWaitLimit = 1500 * time.Millisecond
+const healthyWorkerWait = 1500 * time.Millisecond
 
 // bestEffortWaitLimit is how long a best-effort step without an assigned task
 // waits for a worker on which it interferes little. Then one of its tasks starts
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -419,7 +419,7 @@
 func TestUnassignedRunCountsForTheLimit(t *testing.T) {
 	g := NewWithT(t)
 	f := newHarness(testWorker("2", 2000))
-	job := longRunningJob("a", 2, 1000)
+	job := endlessJob("a", 2, 1000)
 	job.Steps[0].MaxPerWorker = 1
 	f.Add(f.now, job, nil, false)
 	s := f.startFor(50 * time.Millisecond)
--- a/pkg/decide/schedule/wait_test.go
+++ b/pkg/decide/schedule/wait_test.go
@@ -11,18 +11,18 @@
 
 // Each cause for which a long-running task has no worker is reported by its name.
 func TestReportedWaitsNameTheirCause(t *testing.T) {
-	longRunning := func(s *batch.Step) { s.LongRunning = true }
+	endless := func(s *batch.Step) { s.LongRunning = true }
 	for name, c := range map[string]struct {
 		step   batch.Step
 		change func(f *harness)
 		want   string
 	}{
-		"no room":       {testStep(1, 5000, longRunning), func(*harness) {}, "lacksCpu:2"},
-		"no memory":     {testStep(1, 100, longRunning, func(s *batch.Step) { s.Need.MemoryMB = 100000 }), func(*harness) {}, "lacksMemory:2"},
-		"label":         {testStep(1, 100, longRunning, func(s *batch.Step) { s.RequiredLabel = "gpu" }), func(*harness) {}, "lacksLabel:2"},
-		"drain":         {testStep(1, 100, longRunning), func(f *harness) { f.setDraining("1"); f.MarkUnresponsive("host-2") }, "unresponsive:1 draining:1"},
-		"limit of runs": {testStep(3, 100, longRunning, func(s *batch.Step) { s.MaxPerWorker = 1 }), func(*harness) {}, "atTaskLimit:2"},
-		"quarantine": {testStep(1, 100, longRunning), func(f *harness) {
+		"no room":       {testStep(1, 5000, endless), func(*harness) {}, "lacksCpu:2"},
+		"no memory":     {testStep(1, 100, endless, func(s *batch.Step) { s.Need.MemoryMB = 100000 }), func(*harness) {}, "lacksMemory:2"},
+		"label":         {testStep(1, 100, endless, func(s *batch.Step) { s.RequiredLabel = "gpu" }), func(*harness) {}, "lacksLabel:2"},
+		"drain":         {testStep(1, 100, endless), func(f *harness) { f.setDraining("1"); f.MarkUnresponsive("host-2") }, "unresponsive:1 draining:1"},
+		"limit of runs": {testStep(3, 100, endless, func(s *batch.Step) { s.MaxPerWorker = 1 }), func(*harness) {}, "atTaskLimit:2"},
+		"quarantine": {testStep(1, 100, endless), func(f *harness) {
 			f.workerOf("1").health.quarantine(f.now)
 			f.workerOf("2").slowAt = f.now
 		}, "quarantined:1 slow:1"},
