Give no last attempt to a worker on probation

A last attempt is kept from workers that show by single runs whether they are healthy, for the 8 s of the longest quarantine. After that any worker is better than none. TestLastAttemptIsNoProbe failed before.

--- a/pkg/decide/schedule/health.go
+++ b/pkg/decide/schedule/health.go
@@ -51,6 +51,9 @@
 	burstWindow   = 300 * time.Millisecond
 	// recentFailureWindow is how long a worker that failed a run is given no last attempt of a task.
 	recentFailureWindow = time.Second
+	// lastAttemptPatience is how long a task that failed keeps its last attempt from workers that show by
+	// single runs whether they are healthy.
+	lastAttemptPatience = maxQuarantine
 	// quarantineSlowRuns slow runs quarantine a worker, unless one is done in time in between.
 	quarantineSlowRuns = 2
 	// minQuarantine is the duration of the first quarantine. Each further one doubles it, up to maxQuarantine.
--- a/pkg/decide/schedule/health_test.go
+++ b/pkg/decide/schedule/health_test.go
@@ -174,3 +174,38 @@
 	g.Expect(o.HealthChanges).To(HaveLen(1))
 	g.Expect(o.HealthChanges[0].QuarantinedUntil).To(BeZero())
 }
+
+// A last attempt isn't the probe of the worker that failed the task.
+func TestLastAttemptIsNoProbe(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 8000), testWorker("2", 2000))
+	f.Add(f.now, testJob("busy", "urgent", testStep(1, 2000)), nil, false)
+	w := f.workerOf("1")
+	w.health.quarantinedUntil = f.now.Add(time.Second)
+	busy := f.startFor(50 * time.Millisecond)
+	g.Expect(busy).To(HaveLen(1))
+	g.Expect(busy[0].Key.ID).To(Equal("2"))
+	w.health = health{}
+	// Worker 1 fails all that it starts; worker 2 has room after 6 s.
+	f.Add(f.now, testJob("a", "urgent", testStep(1, 2000)), nil, false)
+	f.Add(f.now, testJob("b", "urgent", testStep(1, 2000)), nil, false)
+	begin := f.now
+	for f.now.Sub(begin) < 30*time.Second {
+		for _, s := range f.scheduleAfter(50 * time.Millisecond).Starts {
+			f.confirmStart(s)
+			how := batch.Done
+			if s.Key.ID == "1" {
+				how = batch.Failed
+			}
+			f.endRun(s, how)
+		}
+		if busy != nil && f.now.Sub(begin) > 6*time.Second {
+			f.endRun(busy[0], batch.Done)
+			busy = nil
+		}
+	}
+	for _, id := range []batch.JobID{"a", "b"} {
+		p, _ := f.Progress(id)
+		g.Expect(p.State).To(Equal(batch.Completed), "job %s", id)
+	}
+}
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -162,7 +162,7 @@
 			x = nil
 			continue
 		}
-		if t.avoidance.active(now) {
+		if t.avoidance.active(now) || !c.step.LongRunning && now.Sub(t.failedAt) < lastAttemptPatience {
 			// The task has machines of its own to avoid, so it needs a separate search. Its
 			// start invalidates the candidates of the other tasks.
 			if w := s.findWorker(now, c.step, t, o); w != nil {
