Ask again for a ticket that a worker refuses

A worker may refuse a ticket that the scheduler takes for valid, after a new life or by its own clock. A refused ticket is now dropped, so that the policy service is asked for another.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -418,6 +418,9 @@
 	if m.Refusal == link.RefusedRunMissing {
 		d.scheduler.HandleMissingRun(m.Key, m.Task)
 	}
+	if m.Refusal == link.RefusedNoTicket {
+		d.scheduler.DropTicket(m.Key, m.Task)
+	}
 	switch m.Refusal {
 	case link.RefusedLeaseExpired, link.RefusedFenced:
 		d.scheduler.HandleUnavailable(now, m.Key, m.Task, m.Number)
--- a/pkg/decide/schedule/advice.go
+++ b/pkg/decide/schedule/advice.go
@@ -71,6 +71,13 @@
 	})
 }
 
+// DropTicket drops the ticket that a worker refused, so that the policy service is asked again.
+func (s *Scheduler) DropTicket(k batch.WorkerKey, id batch.Task) {
+	if t := s.findTask(id); t != nil {
+		delete(t.step.advice.tickets, k)
+	}
+}
+
 // HandleAdvice records the answer of the policy service to r, or that the request failed.
 func (s *Scheduler) HandleAdvice(now time.Time, r AdviceRequest, tickets map[string]string, validFor time.Duration, failed bool) {
 	j := s.jobs[r.Job]
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -427,3 +427,28 @@
 	f.SyncWorker(f.now, "host-1", testWorker("1", 8000), []batch.Run{{Task: s[0].Task, Number: 7}}, nil)
 	g.Expect(f.startFor(time.Second)).To(BeEmpty(), "a second task of the step starts beside a run that is to be stopped")
 }
+
+// A ticket that a worker refuses isn't sent again until it expires.
+func TestRefusedTicketIsAskedForAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 8000))
+	f.Configure(&batch.Config{Routes: []batch.Route{{Queue: batch.Queue{Name: "urgent", Service: "s", MaxAttempts: 2, Advised: true}}}})
+	f.Add(f.now, testJob("j", "urgent", testStep(1, 100)), nil, false)
+	asked, refused, started := 0, 0, false
+	for f.now.Sub(testStart) < 10*time.Second && !started {
+		o := f.scheduleAfter(50 * time.Millisecond)
+		for _, r := range o.AdviceRequests {
+			asked++
+			f.HandleAdvice(f.now, r, map[string]string{"1": fmt.Sprint("t", asked)}, time.Minute, false)
+		}
+		for _, s := range o.Starts {
+			if started = s.Ticket != "t1"; !started {
+				refused++
+				f.DropTicket(s.Key, s.Task)
+				f.HandleStartResult(f.now, s.Key, s.Task, s.Number, true, false, false)
+			}
+		}
+	}
+	g.Expect(started).To(BeTrue(), "%d refusals", refused)
+	g.Expect(refused).To(Equal(1))
+}
