Let a probe that never ends leave its worker open

After a quarantine a worker gets one run at a time until one is done. A finite run now counts as the probe for 8 s, the longest quarantine.

--- a/pkg/decide/schedule/lastresort_test.go
+++ b/pkg/decide/schedule/lastresort_test.go
@@ -235,3 +235,14 @@
 	}
 	g.Expect(starts).To(BeNumerically("<=", int(maxQuarantine/minQuarantine)))
 }
+
+// A probe that hangs, or lasts long, doesn't keep other tasks from the only worker for good.
+func TestProbeThatNeverEndsLeavesWorkerOpen(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 32000))
+	f.workerOf("1").health.backoffLevel = 1
+	f.Add(f.now, testJob("probe", "wide", testStep(1, 100, func(s *batch.Step) { s.BestEffort = true })), nil, false)
+	g.Expect(f.startFor(time.Second)).To(HaveLen(1))
+	f.Add(f.now, testJob("short", "urgent", testStep(1, 100)), nil, false)
+	g.Expect(f.startFor(2 * maxQuarantine)).To(HaveLen(1))
+}
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -213,9 +213,14 @@
 	return !onTrial
 }
 
-// onTrial reports whether the long-running task is about to show whether its worker can run it.
+// onTrial reports whether the task is about to show whether its worker can run it. A
+// finite task that takes longer than any quarantine shows nothing any more.
 func (t *task) onTrial(now time.Time) bool {
-	return t.percent < atWorkPercent && now.Sub(t.startedAt) < maxTrial
+	limit := maxQuarantine
+	if t.step.LongRunning {
+		limit = maxTrial
+	}
+	return t.percent < atWorkPercent && now.Sub(t.startedAt) < limit
 }
 
 // maxTrial is how long a long-running run that isn't at work keeps others from a worker
@@ -226,7 +231,7 @@
 // whose outcome will show the health of the worker: its end, or that a long-running one is at work.
 func (w *worker) hasRunSince(now, at time.Time) bool {
 	for _, t := range w.tasks {
-		if !t.startedAt.Before(at) && (!t.step.LongRunning || t.onTrial(now)) {
+		if !t.startedAt.Before(at) && t.onTrial(now) {
 			return true
 		}
 	}
