--- a/pkg/decide/schedule/backfill.go
+++ b/pkg/decide/schedule/backfill.go
@@ -74,8 +74,7 @@
 	}
 	x := s.newSearch(now, h.task.step, "", o)
 	x.ignoreRoom = true
-	_, e := x.evaluateFor(h.task, h.worker)
-	return e == eligible
+	return x.exclude(h.task, h.worker) == eligible
 }
 
 // holdRoom holds room for t on the worker where it is free soonest, and reports whether there is one.
@@ -87,7 +86,7 @@
 		if w.hold != nil {
 			continue
 		}
-		if _, e := x.evaluateFor(t, w); e != eligible {
+		if x.exclude(t, w) != eligible {
 			continue
 		}
 		if at, ok := w.freeAt(now, x.reservation); ok && (best == nil || at.Before(best.readyAt)) {
--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -116,13 +116,12 @@
 	return x.scheduler.score(x.now, st, w, interference), eligible
 }
 
-// evaluateFor returns what evaluate does, for the given task of the step.
-func (x *search) evaluateFor(t *task, w *worker) (float64, exclusion) {
-	v, e := x.evaluate(w)
-	if e == eligible {
-		e = x.avoids(t, w)
+// exclude returns why t may not be given to w, or eligible.
+func (x *search) exclude(t *task, w *worker) exclusion {
+	if _, e := x.evaluate(w); e != eligible {
+		return e
 	}
-	return v, e
+	return x.avoids(t, w)
 }
 
 // avoids returns why t isn't given to w, as the outcome of its earlier runs there suggests.
--- a/pkg/decide/schedule/wait.go
+++ b/pkg/decide/schedule/wait.go
@@ -135,8 +135,7 @@
 	x := s.newSearch(now, st, "", nil)
 	x.lastResort = t.lastResortDue(now)
 	for _, w := range s.workerList {
-		_, e := x.evaluateFor(t, w)
-		n[e]++
+		n[x.exclude(t, w)]++
 	}
 	return n
 }
