Let the only worker take a last attempt as its probe

Since last attempts are kept from workers on probation, a job on a fleet of one worker waited for up to 8 s after the quarantine, with no other worker to wait for. The rule now holds where there is another worker, as for the avoidance of a machine.

--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -131,7 +131,7 @@
 		return avoided
 	case t.onLastAttempt(x.queue) && x.now.Sub(t.failedAt) < recentFailureWindow && w.health.failedRecently(x.now):
 		return failedLately
-	case t.onLastAttempt(x.queue) && x.now.Sub(t.failedAt) < lastAttemptPatience && w.health.probing():
+	case t.onLastAttempt(x.queue) && x.now.Sub(t.failedAt) < lastAttemptPatience && w.health.probing() && len(x.scheduler.workerList) > 1:
 		return failedLately
 	}
 	return eligible
