--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -10,10 +10,9 @@
 
 // cases are the cases by name. Each plays its deployment, with the disruption if trouble is set.
 var cases = map[string]func(r *rig, trouble bool) error{
-	"ends":    playEnds,
 	"lease":   playLease,
-	"odd":     playOdd,
 	"pending": playPending,
+	"trial":   playTrial,
 	"record":  playRecord,
 }
 
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -40,11 +40,13 @@
 	service    = "svc1"
 	hostHeader = "jobs.example"
 	prefix     = "/q1/"
+	// advisedPrefix is that of the queue with advice.
+	advisedPrefix = "/q2/"
 )
 
 // The ports of each process, on an address of its own.
 const (
-	portFront, portControl, portReady, portApp, portStore = 8161, 8166, 8167, 8165, 8169
+	portFront, portControl, portReady, portApp, portStore, portAdvice = 8161, 8166, 8167, 8165, 8169, 8170
 )
 
 // taskSpec is what a worker needs to know of a task.
@@ -52,6 +54,10 @@
 	CPU, MemMb int
 	// Work is how long the task runs; 0 is until it's stopped.
 	Work time.Duration
+	// FailsAfter is how long the task runs until it fails; 0 is never.
+	FailsAfter time.Duration
+	// Advised is set if a start needs a ticket of the policy service.
+	Advised bool
 	// Saves is set if the task saves checkpoints.
 	Saves bool
 }
@@ -68,6 +74,7 @@
 	record   io.Writer
 	brokenBy []string
 	specs    map[string][]taskSpec
+	tickets  map[string]ticket
 	texts    map[string]string
 	nodes    []*node
 	running  map[string]map[string]int
@@ -101,7 +108,7 @@
 		return nil, err
 	}
 	r := &rig{
-		dir: dir, record: record, began: time.Now(), specs: map[string][]taskSpec{}, texts: map[string]string{}, running: map[string]map[string]int{},
+		dir: dir, record: record, began: time.Now(), specs: map[string][]taskSpec{}, tickets: map[string]ticket{}, texts: map[string]string{}, running: map[string]map[string]int{},
 		doneAt: map[string]time.Time{}, taken: map[string]bool{}, starts: map[string]int{}, ends: map[string]int{},
 		client: http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
@@ -116,7 +123,7 @@
 
 // free reports whether the ports of a machine are free at an address.
 func free(ip string) bool {
-	for _, p := range []int{portFront, portControl, portReady, portApp, portStore, 7720, 9464} {
+	for _, p := range []int{portFront, portControl, portReady, portApp, portStore, portAdvice, 7720, 9464} {
 		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, p))
 		if err != nil {
 			return false
@@ -271,6 +278,9 @@
 		}
 		sides = append(sides, n)
 	}
+	if err := serve(entry.ip, portAdvice, http.HandlerFunc(r.serveAdvice)); err != nil {
+		return nil, nil, err
+	}
 	if err := r.configure(); err != nil {
 		return nil, nil, err
 	}
@@ -355,6 +365,7 @@
 entry = "vip"
 heartbeatMs = %d
 orders = "rpc"
+advice = "%s1:%d"
 %s[zones]
 z1 = "r1"
 [listenAddrs]
@@ -385,7 +396,7 @@
 historyS = 20
 valueBytes = %d
 ttlMinMs = 1000
-`, n.name, class, class, class, n.ip, heartbeatInterval.Milliseconds(), head, listen, cpu, memory, holdMax.Milliseconds(), n.ip, portStore, storeValueBytes)
+`, n.name, class, class, class, n.ip, heartbeatInterval.Milliseconds(), n.rig.network, portAdvice, head, listen, cpu, memory, holdMax.Milliseconds(), n.ip, portStore, storeValueBytes)
 }
 
 // start starts the process of the machine.
@@ -460,9 +471,15 @@
 func (r *rig) configure() error {
 	v, err := json.Marshal(map[string]any{
 		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "q1", "host": hostHeader, "prefix": prefix, "service": service, "priority": 0, "maxAttempts": 2, "stretch": 1.5, "targetDurationMs": 600,
-		}},
+		"routes": []any{
+			map[string]any{
+				"name": "q1", "host": hostHeader, "prefix": prefix, "service": service, "priority": 0, "maxAttempts": 2, "stretch": 1.5, "targetDurationMs": 600,
+			},
+			map[string]any{
+				"name": "q2", "host": hostHeader, "prefix": advisedPrefix, "service": service, "priority": 1, "maxAttempts": 2, "stretch": 2, "targetDurationMs": 1000,
+				"advice": map[string]int{"decisionMs": decisionMs, "perWorkerMs": perWorkerMs, "validMs": ticketMs},
+			},
+		},
 		"services": []any{map[string]any{"name": service, "enforcesCapacity": true}},
 		"limits":   map[string]any{"maxBodyBytes": 262144},
 	})
@@ -532,14 +549,19 @@
 	StartAtMs   int64  `json:"startAtMs,omitempty"`
 	IntervalMs  int64  `json:"intervalMs,omitempty"`
 	RepeatCount int    `json:"repeatCount,omitempty"`
+	// failsAfter is when each run of its tasks fails; 0 is never.
+	failsAfter time.Duration
 }
 
 // submit hands a job in until it's accepted, and returns its ID.
-func (r *rig) submit(n *node, j job) (string, error) {
+func (r *rig) submit(n *node, j job) (string, error) { return r.submitTo(n, prefix, j) }
+
+// submitTo is submit for the queue with a prefix.
+func (r *rig) submitTo(n *node, prefix string, j job) (string, error) {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	var specs []taskSpec
 	for _, s := range j.Steps {
-		x := taskSpec{CPU: s.CPU, MemMb: s.MemMb, Work: time.Duration(s.EstDurationMs) * time.Millisecond, Saves: s.Checkpoint}
+		x := taskSpec{CPU: s.CPU, MemMb: s.MemMb, Work: time.Duration(s.EstDurationMs) * time.Millisecond, Saves: s.Checkpoint, FailsAfter: j.failsAfter, Advised: prefix == advisedPrefix}
 		if s.LongRunning {
 			x.Work = 0
 		}
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -64,6 +64,18 @@
 	return fmt.Sprintf("%08x%s", n, task[:8])
 }
 
+// startup is how long a lasting task takes until it is at work.
+const startup = time.Second
+
+// percent returns the progress of a run, for a lasting task that of its startup.
+func (x *workerRun) percent() int {
+	d := x.spec.Work
+	if d == 0 {
+		d = startup
+	}
+	return int(min(100, 100*time.Since(x.began)/d))
+}
+
 // The room of a worker, as on the first site.
 const workerCPU, workerMemMb = 16000, 64000
 
@@ -117,6 +129,7 @@
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
 	Spec       string `json:"spec"`
+	Ticket     string `json:"ticket"`
 	UntilMs    int64  `json:"untilMs"`
 	FenceToken int64  `json:"fenceToken"`
 	SeenUpto   int64  `json:"seenUpto"`
@@ -214,6 +227,9 @@
 	case w.clockMs() >= o.UntilMs:
 		refused("late")
 		return
+	case ok && spec.Advised && !w.rig.ticketValid(o.Ticket, o.Task, w.id):
+		refused("ticket")
+		return
 	case !ok:
 		w.rig.broken("UNASKED", "worker %s was told to start %s with a spec that no client sent", w.id, o.Task)
 		answer(http.StatusBadRequest, nil)
@@ -227,12 +243,16 @@
 	w.usedCPU += spec.CPU
 	w.usedMem += spec.MemMb
 	w.rig.runStarted(w.id, o.Task, o.Run)
-	if spec.Work > 0 {
-		x.timer = time.AfterFunc(spec.Work, func() {
+	after, how := spec.Work, "done"
+	if spec.FailsAfter > 0 {
+		after, how = spec.FailsAfter, "failed"
+	}
+	if after > 0 {
+		x.timer = time.AfterFunc(after, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if w.runs[o.Task] == x {
-				w.end(o.Task, "done")
+				w.end(o.Task, how)
 			}
 		})
 	}
@@ -263,11 +283,7 @@
 	}
 	running := [][]any{}
 	for t, x := range w.runs {
-		percent := 100
-		if x.spec.Work > 0 {
-			percent = int(100 * time.Since(x.began) / x.spec.Work)
-		}
-		running = append(running, []any{t, x.number, x.saved(t), percent, x.spec.CPU})
+		running = append(running, []any{t, x.number, x.saved(t), x.percent(), x.spec.CPU})
 	}
 	ended := w.ended[:min(len(w.ended), maxListedEnds)]
 	if len(ended) == 0 {
