review: keep the disruptions of cases 6 and 8 within their shares

Case 6 has ten side machines, of which one is lost and six have their processes killed at once; case 8 has 57 sound lasting jobs beside the three that fail.

--- a/review/rig2/lease.go
+++ b/review/rig2/lease.go
@@ -4,22 +4,25 @@
 	"time"
 )
 
-// playLease takes the store away for 4 s. A machine loses power at the same moment, so that
-// the scheduler grants no leases. The hosts open new sessions, which get no grant. An agent is
-// killed in its second session, just before the store is back.
+// killedAgents of ten is the share of herd_kill.
+const killedAgents = 6
+
+// playLease takes the store away for 4.1 s. A machine loses power at the same moment, so that
+// the scheduler grants no leases. The hosts open new sessions, which get no grant. Most agents
+// are killed in their second sessions, just before the store is back.
 func playLease(r *rig, trouble bool) error {
-	entry, sides, err := r.deploy(3, "")
+	entry, sides, err := r.deploy(10, "")
 	if err != nil {
 		return err
 	}
 	time.Sleep(2 * time.Second)
-	if _, err := r.submit(entry, job{Spec: "long tasks", Steps: []step{{Count: 6, CPU: 2000, MemMb: 1000, EstDurationMs: 20000}}}); err != nil {
+	if _, err := r.submit(entry, job{Spec: "long tasks", Steps: []step{{Count: 20, CPU: 2000, MemMb: 1000, EstDurationMs: 20000}}}); err != nil {
 		return err
 	}
 	time.Sleep(2 * time.Second)
-	killed, lost := sides[0], sides[1]
-	// The next agent starts just after a heartbeat of the worker, so that it knows of the worker only 1.5 s later.
-	began := killed.nextHeartbeat(4500 * time.Millisecond)
+	lost, killed := sides[0], sides[1:1+killedAgents]
+	// The next agents start just after a heartbeat of the workers, so that they know of these only 1.5 s later.
+	began := lost.nextHeartbeat(4500 * time.Millisecond)
 	at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
 	at(0)
 	if trouble {
@@ -29,16 +32,20 @@
 		r.note("the store refuses all calls")
 		lost.worker.crash()
 		lost.kill()
-		at(4000 * time.Millisecond)
-		killed.kill()
 		at(4050 * time.Millisecond)
+		for _, n := range killed {
+			n.kill()
+		}
+		at(4100 * time.Millisecond)
 		for _, n := range r.nodes {
 			n.setStoreBusy(false)
 		}
 		r.note("the store serves again")
-		at(4000*time.Millisecond + restartDelay)
-		if err := killed.start(); err != nil {
-			return err
+		at(4050*time.Millisecond + restartDelay)
+		for _, n := range killed {
+			if err := n.start(); err != nil {
+				return err
+			}
 		}
 	}
 	at(9 * time.Second)
--- a/review/rig2/trial.go
+++ b/review/rig2/trial.go
@@ -14,6 +14,12 @@
 	}
 	time.Sleep(2 * time.Second)
 	lasting := []step{{Count: 1, CPU: 3200, MemMb: 6400, Requires: "b", LongRunning: true}}
+	for range soundJobs {
+		if _, err := r.submit(entry, job{Spec: "sound beside", Steps: []step{{Count: 1, CPU: 100, MemMb: 64, LongRunning: true}}}); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Second)
 	if trouble {
 		for range failingJobs {
 			if _, err := r.submit(entry, job{Spec: "fails in its startup", Steps: lasting, failsAfter: failingStartup}); err != nil {
@@ -44,8 +50,8 @@
 	return nil
 }
 
-// failingJobs is the number of the failing tasks.
-const failingJobs = 3
+// failingJobs is the number of the failing jobs. With soundJobs, which may run anywhere, they are a share of 0.05.
+const failingJobs, soundJobs = 3, 57
 
 // failingStartup is how long the failing tasks run.
 const failingStartup = 700 * time.Millisecond
