Keep the leases of earlier sessions when a session ends without a grant

Cause: a worker keeps its lease when its host opens another session, but closeSession recorded only the grants of the session that ended. A session without a grant left the zero time, so that the next tick took the lease for lapsed and the tasks were started elsewhere.

Change: closeSession takes the later of the session's grants and the lease end that was known when it opened, for the workers as it already did for the host.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -184,29 +184,37 @@
 // hostRemovalRetryDelay is the delay before a failed removal of a host's key is retried.
 const hostRemovalRetryDelay = 500 * time.Millisecond
 
-// closeSession closes a session and its link, and records when the leases that
-// it granted end. The runs of the host stay assigned.
+// closeSession closes a session and its link, and records when the leases of the
+// host's workers end. The runs of the host stay assigned.
 func (d *Dispatcher) closeSession(now time.Time, s *session, reason string) {
 	name := s.hello.Node
 	delete(d.sessions, name)
 	s.conn.Close()
 	d.scheduler.MarkUnresponsive(name)
+	end := s.previousLeaseEnd
+	if len(s.workers) > 0 {
+		end = s.latestLeaseEnd()
+	}
 	for k := range s.workers {
-		d.workerLeaseEnds[k] = s.leaseEnd
+		d.workerLeaseEnds[k] = end
 	}
 	if s.hello.Host {
-		// Without workers no lease of this session remains, only that of the previous one.
-		end := s.previousLeaseEnd
-		if len(s.workers) > 0 && s.leaseEnd.After(end) {
-			end = s.leaseEnd
-		}
 		d.hostLeaseEnds[name] = end
 	}
 	d.lastContacts[name] = s.lastContact
-	d.Log.Warning(eventlog.HostLost).Str("peer", name).Str("why", reason).Time("leaseEnds", s.leaseEnd).
+	d.Log.Warning(eventlog.HostLost).Str("peer", name).Str("why", reason).Time("leaseEnds", end).
 		Dur("silent", now.Sub(s.lastContact)).Msg("")
 }
 
+// latestLeaseEnd returns when the last lease that the host may hold ends: workers keep the
+// lease of an earlier session until the present one grants a longer one.
+func (s *session) latestLeaseEnd() time.Time {
+	if s.leaseEnd.After(s.previousLeaseEnd) {
+		return s.leaseEnd
+	}
+	return s.previousLeaseEnd
+}
+
 // handleMessage handles one message of a node.
 func (d *Dispatcher) handleMessage(now time.Time, s *session, m link.Message) {
 	s.lastContact = now
--- a/internal/hostagent/standin/worker.go
+++ b/internal/hostagent/standin/worker.go
@@ -70,6 +70,13 @@
 	w.faults = f
 }
 
+// Fence returns the highest fence that the worker has seen.
+func (w *Worker) Fence() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence
+}
+
 // ForgetEnds drops all ends, as a late call to the previous incarnation does if
 // it acknowledges a higher sequence number.
 func (w *Worker) ForgetEnds() {
