Count leases of earlier terms until a host's first grant

What callers would see: tasks that run on two workers at once after a change of leader (TWICE).

Cause: a new leader knew nothing of the leases that its predecessors granted. The end of a takeover also moved the lease end of a host that had been lost after a grant back to the present time.

Change: when the state is loaded, each registered host gets the lease end that the takeover waits for anyway. Opening a session lowers it to what a lease granted at that moment could last, as the host took its last lease before. The same fields as within a term keep it from there; the loop at the end of a takeover goes, as its entries exist since the beginning.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -96,7 +96,8 @@
 	sessionCount int64
 	// workerLeaseEnds is when the leases of the workers of lost sessions end.
 	workerLeaseEnds map[batch.WorkerKey]time.Time
-	// hostLeaseEnds is when the last leases of hosts without a session, or without workers, end.
+	// hostLeaseEnds is when the last leases end that hosts got before their present sessions, or
+	// in earlier terms. An entry is removed once it has passed.
 	hostLeaseEnds map[string]time.Time
 	// lastContacts is when the last message of each node without a session arrived.
 	lastContacts map[string]time.Time
@@ -145,7 +146,7 @@
 	lastContact time.Time
 	// leaseEnd is the latest time at which the last granted lease ends.
 	leaseEnd time.Time
-	// previousLeaseEnd is when the lease of the node's previous session ends.
+	// previousLeaseEnd is when the last lease that the node got before the session ends.
 	previousLeaseEnd time.Time
 	// storeContact is when the store last answered the node, as far as known; zero if unknown.
 	storeContact time.Time
@@ -297,6 +298,7 @@
 		d.nodes[name] = n
 		if n.Host {
 			d.awaitedHosts[name] = true
+			d.hostLeaseEnds[name] = d.startTime.Add(takeoverHostWait)
 		}
 	}
 	for _, i := range in {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -74,6 +74,10 @@
 		d.register(name, s, func(now time.Time) { d.openSession(now, name, s) })
 		return
 	}
+	if end, latest := d.hostLeaseEnds[name], grantEnd(now); end.After(latest) {
+		// The node took its last lease from an earlier scheduler before it opened this session.
+		d.hostLeaseEnds[name] = latest
+	}
 	s.previousLeaseEnd = d.hostLeaseEnds[name]
 	d.sessionCount++
 	s.fence = (int64(d.Term.Epoch)*maxSessionsPerTerm + d.sessionCount) * hostagent.FencesPerSession
@@ -198,7 +202,7 @@
 	for k := range s.workers {
 		d.workerLeaseEnds[k] = end
 	}
-	if s.hello.Host {
+	if s.hello.Host && s.fence != 0 {
 		d.hostLeaseEnds[name] = end
 	}
 	d.lastContacts[name] = s.lastContact
@@ -269,10 +273,15 @@
 	if !d.termEvidence().Current(now) {
 		return
 	}
-	s.leaseEnd = now.Add(hostagent.LeaseGrant + hostagent.LeaseGrant/50 + leaseGrantMargin)
+	s.leaseEnd = grantEnd(now)
 	s.conn.Send(link.Message{Pong: &link.Pong{Sent: p.Sent, Grant: hostagent.LeaseGrant, MaxStrength: d.strongest}})
 }
 
+// grantEnd returns when a lease that is granted at a time has certainly ended.
+func grantEnd(at time.Time) time.Time {
+	return at.Add(hostagent.LeaseGrant + hostagent.LeaseGrant/50 + leaseGrantMargin)
+}
+
 // recordStoreContact records that the store answered the node age ago; negative if it never did.
 func (s *session) recordStoreContact(now time.Time, age time.Duration) {
 	if age < 0 {
@@ -389,10 +398,6 @@
 		return
 	}
 	d.scheduler.FinishRecovery()
-	for name := range d.awaitedHosts {
-		// The wait has outlasted the leases of the host.
-		d.hostLeaseEnds[name] = now
-	}
 	d.Log.Event(eventlog.TakeoverCompleted).Int("unheard", len(d.awaitedHosts)).Dur("after", now.Sub(d.startTime)).Msg("")
 	clear(d.awaitedHosts)
 }
--- a/test/fleet/lease_test.go
+++ b/test/fleet/lease_test.go
@@ -1,11 +1,13 @@
 package fleet_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/sesamestream/sesamestream/internal/control"
+	"github.com/sesamestream/sesamestream/internal/hostagent/standin"
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
 )
 
@@ -77,3 +79,75 @@
 		r.checkLongTasksEnd()
 	})
 }
+
+// endTerm makes the leader resign and ends its process. It returns once the next leader's
+// term has begun.
+func (r *rig) endTerm() {
+	old := r.leader()
+	old.control.Resign(context.Background())
+	old.kill()
+	for deadline := time.Now().Add(3 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if name := r.leaderName(); name != "" && name != old.name {
+			return
+		}
+		if time.Now().After(deadline) {
+			r.t.Error("no other process leads")
+			return
+		}
+	}
+}
+
+// Tasks don't start elsewhere before the lease from an earlier term is over, though the only
+// session of their host in this term ends without a grant (TWICE). The machine is cut off when the
+// term begins and returns in an outage of the store.
+func TestLeaseOfAnEarlierTermOutlastsASessionWithoutGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 3, 6)
+		r.startLongTasks()
+		lost, host := r.procs[3], r.procs[4]
+		r.setIsolated([]*process{host}, true)
+		r.endTerm()
+		time.Sleep(100 * time.Millisecond)
+		r.withStoreFaults(memory.Faults{Down: true}, func() {
+			lost.loseMachine()
+			time.Sleep(outageWithoutGrants)
+			r.setReachable(host)
+			host.reconnect()
+			host.kill()
+		})
+		time.Sleep(2 * time.Second)
+		host.start()
+		r.checkLongTasksEnd()
+	})
+}
+
+// setReachable connects a host to the other processes, but not to the store.
+func (r *rig) setReachable(host *process) {
+	for _, p := range r.procs {
+		r.net.SetPartitioned(host.addr.Addr(), p.addr.Addr(), false)
+	}
+}
+
+// The next leader waits for a host of an earlier term whose session in the present one ended
+// before its worker reported. Before, the host's key was removed at once, and the leader after
+// that started the tasks of a worker that still had its lease (TWICE).
+func TestHostOfAnEarlierTermThatDidNotReportIsAwaitedInTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 3, 6)
+		r.startLongTasks()
+		host := r.procs[4]
+		host.worker.SetFaults(standin.Faults{DropCalls: true})
+		r.endTerm()
+		time.Sleep(300 * time.Millisecond)
+		host.kill()
+		time.Sleep(300 * time.Millisecond)
+		if n := len(r.store.Items("sesame/node/" + host.name)); n != 1 {
+			t.Errorf("the store holds %d keys of a host whose worker may run tasks, want 1", n)
+		}
+		r.endTerm()
+		time.Sleep(6 * time.Second)
+		host.worker.SetFaults(standin.Faults{})
+		host.start()
+		r.checkLongTasksEnd()
+	})
+}
