--- a/internal/hostagent/incarnation_test.go
+++ b/internal/hostagent/incarnation_test.go
@@ -252,19 +252,49 @@
 		w.worker.setUnresponsive(false)
 		w.agent.Heartbeat(hostagent.Heartbeat{Worker: second.Info, Seq: 1})
 		time.Sleep(time.Second)
-		snapshot := w.indexOfMessage(func(m link.Message) bool {
-			return m.Snapshot != nil && m.Snapshot.Worker.StartTime == 2 && len(m.Snapshot.Running) == 1
-		})
-		gone := w.indexOfMessage(isGone)
-		if snapshot < 0 || gone < snapshot {
-			t.Errorf("the second incarnation's runs are message %d and the first one's end is message %d; want the runs first", snapshot, gone)
-		}
+		w.checkReportedBeforeGone()
 		if i := w.indexOfMessage(func(m link.Message) bool { return m.StartResult != nil && m.StartResult.Refusal != "" }); i >= 0 {
 			t.Error("a start that was carried out is reported as refused")
 		}
 	})
 }
 
+// The same holds if the next incarnation first answers while the host has no session: the
+// snapshot of that answer reaches nobody. Before, the first incarnation was reported as gone
+// when the next session began, ahead of the runs of the second (TWICE).
+func TestStartCarriedOutByNextIncarnationWithoutSession(t *testing.T) {
+	withHarness(t, func(w *harness) {
+		w.worker.setUnresponsive(true)
+		second := w.worker.restart(2)
+		second.Duration = func(batch.Task) time.Duration { return time.Minute }
+		w.start(1, 0)
+		time.Sleep(200 * time.Millisecond)
+		w.agent.Heartbeat(hostagent.Heartbeat{Worker: second.Info, Seq: 1})
+		time.Sleep(100 * time.Millisecond)
+		w.agent.SessionLost()
+		w.agent.Workers()
+		w.worker.setUnresponsive(false)
+		time.Sleep(time.Second)
+		w.forgetMessages()
+		w.agent.SessionOpened(link.Welcome{Epoch: 2, Fence: 2 * hostagent.FencesPerSession})
+		time.Sleep(time.Second)
+		w.checkReportedBeforeGone()
+	})
+}
+
+// checkReportedBeforeGone checks that the snapshot of incarnation 2 with its run was sent, and
+// only after it that incarnation 1 is gone.
+func (w *harness) checkReportedBeforeGone() {
+	w.t.Helper()
+	snapshot := w.indexOfMessage(func(m link.Message) bool {
+		return m.Snapshot != nil && m.Snapshot.Worker.StartTime == 2 && len(m.Snapshot.Running) == 1
+	})
+	gone := w.indexOfMessage(func(m link.Message) bool { return m.WorkerGone != nil && m.WorkerGone.Key.StartTime == 1 })
+	if snapshot < 0 || gone < snapshot {
+		w.t.Errorf("the second incarnation's runs are message %d and the first one's end is message %d; want the runs first", snapshot, gone)
+	}
+}
+
 // If the next incarnation may run a task of this one but sends no heartbeat, this
 // one is reported as gone after the longest lease.
 func TestNextIncarnationNeverSendsHeartbeat(t *testing.T) {
--- a/internal/hostagent/poll.go
+++ b/internal/hostagent/poll.go
@@ -100,8 +100,10 @@
 			h.reportedSeq = max(h.reportedSeq, e.Seq)
 		}
 		h.setKnownRuns(lists.Running)
-		a.Send(link.Message{Snapshot: &link.Snapshot{Fence: a.fence, Worker: h.info, Running: lists.Running, Ended: lists.Ended}})
-		a.reportReplaced(h)
+		if a.fence != 0 {
+			a.Send(link.Message{Snapshot: &link.Snapshot{Fence: a.fence, Worker: h.info, Running: lists.Running, Ended: lists.Ended}})
+			a.reportReplaced(h)
+		}
 		return true
 	}
 	h.reconcile(polledAt, lists)
