Fence incarnations that start while the host has no session

What callers would see: a task that runs on two workers at once (TWICE).

Cause: an agent gave up the fences of a session when it ended. A worker that restarted before the next session was polled under none, so that it would carry out a late start that was sent to its previous incarnation, by its own new clock and hence for up to MaxLease. The scheduler waits for the lease of the previous incarnation only, which is shorter.

Change: the fences of the last session stay the host's until the next one, as no other host gets them and each later session has higher ones. Whether there is a session is a field of its own.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -75,9 +75,11 @@
 	workers   map[batch.WorkerKey]*workerHandle
 	// endedWorkers are the last incarnations that were removed, oldest first.
 	endedWorkers []batch.WorkerKey
-	// fence is the first fence of the session; 0 without a session.
+	// inSession is set while there is a session.
+	inSession bool
+	// fence is the first fence of the last session; 0 before the first one.
 	fence int64
-	// highestFence is the highest fence used in the session.
+	// highestFence is the highest fence used since that session began.
 	highestFence int64
 	// replaced are the ended incarnations that aren't reported as gone yet, with
 	// the time by which they are.
@@ -270,7 +272,7 @@
 func (a *Agent) SessionOpened(w link.Welcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.fence, a.highestFence, a.grantEnd = w.Fence, w.Fence, 0
+	a.inSession, a.fence, a.highestFence, a.grantEnd = true, w.Fence, w.Fence, 0
 	for _, h := range a.workers {
 		h.setFence(w.Fence)
 	}
@@ -289,11 +291,13 @@
 	a.grantEnd = max(a.grantEnd, sent+grant)
 }
 
-// SessionLost ends the session. Leases already granted to workers stay valid until they expire.
+// SessionLost ends the session. Leases already granted to workers stay valid until they expire,
+// and its fences stay those of this host: incarnations that start before the next session are
+// fenced off from orders sent to earlier ones.
 func (a *Agent) SessionLost() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.fence = 0
+	a.inSession = false
 	for _, h := range a.workers {
 		h.snapshotAcked, h.snapshotFence = false, 0
 	}
--- a/internal/hostagent/incarnation.go
+++ b/internal/hostagent/incarnation.go
@@ -10,8 +10,8 @@
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
-// nextFence returns a fence above all those used in the session. It returns 0
-// without a session, or if the session's fences are used up.
+// nextFence returns a fence above all those used since the last session began. It returns 0
+// before the first session, or if the fences of the last one are used up.
 func (a *Agent) nextFence() int64 {
 	if a.fence == 0 {
 		return 0
--- a/internal/hostagent/incarnation_test.go
+++ b/internal/hostagent/incarnation_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/hostagent"
 	"github.com/sesamestream/sesamestream/internal/hostagent/standin"
@@ -207,6 +209,24 @@
 	})
 }
 
+// An incarnation that starts while the host has no session refuses late starts that were sent to
+// the one before. Before, it was polled under no fence until the next session, and a host that was
+// cut off for longer than a lease had its tasks started elsewhere meanwhile (TWICE).
+func TestIncarnationWithoutSessionRefusesLateStarts(t *testing.T) {
+	withHarness(t, func(w *harness) {
+		late := hostagent.StartOrder{
+			Task: batch.Task{Job: "j"}, Number: 1, LeaseEnd: time.Minute, Fence: w.worker.lastPoll().Fence,
+		}
+		w.agent.SessionLost()
+		second := w.worker.restart(2)
+		w.agent.Heartbeat(hostagent.Heartbeat{Worker: second.Info, Seq: 1})
+		time.Sleep(time.Second)
+		if _, err := second.Start(t.Context(), late); !errors.Is(err, hostagent.ErrFenced) {
+			t.Errorf("a late start returns %v, want %v", err, hostagent.ErrFenced)
+		}
+	})
+}
+
 // A poll that the next incarnation may answer acknowledges no ends. That
 // incarnation would otherwise forget ends of its own that were never reported,
 // and their tasks would run again (seed 22 of the soak test).
--- a/internal/hostagent/poll.go
+++ b/internal/hostagent/poll.go
@@ -100,7 +100,7 @@
 			h.reportedSeq = max(h.reportedSeq, e.Seq)
 		}
 		h.setKnownRuns(lists.Running)
-		if a.fence != 0 {
+		if a.inSession {
 			a.Send(link.Message{Snapshot: &link.Snapshot{Fence: a.fence, Worker: h.info, Running: lists.Running, Ended: lists.Ended}})
 			a.reportReplaced(h)
 		}
