Don't take the end of an unnamed incarnation for a host's report

What callers would see: tasks that run on two workers at once after a change of leader (TWICE).

Cause: a new leader waits until each host has reported. A host whose process has just restarted names no worker. The takeover was complete, and the tasks of the worker that the agent didn't know of yet were started elsewhere.

Change: the end of an incarnation counts for the report only if the request for the session named it.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -238,11 +238,14 @@
 		d.removeWorker(m.WorkerGone.Key, m.WorkerGone.Reason)
 		s.dropSnapshot(m.WorkerGone.Key)
 		delete(s.workers, m.WorkerGone.Key)
-		delete(s.awaitedSnapshots, m.WorkerGone.Key)
 		if len(s.workers) == 0 {
 			d.hostLeaseEnds[s.hello.Node] = s.previousLeaseEnd
 		}
-		d.checkHostReported(now, s)
+		if s.awaitedSnapshots[m.WorkerGone.Key] {
+			// The end of any other incarnation doesn't tell which ones the host has yet to report.
+			delete(s.awaitedSnapshots, m.WorkerGone.Key)
+			d.checkHostReported(now, s)
+		}
 	case m.Ends != nil:
 		d.handleEnds(now, m.Ends.Key, m.Ends.Ends)
 	case m.StartResult != nil:
--- a/test/fleet/lease_test.go
+++ b/test/fleet/lease_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sesamestream/sesamestream/internal/control"
+	"github.com/sesamestream/sesamestream/internal/hostagent"
 	"github.com/sesamestream/sesamestream/internal/hostagent/standin"
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
 )
@@ -151,3 +152,23 @@
 		r.checkLongTasksEnd()
 	})
 }
+
+// The end of an earlier incarnation isn't the report of a host whose process has restarted and
+// doesn't know of its worker yet. Before, a late heartbeat of that incarnation completed the
+// takeover, and the tasks of the worker started elsewhere (TWICE).
+func TestLateHeartbeatIsNoReportOfAHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 3, 6)
+		host := r.procs[4]
+		earlier := host.worker.Info
+		host.restartWorker()
+		r.startLongTasks()
+		host.kill()
+		r.endTerm()
+		host.heartbeatDelay = 1500 * time.Millisecond
+		host.start()
+		time.Sleep(500 * time.Millisecond)
+		host.control.Agent.Heartbeat(hostagent.Heartbeat{Worker: earlier, Seq: 1})
+		r.checkLongTasksEnd()
+	})
+}
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -58,6 +58,9 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 
+	// heartbeatDelay is how long the worker sends no heartbeat to a process that has started.
+	heartbeatDelay time.Duration
+
 	mu              sync.Mutex
 	worker          *standin.Worker
 	workerStartTime int64
@@ -195,6 +198,7 @@
 
 // sendHeartbeats sends the worker's heartbeats to the agent.
 func (p *process) sendHeartbeats(ctx context.Context) {
+	time.Sleep(p.heartbeatDelay)
 	for seq := int64(1); ctx.Err() == nil; seq++ {
 		p.mu.Lock()
 		w, c := p.worker, p.control
