--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -202,6 +202,7 @@
 	for k := range s.workers {
 		d.workerLeaseEnds[k] = end
 	}
+	// A session that wasn't opened doesn't know of the leases before it.
 	if s.hello.Host && s.fence != 0 {
 		d.hostLeaseEnds[name] = end
 	}
--- a/internal/hostagent/incarnation_test.go
+++ b/internal/hostagent/incarnation_test.go
@@ -195,6 +195,17 @@
 	}})
 }
 
+// startCarriedOutByNext restarts the worker while it answers no polls, and orders a start from
+// incarnation 1 that incarnation 2 carries out. It returns incarnation 2.
+func (w *harness) startCarriedOutByNext() *standin.Worker {
+	w.worker.setUnresponsive(true)
+	second := w.worker.restart(2)
+	second.Duration = func(batch.Task) time.Duration { return time.Minute }
+	w.start(1, 0)
+	time.Sleep(200 * time.Millisecond)
+	return second
+}
+
 // A late call to the previous incarnation must not affect the next one. Each
 // incarnation is therefore polled under its own, higher fence.
 func TestEachIncarnationHasItsOwnFence(t *testing.T) {
@@ -260,11 +271,7 @@
 // scheduler would start the task a second time.
 func TestStartCarriedOutByNextIncarnation(t *testing.T) {
 	withHarness(t, func(w *harness) {
-		w.worker.setUnresponsive(true)
-		second := w.worker.restart(2)
-		second.Duration = func(batch.Task) time.Duration { return time.Minute }
-		w.start(1, 0)
-		time.Sleep(200 * time.Millisecond)
+		second := w.startCarriedOutByNext()
 		isGone := func(m link.Message) bool { return m.WorkerGone != nil && m.WorkerGone.Key.StartTime == 1 }
 		if i := w.indexOfMessage(isGone); i >= 0 {
 			t.Error("the first incarnation is reported as gone while the second may run its task")
@@ -284,11 +291,7 @@
 // when the next session began, ahead of the runs of the second (TWICE).
 func TestStartCarriedOutByNextIncarnationWithoutSession(t *testing.T) {
 	withHarness(t, func(w *harness) {
-		w.worker.setUnresponsive(true)
-		second := w.worker.restart(2)
-		second.Duration = func(batch.Task) time.Duration { return time.Minute }
-		w.start(1, 0)
-		time.Sleep(200 * time.Millisecond)
+		second := w.startCarriedOutByNext()
 		w.agent.Heartbeat(hostagent.Heartbeat{Worker: second.Info, Seq: 1})
 		time.Sleep(100 * time.Millisecond)
 		w.agent.SessionLost()
