Start nothing in data centres whose evacuation is requested

Change: the scheduler reads the requests with its state, before the first start of a term, and follows them in the store. Cold workers are used last for finite work. Nothing is read where the settings have no bound for evacuations.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -50,6 +50,8 @@
 	// ConfigKey is the store key of the operators' configuration, DecodeConfig decodes its value.
 	ConfigKey    string
 	DecodeConfig func([]byte) (batch.Config, error)
+	// EvacuationPrefix is the prefix of the store keys that request evacuations of data centres; empty is none.
+	EvacuationPrefix string
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
 	// LeaderTTL is the duration of the leader lease in the store.
@@ -132,7 +134,7 @@
 func (c *Process) newDispatcher(t *election.Term) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
 		Store: c.Store, Term: t, Node: c.Name, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig,
-		Keep: c.Keep, Advise: c.Advise,
+		EvacuationPrefix: c.EvacuationPrefix, Keep: c.Keep, Advise: c.Advise,
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,6 +76,9 @@
 	// ConfigKey is the store key of the operators' configuration, DecodeConfig decodes its value.
 	ConfigKey    string
 	DecodeConfig func([]byte) (batch.Config, error)
+	// EvacuationPrefix is the prefix of the store keys that request the evacuation of the data
+	// centre that the rest of the key names; empty where there are no such requests.
+	EvacuationPrefix string
 	// Keep is how long ended jobs are retained.
 	Keep time.Duration
 	// Advise calls the policy service; nil if there is none.
@@ -87,7 +90,9 @@
 	events    chan func(now time.Time)
 	scheduler *schedule.Scheduler
 	config    batch.Config
-	sessions  map[string]*session
+	// evacuations are the data centres whose evacuation is requested, sorted.
+	evacuations []string
+	sessions    map[string]*session
 	// nodes are the nodes registered in the store, by name, and those whose keys were removed in this term.
 	nodes map[string]node
 	// awaitedHosts are the hosts that may run tasks of an earlier term and haven't reported all their workers.
@@ -233,9 +238,9 @@
 // load reads the state from the store, retrying until it succeeds, and then
 // follows changes of the input and of the configuration.
 func (d *Dispatcher) load(ctx context.Context) error {
-	var in, states, nodes []kv.Item
+	var in, states, nodes, evacuations []kv.Item
 	var config, estimates kv.Item
-	var from kv.Revision
+	var from, evacuationsFrom kv.Revision
 	for {
 		c, cancel := context.WithTimeout(ctx, 4*storeCallTimeout)
 		g, c := errgroup.WithContext(c)
@@ -254,6 +259,12 @@
 			}
 			return err
 		})
+		if d.EvacuationPrefix != "" {
+			g.Go(func() (err error) {
+				evacuations, evacuationsFrom, err = d.Store.Range(c, d.EvacuationPrefix)
+				return err
+			})
+		}
 		err := g.Wait()
 		cancel()
 		if err == nil {
@@ -264,7 +275,18 @@
 			return ctx.Err()
 		}
 	}
-	d.post(func(now time.Time) { d.restore(now, in, states, nodes, config, estimates) })
+	evacuationKeys := make([]string, len(evacuations))
+	for i, e := range evacuations {
+		evacuationKeys[i] = e.Key
+	}
+	d.post(func(now time.Time) {
+		// The requests in force apply before the first start of the term.
+		d.applyEvacuations(evacuationKeys)
+		d.restore(now, in, states, nodes, config, estimates)
+	})
+	if d.EvacuationPrefix != "" {
+		d.background.Go(func() { d.followEvacuations(ctx, evacuationKeys, evacuationsFrom) })
+	}
 	d.background.Go(func() { d.followConfig(ctx, config.Revision) })
 	return d.followInput(ctx, from)
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -34,6 +34,8 @@
 	StateLoaded          = "stateLoaded"
 	TakeoverCompleted    = "settled"
 	ConfigApplied        = "configInForce"
+	EvacuationRequested  = "evacuationRequested"
+	EvacuationEnded      = "evacuationEnded"
 	ConfigRejected       = "configRejected"
 	HostJoined           = "hostJoined"
 	HostLost             = "hostLost"
--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,3 +73,48 @@
 		}
 	}
 }
+
+// FollowKeys calls f with all keys below prefix after each change of them until ctx ends.
+// It starts with the given keys, as they were at the revision from. After a failed watch
+// it reads the keys again, as the watch may have missed changes and history may be gone.
+func FollowKeys(ctx context.Context, s Store, prefix string, keys []string, from Revision, f func([]string)) {
+	known := map[string]bool{}
+	for _, k := range keys {
+		known[k] = true
+	}
+	reload := false
+	for ctx.Err() == nil {
+		if reload {
+			c, cancel := context.WithTimeout(ctx, readTimeout)
+			items, upto, err := s.Range(c, prefix)
+			cancel()
+			if err != nil {
+				WaitRetry(ctx)
+				continue
+			}
+			clear(known)
+			for _, i := range items {
+				known[i.Key] = true
+			}
+			from, reload = upto, false
+			f(slices.Sorted(maps.Keys(known)))
+		}
+		items, upto, err := WatchOnce(ctx, s, prefix, from)
+		if err != nil {
+			reload = true
+			WaitRetry(ctx)
+			continue
+		}
+		from = max(from, upto)
+		for _, i := range items {
+			if i.Removed {
+				delete(known, i.Key)
+			} else {
+				known[i.Key] = true
+			}
+		}
+		if len(items) > 0 {
+			f(slices.Sorted(maps.Keys(known)))
+		}
+	}
+}
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -240,6 +240,8 @@
 	Draining bool      `json:"draining"`
 	// DrainRemaining is the time left until a draining worker leaves.
 	DrainRemaining time.Duration `json:"drainLeft,omitempty"`
+	// ColdRemaining is how much longer the worker is slow after its start.
+	ColdRemaining time.Duration `json:"coldLeft,omitempty"`
 }
 
 // Key returns the key of the incarnation.
--- a/pkg/decide/schedule/drain.go
+++ b/pkg/decide/schedule/drain.go
@@ -10,9 +10,9 @@
 	// drainStopMargin is the time reserved before the end of a drain for stopping a
 	// run and for the worker to list its end.
 	drainStopMargin = 700 * time.Millisecond
-	// maxEvacuatePercent is the progress in percent from which a run without
+	// maxDrainPercent is the progress in percent from which a run without
 	// checkpoints stays on a draining worker, because workers often remain longer than they report.
-	maxEvacuatePercent = 50
+	maxDrainPercent = 50
 	// minEstimatePercent is the progress in percent from which the speed of a run predicts its end.
 	minEstimatePercent = 10
 )
@@ -35,17 +35,17 @@
 	return t.step.Estimate
 }
 
-// evacuate stops runs on draining workers that would be lost there and that fit
+// moveFromDraining stops runs on draining workers that would be lost there and that fit
 // on another worker. Long-running tasks are stopped at once, other tasks only if
 // they cannot finish before the worker is gone.
-func (s *Scheduler) evacuate(now time.Time, o *Orders) {
+func (s *Scheduler) moveFromDraining(now time.Time, o *Orders) {
 	reserved := map[*worker]batch.Resources{}
 	for _, w := range s.workerList {
 		if !w.Draining || w.outOfReach() {
 			continue
 		}
 		for _, t := range w.tasks {
-			if t.stopping || !t.confirmed || t.step.Gang || !t.shouldEvacuate(now, w) {
+			if t.stopping || !t.confirmed || t.step.Gang || !t.shouldLeaveDraining(now, w) {
 				continue
 			}
 			to := s.findWorker(now, t.step, t, o)
@@ -58,13 +58,13 @@
 	}
 }
 
-// shouldEvacuate reports whether t loses more work by staying on w than by being stopped.
-func (t *task) shouldEvacuate(now time.Time, w *worker) bool {
+// shouldLeaveDraining reports whether t loses more work by staying on w than by being stopped.
+func (t *task) shouldLeaveDraining(now time.Time, w *worker) bool {
 	if t.step.LongRunning {
 		return true
 	}
 	if t.remainingTime(now) < w.drainDeadline.Sub(now)-drainStopMargin {
 		return false
 	}
-	return t.step.Checkpoints || t.percent < maxEvacuatePercent
+	return t.step.Checkpoints || t.percent < maxDrainPercent
 }
--- a/pkg/decide/schedule/exclusion_test.go
+++ b/pkg/decide/schedule/exclusion_test.go
@@ -16,7 +16,7 @@
 	f.Add(f.now, endlessJob("a", 1, 2000), nil, false)
 	s := f.startFor(50 * time.Millisecond)[0]
 	f.reportAtWork(s)
-	f.moveServing(f.now, f.jobs["a"].occurrences[0].steps[0].tasks[0], f.workerOf("2"))
+	f.moveServing(f.now, f.jobs["a"].occurrences[0].steps[0].tasks[0], f.workerOf("2"), "test")
 	f.Add(f.now, endlessJob("b", 1, 2000), nil, false)
 	g.Expect(f.startFor(time.Second)).To(BeEmpty())
 	g.Expect(f.startFor(moveTimeout)).To(HaveLen(1))
--- a/pkg/decide/schedule/move_test.go
+++ b/pkg/decide/schedule/move_test.go
@@ -20,7 +20,7 @@
 	f.reportAtWork(s)
 	f.SyncWorker(f.now, "host-2", testWorker("2", 3000), nil, nil)
 	f.SyncWorker(f.now, "host-3", testWorker("3", 8000), nil, nil)
-	f.moveServing(f.now, f.findTask(s.Task), f.workerOf("2"))
+	f.moveServing(f.now, f.findTask(s.Task), f.workerOf("2"), "test")
 	g.Expect(f.scheduleAfter(0).Stops).To(HaveLen(1))
 	g.Expect(f.workerOf("2").freeResources().MilliCPU).To(Equal(1000))
 	return f, s
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -45,7 +45,9 @@
 		s.moveThrottled(now, &o)
 		s.relocateStragglers(now, &o)
 	}
-	s.evacuate(now, &o)
+	s.moveFromDraining(now, &o)
+	s.dropMoves(now)
+	s.evacuate(now, pending[finite:], &o)
 	s.rearrange(now, &o)
 	s.reportWaits(now, pending, &o)
 	o.Stops = append(o.Stops, s.pendingStops...)
@@ -379,6 +381,9 @@
 	if st.DataRack != "" && w.Rack() != st.DataRack {
 		v -= remoteDataCost
 	}
+	if !st.LongRunning && now.Before(w.warmAt) {
+		v -= coldWorkerCost
+	}
 	return v
 }
 
@@ -398,6 +403,9 @@
 	// remoteDataCost outweighs free capacity and compatibility: a task in another rack
 	// than its data takes half as long again.
 	remoteDataCost = 1000
+	// coldWorkerCost outweighs all other terms, so that a worker that has just started
+	// fills up with what finds no room elsewhere.
+	coldWorkerCost = 2000
 )
 
 // bestEffortInterval is how often workers are searched again for best-effort tasks
--- a/pkg/decide/schedule/rearrange.go
+++ b/pkg/decide/schedule/rearrange.go
@@ -137,7 +137,6 @@
 
 // rearrange stops latency-critical tasks that are worth moving to another worker.
 func (s *Scheduler) rearrange(now time.Time, o *Orders) {
-	s.dropMoves(now)
 	if s.variant.keepArrangement || now.Sub(s.rearrangedAt) < rearrangeInterval || len(s.interference.Aggressors()) == 0 {
 		return
 	}
@@ -152,7 +151,7 @@
 		if t == nil {
 			return
 		}
-		s.moveServing(now, t, to)
+		s.moveServing(now, t, to, "another worker suits it better")
 	}
 }
 
@@ -212,11 +211,11 @@
 }
 
 // moveServing stops a latency-critical task and keeps room for it on another worker.
-func (s *Scheduler) moveServing(now time.Time, t *task, to *worker) {
+func (s *Scheduler) moveServing(now time.Time, t *task, to *worker, reason string) {
 	s.moves = append(s.moves, &servingMove{task: t, run: t.run, to: to, until: now.Add(moveTimeout)})
 	to.reserved = to.reserved.Plus(reservation(t.step.Step))
 	t.moving = true
-	s.orderStop(t, "another worker suits it better")
+	s.orderStop(t, reason)
 }
 
 // moveGivenUp reports whether the run of t was stopped only for a move that was given up.
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -17,7 +17,7 @@
 		s.workerList = append(s.workerList, w)
 	}
 	w.Worker, w.host, w.unresponsive, w.silent, w.unavailableUntil = b, host, false, false, time.Time{}
-	w.setDrainDeadline(now)
+	s.describeWorker(now, w)
 	for _, e := range ends {
 		s.handleEnd(now, w, e)
 	}
@@ -105,7 +105,14 @@
 		return
 	}
 	w.Worker = b
+	s.describeWorker(now, w)
+}
+
+// describeWorker derives the state of w that depends on its description.
+func (s *Scheduler) describeWorker(now time.Time, w *worker) {
 	w.setDrainDeadline(now)
+	w.evacuated = s.evacuations[w.DataCentre]
+	w.warmAt = now.Add(w.ColdRemaining)
 }
 
 // MarkUnresponsive records that a host is unresponsive. Its runs stay assigned.
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -85,6 +85,10 @@
 	// rankingBuffer is reused by rank.
 	rankingBuffer candidateHeap
 	queues        map[string]batch.Queue
+	// evacuations are the data centres whose evacuation is requested.
+	evacuations map[string]bool
+	// evacuatedAt is when tasks to move out of these were last searched.
+	evacuatedAt time.Time
 	// recovered is set once each host that may run tasks of an earlier scheduler has
 	// connected or its wait limit is over.
 	recovered    bool
--- a/pkg/decide/schedule/simworld_test.go
+++ b/pkg/decide/schedule/simworld_test.go
@@ -585,7 +585,7 @@
 	if to == nil {
 		return
 	}
-	m.moveServing(m.now, t, to)
+	m.moveServing(m.now, t, to, "test")
 	m.check("move")
 }
 
--- a/pkg/decide/schedule/wait.go
+++ b/pkg/decide/schedule/wait.go
@@ -16,6 +16,8 @@
 	eligible exclusion = iota
 	otherService
 	unresponsive
+	// evacuated workers are in a data centre whose evacuation is requested.
+	evacuated
 	draining
 	quarantined
 	// probing workers show by one run at a time whether they are healthy again.
@@ -59,7 +61,7 @@
 }
 
 var exclusionNames = [exclusions]string{
-	"eligible", "otherService", "unresponsive", "draining", "quarantined", "probing", "slow", "lacksCpu", "lacksMemory", "lacksGpu", "lacksLabel", "otherRack", "held",
+	"eligible", "otherService", "unresponsive", "evacuated", "draining", "quarantined", "probing", "slow", "lacksCpu", "lacksMemory", "lacksGpu", "lacksLabel", "otherRack", "held",
 	"atTaskLimit", "lacksSpareCpu", "wouldInterfere", "unadvised", "denied", "avoided", "failedLately",
 }
 
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +18,10 @@
 	unresponsive bool
 	// silent workers don't answer their host and are treated likewise.
 	silent bool
+	// evacuated is set while the evacuation of the worker's data centre is requested.
+	evacuated bool
+	// warmAt is until when the worker is slow after its start.
+	warmAt time.Time
 	// unavailableUntil is until when the worker gets no tasks after its host refused one.
 	unavailableUntil time.Time
 	tasks            map[batch.Task]*task
@@ -155,6 +161,12 @@
 	}
 }
 
+// tasksInOrder returns the tasks of the worker in the order of their names, so that the same
+// inputs give the same orders.
+func (w *worker) tasksInOrder() []*task {
+	return slices.SortedFunc(maps.Values(w.tasks), func(a, b *task) int { return cmp.Compare(a.id.String(), b.id.String()) })
+}
+
 // outOfReach reports whether no order reaches the worker at present.
 func (w *worker) outOfReach() bool { return w.unresponsive || w.silent }
 
@@ -163,6 +175,8 @@
 	switch {
 	case w.outOfReach() || now.Before(w.unavailableUntil):
 		return unresponsive
+	case w.evacuated:
+		return evacuated
 	case w.Draining:
 		return draining
 	case w.health.quarantined(now):
