Read followed keys each second beside their watch

Cause: FollowKeys learned of changes from watch events alone while the watch succeeded. A watch that returns without events, as in a store that suppresses them, hid an evacuation request or its removal for good. With 1.2 s for each call of the store, knowledge was 2.9 s old and more.

Change: a read each second, whose call may take 2 s without delaying the next. Answers that show an earlier state than the last known one are ignored, and unchanged keys aren't reported.

--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,47 +75,121 @@
 	}
 }
 
-// FollowKeys calls f with all keys below prefix after each change of them until ctx ends.
-// It starts with the given keys, as they were at the revision from. After a failed watch
-// it reads the keys again, as the watch may have missed changes and history may be gone.
+// FollowKeys calls f with all keys below prefix, sorted, after each change of them until ctx ends.
+// It starts with the given keys, as they were at the revision from. Beside the watch it reads the
+// keys every keyReadInterval, as a watch may be silent. A change is known at most that interval
+// and the duration of a read after it, whatever the watch shows, while the store answers reads
+// within keyReadTimeout.
 func FollowKeys(ctx context.Context, s Store, prefix string, keys []string, from Revision, f func([]string)) {
-	known := map[string]bool{}
+	t := &trackedKeys{known: map[string]bool{}, upto: from, changed: f}
 	for _, k := range keys {
-		known[k] = true
+		t.known[k] = true
 	}
-	reload := false
-	for ctx.Err() == nil {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	calls.Go(func() { t.watch(ctx, s, prefix) })
+	tick := time.NewTicker(keyReadInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		// A read without an answer mustn't delay the next one. A failed one is repeated by the next.
+		calls.Go(func() { _ = t.read(ctx, s, prefix, keyReadTimeout) })
+	}
+}
+
+const (
+	// keyReadInterval is the time between two reads of followed keys beside their watch. It adds
+	// one call a second of one process to the load of the store.
+	keyReadInterval = time.Second
+	// keyReadTimeout bounds such a read. With keyReadInterval it leaves 2 s of the 5 s within which
+	// an evacuation has to be in force, for a start that was ordered just before.
+	keyReadTimeout = 2 * time.Second
+)
+
+// trackedKeys are the keys below a prefix as several concurrent calls show them.
+type trackedKeys struct {
+	mu    sync.Mutex
+	known map[string]bool
+	// upto is the revision up to which the keys are known. Answers that show an earlier state are ignored.
+	upto    Revision
+	changed func([]string)
+}
+
+// watch applies the changes that the store reports until ctx ends. After a failed watch it reads
+// the keys, as the history that the watch asks for may be gone.
+func (t *trackedKeys) watch(ctx context.Context, s Store, prefix string) {
+	for reload := false; ctx.Err() == nil; {
 		if reload {
-			c, cancel := context.WithTimeout(ctx, readTimeout)
-			items, upto, err := s.Range(c, prefix)
-			cancel()
-			if err != nil {
+			if err := t.read(ctx, s, prefix, readTimeout); err != nil {
 				WaitRetry(ctx)
 				continue
 			}
-			clear(known)
-			for _, i := range items {
-				known[i.Key] = true
-			}
-			from, reload = upto, false
-			f(slices.Sorted(maps.Keys(known)))
 		}
-		items, upto, err := WatchOnce(ctx, s, prefix, from)
-		if err != nil {
-			reload = true
+		items, upto, err := WatchOnce(ctx, s, prefix, t.revision())
+		if reload = err != nil; reload {
 			WaitRetry(ctx)
 			continue
 		}
-		from = max(from, upto)
-		for _, i := range items {
-			if i.Removed {
-				delete(known, i.Key)
-			} else {
-				known[i.Key] = true
-			}
-		}
-		if len(items) > 0 {
-			f(slices.Sorted(maps.Keys(known)))
+		t.apply(items, upto)
+	}
+}
+
+// read replaces the keys by those in the store.
+func (t *trackedKeys) read(ctx context.Context, s Store, prefix string, timeout time.Duration) error {
+	c, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	items, upto, err := s.Range(c, prefix)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if upto < t.upto {
+		return nil
+	}
+	t.upto = upto
+	read := make(map[string]bool, len(items))
+	for _, i := range items {
+		read[i.Key] = true
+	}
+	if !maps.Equal(read, t.known) {
+		t.known = read
+		t.notify()
+	}
+	return nil
+}
+
+// apply applies the changes that a watch has reported.
+func (t *trackedKeys) apply(items []Item, upto Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := maps.Clone(t.known)
+	for _, i := range items {
+		switch {
+		case i.Revision <= t.upto:
+			// A later read has shown the state after this change.
+		case i.Removed:
+			delete(t.known, i.Key)
+		default:
+			t.known[i.Key] = true
 		}
 	}
+	t.upto = max(t.upto, upto)
+	if !maps.Equal(before, t.known) {
+		t.notify()
+	}
+}
+
+// revision returns the revision up to which the keys are known.
+func (t *trackedKeys) revision() Revision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.upto
 }
+
+// notify passes on the keys. The caller holds t.mu, so that they are passed on in their order.
+func (t *trackedKeys) notify() { t.changed(slices.Sorted(maps.Keys(t.known))) }
--- a/internal/kv/memory/memory.go
+++ b/internal/kv/memory/memory.go
@@ -160,6 +160,14 @@
 	return r
 }
 
+// Remove removes a key without conditions, as an operator does.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.remove(key)
+}
+
 // Items returns the items below prefix, sorted by key.
 func (s *Store) Items(prefix string) []kv.Item {
 	s.mu.Lock()
