Read evacuation requests last before a term's first start

Cause: a new scheduler read the requests beside its other state, which may take 3.6 s. At its first start it knew the requests as they were that long before, and learned of later ones only from the next watch.

Change: the requests are read after everything else, with a timeout of their own. test/fleet places hosts in several data centres, requests evacuations under faults of the scheduler, the store, the watch and the workers, and test/history checks each start against the bound.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -238,9 +238,9 @@
 // load reads the state from the store, retrying until it succeeds, and then
 // follows changes of the input and of the configuration.
 func (d *Dispatcher) load(ctx context.Context) error {
-	var in, states, nodes, evacuations []kv.Item
+	var in, states, nodes []kv.Item
 	var config, estimates kv.Item
-	var from, evacuationsFrom kv.Revision
+	var from kv.Revision
 	for {
 		c, cancel := context.WithTimeout(ctx, 4*storeCallTimeout)
 		g, c := errgroup.WithContext(c)
@@ -259,12 +259,6 @@
 			}
 			return err
 		})
-		if d.EvacuationPrefix != "" {
-			g.Go(func() (err error) {
-				evacuations, evacuationsFrom, err = d.Store.Range(c, d.EvacuationPrefix)
-				return err
-			})
-		}
 		err := g.Wait()
 		cancel()
 		if err == nil {
@@ -275,9 +269,10 @@
 			return ctx.Err()
 		}
 	}
-	evacuationKeys := make([]string, len(evacuations))
-	for i, e := range evacuations {
-		evacuationKeys[i] = e.Key
+	// The reads above may take seconds, so that requests read beside them would be as old at the first start.
+	evacuationKeys, evacuationsFrom, err := d.readEvacuations(ctx)
+	if err != nil {
+		return err
 	}
 	d.post(func(now time.Time) {
 		// The requests in force apply before the first start of the term.
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -10,6 +10,34 @@
 	"github.com/sesamestream/sesamestream/internal/kv"
 )
 
+// readEvacuations reads the keys of the evacuation requests, retrying until it succeeds, and
+// the revision at which they were read.
+func (d *Dispatcher) readEvacuations(ctx context.Context) ([]string, kv.Revision, error) {
+	if d.EvacuationPrefix == "" {
+		return nil, 0, nil
+	}
+	for {
+		c, cancel := context.WithTimeout(ctx, evacuationReadTimeout)
+		items, at, err := d.Store.Range(c, d.EvacuationPrefix)
+		cancel()
+		if err == nil {
+			keys := make([]string, len(items))
+			for i, x := range items {
+				keys[i] = x.Key
+			}
+			return keys, at, nil
+		}
+		d.Log.Warning(eventlog.StoreLost).Str("call", "evacuations").Err(err).Msg("")
+		if !kv.WaitRetry(ctx) {
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// evacuationReadTimeout bounds the age of the requests at the first start of a term. A store that
+// takes longer for a small answer keeps the scheduler from starting anything.
+const evacuationReadTimeout = 2 * time.Second
+
 // followEvacuations applies each change of the evacuation requests in the store until ctx ends.
 func (d *Dispatcher) followEvacuations(ctx context.Context, keys []string, from kv.Revision) {
 	kv.FollowKeys(ctx, d.Store, d.EvacuationPrefix, keys, from, func(keys []string) {
--- a/internal/hostagent/standin/worker.go
+++ b/internal/hostagent/standin/worker.go
@@ -39,6 +39,8 @@
 	seq         int64
 	used        batch.Resources
 	endsChanged chan struct{}
+	// late is set while a delayed call takes effect.
+	late bool
 }
 
 type run struct {
@@ -70,6 +72,10 @@
 	w.faults = f
 }
 
+// Late reports whether the call that takes effect was delayed by the worker itself. It may be
+// called from OnStart and OnEnd only.
+func (w *Worker) Late() bool { return w.late }
+
 // Fence returns the highest fence that the worker has seen.
 func (w *Worker) Fence() int64 {
 	w.mu.Lock()
@@ -138,7 +144,9 @@
 			defer w.mu.Unlock()
 			if !w.dead {
 				// The caller has given up, so that the result of a delayed call is dropped.
+				w.late = true
 				_ = do()
+				w.late = false
 			}
 		})
 		w.mu.Unlock()
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -20,13 +20,17 @@
 	"github.com/sesamestream/sesamestream/internal/gateway"
 	"github.com/sesamestream/sesamestream/internal/hostagent"
 	"github.com/sesamestream/sesamestream/internal/hostagent/standin"
+	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
 	network "github.com/sesamestream/sesamestream/internal/link/memory"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/test/history"
 )
 
-const configKey = "config"
+const (
+	configKey        = "config"
+	evacuationPrefix = "evacuate/"
+)
 
 // workerCapacity is the capacity of each worker.
 var workerCapacity = batch.Resources{MilliCPU: 4000, MemoryMB: 8000}
@@ -48,15 +52,19 @@
 // process is a machine. Its process may be killed and restarted while its worker
 // keeps running.
 type process struct {
-	rig     *rig
-	name    string
-	addr    netip.AddrPort
-	host    bool
-	cores   float64
-	store   *memory.Client
-	control *control.Process
-	cancel  context.CancelFunc
-	done    chan struct{}
+	rig   *rig
+	name  string
+	addr  netip.AddrPort
+	host  bool
+	cores float64
+	// dataCentre is the data centre of the process and of its worker.
+	dataCentre string
+	store      *memory.Client
+	// wrapStore replaces the store of the process at its next start, if set.
+	wrapStore func(kv.Store) kv.Store
+	control   *control.Process
+	cancel    context.CancelFunc
+	done      chan struct{}
 
 	// heartbeatDelay is how long the worker sends no heartbeat to a process that has started.
 	heartbeatDelay time.Duration
@@ -69,6 +77,11 @@
 // newRig starts a deployment. The first processes have the given cores; those of the
 // others are unknown.
 func newRig(t *testing.T, seed uint64, entries, hosts int, cores ...float64) *rig {
+	return newRigIn(t, seed, entries, hosts, []string{"d"}, cores...)
+}
+
+// newRigIn starts a deployment whose hosts are in the data centres in turn. The entries are in the last one.
+func newRigIn(t *testing.T, seed uint64, entries, hosts int, dataCentres []string, cores ...float64) *rig {
 	r := &rig{t: t, begin: time.Now(), rand: rand.New(rand.NewPCG(seed, 1))}
 	r.history = history.New(t, r.begin)
 	r.log = io.Discard
@@ -87,7 +100,9 @@
 		if i < len(cores) {
 			p.cores = cores[i]
 		}
+		p.dataCentre = dataCentres[len(dataCentres)-1]
 		if p.host {
+			p.dataCentre = dataCentres[(i-entries)%len(dataCentres)]
 			p.startWorker()
 		}
 		r.procs = append(r.procs, p)
@@ -117,12 +132,16 @@
 }
 
 func (p *process) start() {
+	var store kv.Store = p.store
+	if p.wrapStore != nil {
+		store = p.wrapStore(store)
+	}
 	c := &control.Process{
-		Name: p.name, Address: p.addr, DataCentre: "d", Region: "r", Host: p.host, Entry: !p.host, Cores: p.cores,
-		Store: p.store, Network: network.Host{Net: &p.rig.net, Addr: p.addr.Addr()}, Log: eventlog.New(p.rig.log, p.name),
+		Name: p.name, Address: p.addr, DataCentre: p.dataCentre, Region: "r", Host: p.host, Entry: !p.host, Cores: p.cores,
+		Store: store, Network: network.Host{Net: &p.rig.net, Addr: p.addr.Addr()}, Log: eventlog.New(p.rig.log, p.name),
 		Steady:    func() time.Duration { return time.Since(p.rig.begin) },
 		Dial:      func(_ netip.AddrPort, k batch.WorkerKey) hostagent.Worker { return p.dialWorker(k) },
-		ConfigKey: configKey, DecodeConfig: decodeConfig,
+		ConfigKey: configKey, DecodeConfig: decodeConfig, EvacuationPrefix: evacuationPrefix,
 		MaxLease: 6 * time.Second, LeaderTTL: control.LeaderTTL, Keep: 10 * time.Minute,
 	}
 	c.Open()
@@ -170,7 +189,7 @@
 	h := p.rig.history
 	p.worker = &standin.Worker{
 		Info: batch.Worker{
-			ID: id, StartTime: p.workerStartTime, Machine: "m-" + p.name, Service: "s", Address: p.addr.String(), DataCentre: "d",
+			ID: id, StartTime: p.workerStartTime, Machine: "m-" + p.name, Service: "s", Address: p.addr.String(), DataCentre: p.dataCentre,
 			Capacity: workerCapacity, Labels: []string{"a", "r1-1"},
 		},
 		Duration: h.Duration, Fails: h.Fails, OnStart: h.RunStarted, OnEnd: h.RunEnded, OnEndsAcked: h.EndsAcked,
--- a/test/history/history.go
+++ b/test/history/history.go
@@ -23,6 +23,8 @@
 	FailPercent uint32
 	// ExtraDuration is added to the duration of each task.
 	ExtraDuration time.Duration
+	// EvacuationBound is how long after the request of an evacuation tasks may start in the data centre.
+	EvacuationBound time.Duration
 
 	mu          sync.Mutex
 	jobs        map[batch.JobID]*batch.Job
@@ -32,17 +34,30 @@
 	doneAt      map[batch.Task]time.Time
 	acked       map[batch.Task]bool
 	startCounts map[batch.JobID]int
+	// evacuatedSince is when the evacuation of each data centre was requested, while it's in force.
+	evacuatedSince map[string]time.Time
+	// startsIn counts the starts by data centre.
+	startsIn map[string]int
 }
 
 // New returns an empty history of a deployment that started at begin.
 func New(t testing.TB, begin time.Time) *History {
 	return &History{
-		t: t, begin: begin, jobs: map[batch.JobID]*batch.Job{}, answers: map[batch.JobID][]string{},
+		t: t, begin: begin, EvacuationBound: EvacuationBound, jobs: map[batch.JobID]*batch.Job{}, answers: map[batch.JobID][]string{},
 		cancelledAt: map[batch.JobID]time.Time{}, running: map[batch.Task]map[*standin.Worker]int{},
 		doneAt: map[batch.Task]time.Time{}, acked: map[batch.Task]bool{}, startCounts: map[batch.JobID]int{},
+		evacuatedSince: map[string]time.Time{}, startsIn: map[string]int{},
 	}
 }
 
+const (
+	// EvacuationBound is how long after the request of an evacuation tasks may start in the data
+	// centre; the operators' settings of present deployments have the same figure.
+	EvacuationBound = 5 * time.Second
+	// EvacuationStretch is added to it where the store is out of reach of some processes or of all.
+	EvacuationStretch = 8 * time.Second
+)
+
 func (h *History) errorf(format string, args ...any) {
 	h.t.Errorf("%.3f s: "+format, append([]any{time.Since(h.begin).Seconds()}, args...)...)
 }
@@ -94,13 +109,41 @@
 	h.cancelledAt[id] = time.Now()
 }
 
+// EvacuationRequested records that the store has acknowledged the request to evacuate a data centre.
+func (h *History) EvacuationRequested(dataCentre string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.evacuatedSince[dataCentre].IsZero() {
+		h.evacuatedSince[dataCentre] = time.Now()
+	}
+}
+
+// EvacuationEnded records that the request to evacuate a data centre is removed. It's called before the removal.
+func (h *History) EvacuationEnded(dataCentre string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.evacuatedSince, dataCentre)
+}
+
+// StartsIn returns the number of starts in a data centre.
+func (h *History) StartsIn(dataCentre string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.startsIn[dataCentre]
+}
+
 // RunStarted records the start of a run. It reports an error if another run of the
 // task is running, the end of a done run was acknowledged, the job was cancelled
-// more than 3 s ago, or a step that the task depends on is not done.
+// more than 3 s ago, a step that the task depends on is not done, or the evacuation of
+// the data centre was requested more than EvacuationBound ago and the worker received the start in time.
 func (h *History) RunStarted(w *standin.Worker, t batch.Task, run int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.startCounts[t.Job]++
+	h.startsIn[w.Info.DataCentre]++
+	if at := h.evacuatedSince[w.Info.DataCentre]; !at.IsZero() && time.Since(at) > h.EvacuationBound && !w.Late() {
+		h.errorf("%s starts in %s %v after the request of its evacuation", t, w.Info.DataCentre, time.Since(at))
+	}
 	for o, n := range h.running[t] {
 		h.errorf("%s runs twice: run %d on %s and run %d on %s", t, n, o.Info.ID, run, w.Info.ID)
 	}
