Reserve room for drained tasks beside an evacuation

Cause: moves from draining workers only kept account of the room that they counted on within one pass. A move out of an evacuated data centre took the same room, so that two long-running tasks were stopped for room for one.

Change: while an evacuation is in force, a long-running task of a draining worker is moved like one of an evacuated data centre, with its room reserved. Unit tests cover all kinds of starts in an evacuated data centre, unanswered starts, moves, several, all and unknown data centres and cold workers.

Measured: TestDrainingAndEvacuationShareRoom fails before (two stops for one place) and passes after.

--- a/pkg/decide/schedule/drain.go
+++ b/pkg/decide/schedule/drain.go
@@ -17,6 +17,9 @@
 	minEstimatePercent = 10
 )
 
+// drainReason is the logged reason of a stop.
+const drainReason = "worker drains"
+
 // setDrainDeadline records the time after which a draining worker may be gone.
 func (w *worker) setDrainDeadline(now time.Time) {
 	switch {
@@ -52,8 +55,13 @@
 			if to == nil || !reservation(t.step.Step).Plus(reserved[to]).Fits(to.freeResources()) {
 				continue
 			}
+			if t.step.LongRunning && len(s.evacuations) > 0 {
+				// Tasks that leave an evacuated data centre look for the same room.
+				s.moveServing(now, t, to, drainReason)
+				continue
+			}
 			reserved[to] = reserved[to].Plus(reservation(t.step.Step))
-			s.orderStop(t, "worker drains")
+			s.orderStop(t, drainReason)
 		}
 	}
 }
