Evacuate only tasks whose caller lets one of a step be away

Cause: long-running tasks were moved out of an evacuated data centre without regard to the number that their caller allows to be unavailable. A step that allows none lost one at a time.

Change: a step with a limit of 0 keeps its tasks, which may end there. Other steps move one task at a time, as before.

Measured: TestLongRunningTasksThatMayNotBeAwayStay fails before and passes after.

--- a/pkg/decide/schedule/evacuate.go
+++ b/pkg/decide/schedule/evacuate.go
@@ -64,7 +64,7 @@
 				if now.Sub(t.startedAt) >= unansweredStartLimit {
 					s.orderStop(t, evacuationReason)
 				}
-			case !busy && limit > 0 && t.step.LongRunning && !t.step.Gang && t.mayBeAway():
+			case !busy && limit > 0 && t.step.LongRunning && !t.step.Gang && t.step.MaxUnavailable > 0 && t.mayBeAway():
 				if to := s.findWorker(now, t.step, t, o); to != nil {
 					s.moveServing(now, t, to, evacuationReason)
 					limit--
--- a/pkg/decide/schedule/evacuate_test.go
+++ b/pkg/decide/schedule/evacuate_test.go
@@ -254,6 +254,17 @@
 	}
 }
 
+// A step whose caller lets none of its tasks be away keeps them: what runs there may end.
+func TestLongRunningTasksThatMayNotBeAwayStay(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(workerIn("d", "1", 4000))
+	f.Add(f.now, endlessJob("a", 2, 1000), nil, false)
+	g.Expect(f.startAtWork()).To(HaveLen(2))
+	f.SyncWorker(f.now, "host-2", workerIn("e", "2", 4000), nil, nil)
+	f.SetEvacuations([]string{"d"})
+	g.Expect(f.move(g, 0, 20*time.Second)).To(BeZero())
+}
+
 // Moves go on after the request was removed if they are ordered from a state kept with it.
 func TestMovesEndWithTheEvacuation(t *testing.T) {
 	g := NewWithT(t)
