Move long-running tasks out while finite work is pending

Cause: moves out of an evacuated data centre waited until no finite work was pending. Work that only this data centre can run, or more than the others have room for, is pending for as long as the evacuation lasts, so that long-running tasks never left.

Change: beside pending finite work one task moves each second.

Measured: TestPendingFiniteWorkDoesNotKeepLongRunningTasks fails before (0 of 3 moves in 20 s) and passes after.

--- a/pkg/decide/schedule/evacuate.go
+++ b/pkg/decide/schedule/evacuate.go
@@ -16,6 +16,9 @@
 	// unansweredStartLimit is how long a start in an evacuated data centre may go
 	// unanswered before it's stopped, so that a late attempt isn't carried out.
 	unansweredStartLimit = time.Second
+	// busyMoveInterval is the time between two moves while finite work waits for room. Such work
+	// may wait for as long as the evacuation lasts, if only the evacuated data centre can run it.
+	busyMoveInterval = time.Second
 )
 
 // evacuationReason is the logged reason of a stop.
@@ -45,14 +48,19 @@
 }
 
 // evacuate stops unanswered starts on evacuated workers, and moves long-running tasks from
-// them. Moves wait while finite work is pending, which needs the room at once.
+// them, few at a time while finite work is pending, which needs the room at once.
 func (s *Scheduler) evacuate(now time.Time, pendingFinite []pendingStep, o *Orders) {
 	if len(s.evacuations) == 0 || now.Sub(s.evacuatedAt) < evacuationInterval {
 		return
 	}
 	s.evacuatedAt = now
 	limit := len(s.workerList)/workersPerEvacuationMove + 1 - len(s.moves)
-	busy := waitsForRoom(pendingFinite)
+	if waitsForRoom(pendingFinite) {
+		limit = min(limit, 1)
+		if now.Sub(s.evacuationMoveAt) < busyMoveInterval {
+			limit = 0
+		}
+	}
 	for _, w := range s.workerList {
 		if !w.evacuated || w.outOfReach() {
 			continue
@@ -64,9 +72,10 @@
 				if now.Sub(t.startedAt) >= unansweredStartLimit {
 					s.orderStop(t, evacuationReason)
 				}
-			case !busy && limit > 0 && t.step.LongRunning && !t.step.Gang && t.step.MaxUnavailable > 0 && t.mayBeAway():
+			case limit > 0 && t.step.LongRunning && !t.step.Gang && t.step.MaxUnavailable > 0 && t.mayBeAway():
 				if to := s.findWorker(now, t.step, t, o); to != nil {
 					s.moveServing(now, t, to, evacuationReason)
+					s.evacuationMoveAt = now
 					limit--
 				}
 			}
--- a/pkg/decide/schedule/evacuate_test.go
+++ b/pkg/decide/schedule/evacuate_test.go
@@ -265,6 +265,21 @@
 	g.Expect(f.move(g, 0, 20*time.Second)).To(BeZero())
 }
 
+// A job that only the evacuated data centre can run, or more work than there is room for, is
+// pending for as long as the evacuation lasts. Long-running tasks that wait for it to be placed
+// would never leave.
+func TestPendingFiniteWorkDoesNotKeepLongRunningTasks(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(workerIn("d", "1", 4000, "only-d"))
+	f.Add(f.now, servingJob("a", 3, 1000), nil, false)
+	g.Expect(f.startAtWork()).To(HaveLen(3))
+	f.SyncWorker(f.now, "host-2", workerIn("e", "2", 4000), nil, nil)
+	f.SetEvacuations([]string{"d"})
+	f.Add(f.now, testJob("stuck", "urgent", testStep(1, 100, func(s *batch.Step) { s.RequiredLabel = "only-d" })), nil, false)
+	g.Expect(f.move(g, 1, 20*time.Second)).To(Equal(3))
+	g.Expect(f.tasksIn("e")).To(Equal(3))
+}
+
 // Moves go on after the request was removed if they are ordered from a state kept with it.
 func TestMovesEndWithTheEvacuation(t *testing.T) {
 	g := NewWithT(t)
