Bound the searches for moves out of evacuated data centres

Cause: a pass searched all workers for each long-running task that could move. With 240 workers, 1,920 such tasks and no room elsewhere that were 640 searches in one pass, four times a second.

Change: at most 8 searches per pass, which begin where the last ones ended; a step without a worker is left out for a second.

--- a/pkg/decide/schedule/evacuate.go
+++ b/pkg/decide/schedule/evacuate.go
@@ -19,6 +19,10 @@
 	// busyMoveInterval is the time between two moves while finite work waits for room. Such work
 	// may wait for as long as the evacuation lasts, if only the evacuated data centre can run it.
 	busyMoveInterval = time.Second
+	// maxEvacuationSearches bounds the tasks for which one search for moves looks, as each compares
+	// all workers. A step for which it finds none is left out for moveRetryInterval.
+	maxEvacuationSearches = 8
+	moveRetryInterval     = time.Second
 )
 
 // evacuationReason is the logged reason of a stop.
@@ -61,7 +65,11 @@
 			limit = 0
 		}
 	}
-	for _, w := range s.workerList {
+	searches := 0
+	first := s.nextEvacuated
+	for i := range s.workerList {
+		at := (first + i) % len(s.workerList)
+		w := s.workerList[at]
 		if !w.evacuated || w.outOfReach() {
 			continue
 		}
@@ -72,17 +80,28 @@
 				if now.Sub(t.startedAt) >= unansweredStartLimit {
 					s.orderStop(t, evacuationReason)
 				}
-			case limit > 0 && t.step.LongRunning && !t.step.Gang && t.step.MaxUnavailable > 0 && t.mayBeAway():
-				if to := s.findWorker(now, t.step, t, o); to != nil {
-					s.moveServing(now, t, to, evacuationReason)
-					s.evacuationMoveAt = now
-					limit--
+			case limit > 0 && searches < maxEvacuationSearches && t.mayLeaveEvacuated(now):
+				searches++
+				s.nextEvacuated = at
+				to := s.findWorker(now, t.step, t, o)
+				if to == nil {
+					t.step.moveFailedAt = now
+					continue
 				}
+				s.moveServing(now, t, to, evacuationReason)
+				s.evacuationMoveAt = now
+				limit--
 			}
 		}
 	}
 }
 
+// mayLeaveEvacuated reports whether a worker is to be searched for t, which runs in an evacuated
+// data centre: t never ends, its caller lets a task of the step be away, and none is.
+func (t *task) mayLeaveEvacuated(now time.Time) bool {
+	return t.step.LongRunning && !t.step.Gang && t.step.MaxUnavailable > 0 && now.Sub(t.step.moveFailedAt) >= moveRetryInterval && t.mayBeAway()
+}
+
 // waitsForRoom reports whether any of the steps waits for processor time that it reserves.
 func waitsForRoom(steps []pendingStep) bool {
 	for _, c := range steps {
--- a/pkg/decide/schedule/evacuate_test.go
+++ b/pkg/decide/schedule/evacuate_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -388,3 +389,24 @@
 	g.Expect(f.move(g, 1, 10*time.Second)).To(Equal(1), "there is room for one")
 	g.Expect(f.tasksIn("d") + f.tasksIn("e")).To(Equal(2))
 }
+
+// The search for moves is repeated while tasks wait for room. A fleet that lost a third of its
+// workers has many of these, and the search compares all workers for each.
+func TestPassesStayShortWhileNothingCanMove(t *testing.T) {
+	f := newHarness()
+	for i := range 240 {
+		w := workerIn([]string{"d", "e", "f"}[i%3], fmt.Sprint(i), 16000)
+		f.SyncWorker(f.now, fmt.Sprint("host-", i), w, nil, nil)
+	}
+	for i := range 240 {
+		f.Add(f.now, servingJob(fmt.Sprint("j", i), 8, 2000), nil, false)
+	}
+	f.startAtWork()
+	f.startAtWork()
+	f.SetEvacuations([]string{"d"})
+	searches := 0
+	for range 100 {
+		searches = max(searches, f.scheduleAfter(50*time.Millisecond).Searches)
+	}
+	NewWithT(t).Expect(searches).To(BeNumerically("<=", maxEvacuationSearches))
+}
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -89,8 +89,9 @@
 	evacuations map[string]bool
 	// evacuatedAt is when tasks to move out of these were last searched.
 	evacuatedAt time.Time
-	// evacuationMoveAt is when a task was last moved out.
+	// evacuationMoveAt is when a task was last moved out; the next search begins with the worker nextEvacuated.
 	evacuationMoveAt time.Time
+	nextEvacuated    int
 	// recovered is set once each host that may run tasks of an earlier scheduler has
 	// connected or its wait limit is over.
 	recovered    bool
