Report finite work that only evacuated data centres can run

Cause: the log named the reason of a wait for long-running tasks only, so that a finite job that waits for the end of an evacuation left no line.

Measured: TestWaitForEvacuatedDataCentreIsReported fails before and passes after.

--- a/pkg/decide/schedule/evacuate_test.go
+++ b/pkg/decide/schedule/evacuate_test.go
@@ -341,6 +341,30 @@
 	g.Expect(starts[0].Key.ID).To(Equal("2"))
 }
 
+// Operators can't tell a job that waits for the end of an evacuation from one that is lost, unless
+// the reason is reported. Work that others can run isn't reported, as it waits for its turn.
+func TestWaitForEvacuatedDataCentreIsReported(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(workerIn("d", "1", 4000, "only-d"), workerIn("e", "2", 1000))
+	label := func(s *batch.Step) { s.RequiredLabel = "only-d" }
+	f.Add(f.now, testJob("stuck", "urgent", testStep(2, 100, label)), nil, false)
+	f.Add(f.now, testJob("large", "wide", testStep(1, 3000, func(s *batch.Step) { s.BestEffort = true })), nil, false)
+	f.Add(f.now, testJob("turn", "urgent", testStep(9, 1000)), nil, false)
+	f.Add(f.now, testJob("nowhere", "urgent", testStep(1, 100, func(s *batch.Step) { s.RequiredLabel = "x" })), nil, false)
+	f.SetEvacuations([]string{"d"})
+	reports := map[batch.JobID]string{}
+	for range 50 {
+		for _, x := range f.scheduleAfter(100 * time.Millisecond).Waits {
+			reports[x.Task.Job] = x.Workers.String()
+		}
+	}
+	g.Expect(reports).To(Equal(map[batch.JobID]string{"stuck": "evacuated:1 lacksCpu:1", "large": "evacuated:1 lacksSpareCpu:1"}))
+	f.SetEvacuations(nil)
+	for range 50 {
+		g.Expect(f.scheduleAfter(100 * time.Millisecond).Waits).To(BeEmpty())
+	}
+}
+
 // Workers that return cold are slow, so that urgent work there misses its objective while others
 // have room. They take what finds no room elsewhere, and are like the others once warm.
 func TestColdWorkersAreUsedLast(t *testing.T) {
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -69,6 +69,8 @@
 	holdFailedAt time.Time
 	// moveFailedAt is when the last search for a worker to move a task to found none.
 	moveFailedAt time.Time
+	// needsEvacuatedSince is since when only evacuated data centres can run the waiting tasks; zero while others can.
+	needsEvacuatedSince time.Time
 	// peerDurations are the durations of the tasks that are done.
 	peerDurations straggle.PeerDurations
 }
--- a/pkg/decide/schedule/wait.go
+++ b/pkg/decide/schedule/wait.go
@@ -110,17 +110,22 @@
 	}
 }
 
-// reportWaits adds to o why long-running tasks have no worker, of those that have waited longer than waitReportInterval.
+// reportWaits adds to o why tasks have no worker, of those that have waited longer than
+// waitReportInterval: long-running ones, and finite ones that only evacuated data centres can run.
 func (s *Scheduler) reportWaits(now time.Time, pending []pendingStep, o *Orders) {
 	if now.Sub(s.waitsReportedAt) < waitReportInterval {
 		return
 	}
 	s.waitsReportedAt = now
 	for _, c := range pending {
-		if !c.step.LongRunning || len(o.Waits) == maxWaitReports {
+		if len(o.Waits) == maxWaitReports || !c.step.LongRunning && len(s.evacuations) == 0 {
 			// Long-running steps come first.
 			return
 		}
+		if !c.step.LongRunning {
+			s.reportEvacuatedWait(now, c.step, o)
+			continue
+		}
 		for _, t := range c.step.tasks {
 			if t.worker == nil && now.Sub(t.waitingSince) >= waitReportInterval && len(o.Waits) < maxWaitReports {
 				o.Waits = append(o.Waits, Wait{
@@ -131,6 +136,44 @@
 	}
 }
 
+// reportEvacuatedWait adds to o one task of a finite step that only workers in evacuated data
+// centres can run.
+func (s *Scheduler) reportEvacuatedWait(now time.Time, st *step, o *Orders) {
+	if !s.needsEvacuated(now, st) {
+		st.needsEvacuatedSince = time.Time{}
+		return
+	}
+	if st.needsEvacuatedSince.IsZero() {
+		st.needsEvacuatedSince = now
+	}
+	waited := now.Sub(st.needsEvacuatedSince)
+	if waited < waitReportInterval {
+		return
+	}
+	for _, t := range st.tasks {
+		if t.worker == nil && !t.done {
+			o.Waits = append(o.Waits, Wait{Task: t.id, Waited: waited, Backoff: max(0, t.retryAt.Sub(now)), Workers: s.countExclusions(now, st, t)})
+			return
+		}
+	}
+}
+
+// needsEvacuated reports whether workers in evacuated data centres could run a task of st, and no
+// other worker could if it were empty.
+func (s *Scheduler) needsEvacuated(now time.Time, st *step) bool {
+	service, found := s.queueConfig(st.job).Service, false
+	for _, w := range s.workerList {
+		if w.Service != service || !st.Need.Fits(w.Capacity) || st.RequiredLabel != "" && !w.HasLabel(st.RequiredLabel) {
+			continue
+		}
+		if !w.evacuated {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // countExclusions counts the workers by why they may not be given t.
 func (s *Scheduler) countExclusions(now time.Time, st *step, t *task) ExclusionCounts {
 	var n ExclusionCounts
