Report a worker's new data centre and that it's warm early

Cause: a host reported a change of its worker only if it drains, its capacity changes or it turns cold.

Change: both are reported.

Measured: TestChangesOfWorkerAreReported fails before (no report of either) and passes after.

--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -223,9 +223,9 @@
 		return true
 	}
 	h.seq = r.Seq
-	// The scheduler counts down the time for which a worker is cold; only a worker that turns cold is reported.
-	turnedCold := r.Worker.ColdRemaining > h.info.ColdRemaining
-	changed := h.info.Draining != r.Worker.Draining || h.info.Capacity != r.Worker.Capacity || turnedCold
+	// The scheduler counts down the time for which a worker is cold; only one that turns cold or warm is reported.
+	turned := r.Worker.ColdRemaining > h.info.ColdRemaining || (r.Worker.ColdRemaining == 0) != (h.info.ColdRemaining == 0)
+	changed := h.info.Draining != r.Worker.Draining || h.info.Capacity != r.Worker.Capacity || h.info.DataCentre != r.Worker.DataCentre || turned
 	h.info = r.Worker
 	if changed {
 		a.Log.Event(eventlog.WorkerChanged).Str("worker", k.ID).Bool("draining", r.Worker.Draining).Int64("seq", r.Seq).Msg("")
