--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"testing"
@@ -156,6 +157,38 @@
 	}},
 }
 
+// storeFaults are the faults that keep the store out of reach of some processes or of all, so
+// that an evacuation may be in force later.
+var storeFaults = map[string]bool{
+	"island": true, "cut": true, "storeCut": true, "storeDown": true, "storeBusy": true, "storeLost": true, "storeLate": true,
+}
+
+// evacuateAtRandom requests and ends three evacuations at random times, and closes the channel
+// after the last one. It draws from numbers of its own, so that a seed selects the same jobs and
+// faults as without it.
+func (r *rig) evacuateAtRandom(seed uint64) <-chan struct{} {
+	random := rand.New(rand.NewPCG(seed, 2))
+	choices := [][]string{{"d"}, {"e"}, {"d", "e"}, {"nowhere", "d"}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 {
+			time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+			choice := choices[random.IntN(len(choices))]
+			lasts := 50*time.Millisecond + time.Duration(random.IntN(12000))*time.Millisecond
+			r.t.Logf("%.3f s: evacuation of %v for %v", time.Since(r.begin).Seconds(), choice, lasts)
+			for _, d := range choice {
+				r.requestEvacuation(d)
+			}
+			time.Sleep(lasts)
+			for _, d := range choice {
+				r.endEvacuation(d)
+			}
+		}
+	}()
+	return done
+}
+
 // setIsolated partitions processes from the store and from all other processes, or
 // heals the partition. The processes still reach each other.
 func (r *rig) setIsolated(ps []*process, isolated bool) {
@@ -216,16 +249,17 @@
 	511, // A scheduler partitioned together with a host started jobs that its successor had started.
 }
 
-// runSeed submits jobs for 20 s while random faults are injected, and then checks
-// that all jobs have ended. The order of the draws must not change, because the seed
+// runSeed submits jobs for 20 s while random faults are injected and evacuations of data
+// centres are requested, and then checks that all jobs have ended. The order of the draws must not change, because the seed
 // selects jobs and faults. Concurrent goroutines also draw, so that two runs of a
 // seed can still differ.
 func runSeed(t *testing.T, seed uint64) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, seed, 2, 4)
+		r := newRigIn(t, seed, 2, 4, []string{"d", "e"})
 		r.history.FailPercent = 10
 		time.Sleep(5 * time.Second)
 		finished := make(chan struct{})
+		evacuated := r.evacuateAtRandom(seed)
 		const jobs = 40
 		for n := range jobs {
 			go func() {
@@ -245,11 +279,18 @@
 			p := r.procs[r.intn(len(r.procs))]
 			d := 500*time.Millisecond + time.Duration(r.intn(4000))*time.Millisecond
 			t.Logf("%.3f s: %s %s for %v", time.Since(r.begin).Seconds(), f.name, p.name, d)
+			if storeFaults[f.name] {
+				r.history.StoreDisturbed()
+			}
 			f.inject(r, p, d)
+			if storeFaults[f.name] {
+				r.history.StoreReachable()
+			}
 		}
 		for range jobs {
 			<-finished
 		}
+		<-evacuated
 		time.Sleep(30 * time.Second)
 		r.history.CheckFinalState(r.jobState)
 		r.close()
--- a/test/history/history.go
+++ b/test/history/history.go
@@ -36,6 +36,9 @@
 	startCounts map[batch.JobID]int
 	// evacuatedSince is when the evacuation of each data centre was requested, while it's in force.
 	evacuatedSince map[string]time.Time
+	// disturbances counts the faults that keep the store out of reach; disturbedUntil is when the last of them ended.
+	disturbances   int
+	disturbedUntil time.Time
 	// startsIn counts the starts by data centre.
 	startsIn map[string]int
 }
@@ -125,6 +128,30 @@
 	delete(h.evacuatedSince, dataCentre)
 }
 
+// StoreDisturbed records that a fault begins which keeps the store out of reach of some
+// processes or of all. An evacuation then may take EvacuationStretch longer to be in force.
+func (h *History) StoreDisturbed() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disturbances++
+}
+
+// StoreReachable records the end of such a fault.
+func (h *History) StoreReachable() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disturbances--
+	h.disturbedUntil = time.Now()
+}
+
+// evacuationBound returns the bound of an evacuation that was requested at a time.
+func (h *History) evacuationBound(requested time.Time) time.Duration {
+	if h.disturbances > 0 || !h.disturbedUntil.Before(requested) {
+		return h.EvacuationBound + EvacuationStretch
+	}
+	return h.EvacuationBound
+}
+
 // StartsIn returns the number of starts in a data centre.
 func (h *History) StartsIn(dataCentre string) int {
 	h.mu.Lock()
@@ -141,7 +168,7 @@
 	defer h.mu.Unlock()
 	h.startCounts[t.Job]++
 	h.startsIn[w.Info.DataCentre]++
-	if at := h.evacuatedSince[w.Info.DataCentre]; !at.IsZero() && time.Since(at) > h.EvacuationBound && !w.Late() {
+	if at := h.evacuatedSince[w.Info.DataCentre]; !at.IsZero() && time.Since(at) > h.evacuationBound(at) && !w.Late() {
 		h.errorf("%s starts in %s %v after the request of its evacuation", t, w.Info.DataCentre, time.Since(at))
 	}
 	for o, n := range h.running[t] {
