--- a/pkg/decide/schedule/wait.go
+++ b/pkg/decide/schedule/wait.go
@@ -139,7 +139,7 @@
 // reportEvacuatedWait adds to o one task of a finite step that only workers in evacuated data
 // centres can run.
 func (s *Scheduler) reportEvacuatedWait(now time.Time, st *step, o *Orders) {
-	if !s.needsEvacuated(now, st) {
+	if !s.needsEvacuated(st) {
 		st.needsEvacuatedSince = time.Time{}
 		return
 	}
@@ -160,7 +160,7 @@
 
 // needsEvacuated reports whether workers in evacuated data centres could run a task of st, and no
 // other worker could if it were empty.
-func (s *Scheduler) needsEvacuated(now time.Time, st *step) bool {
+func (s *Scheduler) needsEvacuated(st *step) bool {
 	service, found := s.queueConfig(st.job).Service, false
 	for _, w := range s.workerList {
 		if w.Service != service || !st.Need.Fits(w.Capacity) || st.RequiredLabel != "" && !w.HasLabel(st.RequiredLabel) {
