Move no task while one of its step is out of reach

Cause: a task counted as at work while its host had no session or its worker was silent. Another one of its step was then moved out of an evacuated data centre, so that two were away where the caller allows one.

Change: a step moves only while each of its tasks is within reach.

Measured: TestTaskStaysWhileOneOfItsStepIsOutOfReach fails before and passes after.

--- a/pkg/decide/schedule/evacuate.go
+++ b/pkg/decide/schedule/evacuate.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // An evacuation request asks that nothing more is started in a data centre until the
 // request is removed. What runs there may end. Long-running tasks never do, so they are
@@ -99,7 +102,11 @@
 // mayLeaveEvacuated reports whether a worker is to be searched for t, which runs in an evacuated
 // data centre: t never ends, its caller lets a task of the step be away, and none is.
 func (t *task) mayLeaveEvacuated(now time.Time) bool {
-	return t.step.LongRunning && !t.step.Gang && t.step.MaxUnavailable > 0 && now.Sub(t.step.moveFailedAt) >= moveRetryInterval && t.mayBeAway()
+	if !t.step.LongRunning || t.step.Gang || t.step.MaxUnavailable == 0 || now.Sub(t.step.moveFailedAt) < moveRetryInterval || !t.mayBeAway() {
+		return false
+	}
+	// A task whose worker is out of reach may be gone.
+	return !slices.ContainsFunc(t.step.tasks, func(o *task) bool { return o.worker.outOfReach() })
 }
 
 // waitsForRoom reports whether any of the steps waits for processor time that it reserves.
--- a/pkg/decide/schedule/evacuate_test.go
+++ b/pkg/decide/schedule/evacuate_test.go
@@ -255,6 +255,38 @@
 	}
 }
 
+// A task whose worker is out of reach may be gone. To move another one of its step then takes away
+// one more than the caller allows.
+func TestTaskStaysWhileOneOfItsStepIsOutOfReach(t *testing.T) {
+	for name, lose := range map[string]func(f *harness, back bool){
+		"host without session": func(f *harness, back bool) {
+			if !back {
+				f.MarkUnresponsive("host-2")
+				return
+			}
+			var runs []batch.Run
+			for id, x := range f.workerOf("2").tasks {
+				runs = append(runs, batch.Run{Task: id, Number: x.run, ProgressPercent: atWorkPercent})
+			}
+			f.SyncWorker(f.now, "host-2", workerIn("e", "2", 1000), runs, nil)
+		},
+		"worker silent": func(f *harness, back bool) { f.SetSilent(keyOf("2"), !back) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newHarness(workerIn("d", "1", 1000), workerIn("e", "2", 1000))
+			f.Add(f.now, servingJob("a", 2, 1000), nil, false)
+			g.Expect(f.startAtWork()).To(HaveLen(2))
+			f.SyncWorker(f.now, "host-3", workerIn("e", "3", 1000), nil, nil)
+			lose(f, false)
+			f.SetEvacuations([]string{"d"})
+			g.Expect(f.move(g, 1, 5*time.Second)).To(BeZero())
+			lose(f, true)
+			g.Expect(f.move(g, 1, 5*time.Second)).To(Equal(1))
+		})
+	}
+}
+
 // A step whose caller lets none of its tasks be away keeps them: what runs there may end.
 func TestLongRunningTasksThatMayNotBeAwayStay(t *testing.T) {
 	g := NewWithT(t)
