End the count of unassigned runs with their worker; play random evacuations

Cause: RemoveWorker left the runs that were to be stopped on the worker counted in their steps for as long as the job, and the check of accounts in random worlds took no notice of these runs, though the count includes them.

Change: RemoveWorker ends the count, the check includes it, and a test of random worlds requests and ends evacuations among all other events. Workers of random worlds are in two data centres; other draws are unchanged.

--- a/pkg/decide/schedule/exclusion_test.go
+++ b/pkg/decide/schedule/exclusion_test.go
@@ -46,3 +46,19 @@
 	f.HandleMissingRun(batch.WorkerKey{ID: "1", StartTime: 1}, s.Task)
 	g.Expect(f.startFor(50 * time.Millisecond)).To(HaveLen(1))
 }
+
+// The count of a step's runs on a worker ends with the worker, also for a run that was to be
+// stopped there. It stayed for as long as the job.
+func TestCountOfUnassignedRunEndsWithItsWorker(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("2", 2000))
+	j := endlessJob("a", 1, 2000)
+	j.Steps[0].MaxPerWorker = 1
+	f.Add(f.now, j, nil, false)
+	s := f.startFor(50 * time.Millisecond)[0]
+	f.SyncWorker(f.now, "host-1", testWorker("1", 2000), []batch.Run{{Task: s.Task, Number: 7}}, nil)
+	g.Expect(checkAccounts(f.Scheduler)).To(Succeed())
+	f.RemoveWorker(batch.WorkerKey{ID: "1", StartTime: 1})
+	g.Expect(f.findTask(s.Task).step.tasksPerWorker).To(HaveLen(1))
+	g.Expect(checkAccounts(f.Scheduler)).To(Succeed())
+}
--- a/pkg/decide/schedule/liveness_test.go
+++ b/pkg/decide/schedule/liveness_test.go
@@ -24,7 +24,7 @@
 // hasRoomFor reports whether w may take two further tasks of a step beside what it really runs.
 func (m *simWorld) hasRoomFor(w *simWorker, id batch.Task, st *batch.Step) bool {
 	j := m.jobs[id.Job]
-	if !w.connected || w.Draining || st.RequiredLabel != "" && !w.HasLabel(st.RequiredLabel) || j.Queue == "advised" && j.denied[w.ID] {
+	if !w.connected || w.Draining || m.evacuated[w.DataCentre] || st.RequiredLabel != "" && !w.HasLabel(st.RequiredLabel) || j.Queue == "advised" && j.denied[w.ID] {
 		return false
 	}
 	siblings := 0
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -144,6 +144,9 @@
 	for _, t := range w.tasks {
 		t.release()
 	}
+	for id := range w.unassignedRuns {
+		w.removeUnassigned(id)
+	}
 	return n
 }
 
--- a/pkg/decide/schedule/simworld_test.go
+++ b/pkg/decide/schedule/simworld_test.go
@@ -130,6 +130,8 @@
 	startsOn     map[string]int
 	jobsOn       map[string]map[batch.JobID]bool
 	unsentAdvice []AdviceRequest
+	// evacuated are the data centres whose evacuation is requested, nil where the world has no such requests.
+	evacuated map[string]bool
 }
 
 func newSimWorld(t *rapid.T) *simWorld {
@@ -169,6 +171,7 @@
 
 // addWorker adds a worker.
 func (m *simWorld) addWorker(b batch.Worker) *simWorker {
+	b.DataCentre = []string{"d", "e"}[len(m.workers)%2]
 	w := &simWorker{Worker: b, runs: map[batch.Task]*modelRun{}, numbers: map[batch.Task]int{}}
 	m.workers = append(m.workers, w)
 	m.sync(w, false)
@@ -236,7 +239,7 @@
 		}
 		st.MaxPerWorker = simDraw(m, "max", 0, 0, 1, 2)
 		if endless {
-			st.LongRunning, st.Image = true, simDraw(m, "image", "x", "y")
+			st.LongRunning, st.Image, st.MaxUnavailable = true, simDraw(m, "image", "x", "y"), 1
 			if m.chance("target", 50) {
 				st.LatencyTarget = 50 * time.Millisecond
 			}
@@ -287,6 +290,7 @@
 	o := m.Schedule(m.now)
 	m.check("schedule")
 	for _, x := range o.Stops {
+		m.checkEvacuationStop(x)
 		w := m.workerByKey(x.Key)
 		if w == nil || !w.connected {
 			continue
@@ -297,6 +301,9 @@
 		w.numbers[x.Task] = max(w.numbers[x.Task], x.Number)
 	}
 	for _, x := range o.Starts {
+		if m.evacuated[m.workers[slices.IndexFunc(m.workers, func(w *simWorker) bool { return w.ID == x.Key.ID })].DataCentre] {
+			m.t.Fatalf("%v starts on worker %s, whose data centre is evacuated", x.Task, x.Key.ID)
+		}
 		m.startsOf[x.Task.Job]++
 		m.startsOn[x.Key.ID]++
 		if m.jobsOn[x.Key.ID] == nil {
@@ -627,6 +634,7 @@
 func (m *simWorld) takeOver() {
 	next := newSimHarness()
 	next.now, next.recovered = m.now, false
+	next.SetEvacuations(slices.Sorted(maps.Keys(m.evacuated)))
 	m.harness = next
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
 		if j := m.jobs[id]; j.stored != nil {
@@ -657,7 +665,11 @@
 		m.drawJob(true)
 	}
 	for range rapid.IntRange(0, 40).Draw(m.t, "events") {
-		e := simDraw(m, "event", simEvents...)
+		events := simEvents
+		if m.evacuated != nil {
+			events = evacuationEvents
+		}
+		e := simDraw(m, "event", events...)
 		m.t.Log(m.now.Sub(testStart), e.name)
 		e.do(m)
 		m.check(e.name)
@@ -734,6 +746,13 @@
 			for _, st := range o.steps {
 				stepUnfinished, unassigned := 0, 0
 				perWorker := map[*worker]int{}
+				for _, w := range s.workerList {
+					for _, r := range w.unassignedRuns {
+						if r == st {
+							perWorker[w]++
+						}
+					}
+				}
 				for _, t := range st.tasks {
 					if t.worker != nil {
 						if s.workers[t.worker.Key()] != t.worker || t.worker.tasks[t.id] != t {
