--- a/pkg/decide/schedule/evacuate.go
+++ b/pkg/decide/schedule/evacuate.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // An evacuation request asks that nothing more is started in a data centre until the
 // request is removed. What runs there may end. Long-running tasks never do, so they are
@@ -16,6 +19,13 @@
 	// unansweredStartLimit is how long a start in an evacuated data centre may go
 	// unanswered before it's stopped, so that a late attempt isn't carried out.
 	unansweredStartLimit = time.Second
+	// busyMoveInterval is the time between two moves while finite work waits for room. Such work
+	// may wait for as long as the evacuation lasts, if only the evacuated data centre can run it.
+	busyMoveInterval = time.Second
+	// maxEvacuationSearches bounds the tasks for which one search for moves looks, as each compares
+	// all workers. A step for which it finds none is left out for moveRetryInterval.
+	maxEvacuationSearches = 8
+	moveRetryInterval     = time.Second
 )
 
 // evacuationReason is the logged reason of a stop.
@@ -45,15 +55,24 @@
 }
 
 // evacuate stops unanswered starts on evacuated workers, and moves long-running tasks from
-// them. Moves wait while finite work is pending, which needs the room at once.
+// them, few at a time while finite work is pending, which needs the room at once.
 func (s *Scheduler) evacuate(now time.Time, pendingFinite []pendingStep, o *Orders) {
 	if len(s.evacuations) == 0 || now.Sub(s.evacuatedAt) < evacuationInterval {
 		return
 	}
 	s.evacuatedAt = now
 	limit := len(s.workerList)/workersPerEvacuationMove + 1 - len(s.moves)
-	busy := waitsForRoom(pendingFinite)
-	for _, w := range s.workerList {
+	if waitsForRoom(pendingFinite) {
+		limit = min(limit, 1)
+		if now.Sub(s.evacuationMoveAt) < busyMoveInterval {
+			limit = 0
+		}
+	}
+	searches := 0
+	first := s.nextEvacuated
+	for i := range s.workerList {
+		at := (first + i) % len(s.workerList)
+		w := s.workerList[at]
 		if !w.evacuated || w.outOfReach() {
 			continue
 		}
@@ -64,16 +83,32 @@
 				if now.Sub(t.startedAt) >= unansweredStartLimit {
 					s.orderStop(t, evacuationReason)
 				}
-			case !busy && limit > 0 && t.step.LongRunning && !t.step.Gang && t.mayBeAway():
-				if to := s.findWorker(now, t.step, t, o); to != nil {
-					s.moveServing(now, t, to, evacuationReason)
-					limit--
+			case limit > 0 && searches < maxEvacuationSearches && t.mayLeaveEvacuated(now):
+				searches++
+				s.nextEvacuated = at
+				to := s.findWorker(now, t.step, t, o)
+				if to == nil {
+					t.step.moveFailedAt = now
+					continue
 				}
+				s.moveServing(now, t, to, evacuationReason)
+				s.evacuationMoveAt = now
+				limit--
 			}
 		}
 	}
 }
 
+// mayLeaveEvacuated reports whether a worker is to be searched for t, which runs in an evacuated
+// data centre: t never ends, its caller lets a task of the step be away, and none is.
+func (t *task) mayLeaveEvacuated(now time.Time) bool {
+	if !t.step.LongRunning || t.step.Gang || t.step.MaxUnavailable == 0 || now.Sub(t.step.moveFailedAt) < moveRetryInterval || !t.mayBeAway() {
+		return false
+	}
+	// A task whose worker is out of reach may be gone.
+	return !slices.ContainsFunc(t.step.tasks, func(o *task) bool { return o.worker.outOfReach() })
+}
+
 // waitsForRoom reports whether any of the steps waits for processor time that it reserves.
 func waitsForRoom(steps []pendingStep) bool {
 	for _, c := range steps {
