--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -60,7 +60,8 @@
 	// QueueConfig is the configuration of its queue when the job was accepted. It
 	// applies once the queue has been removed from the configuration.
 	QueueConfig Queue `json:"terms"`
-	// Accepted is when the job was accepted, by the wall clock of the accepting process.
+	// Accepted is when the job was accepted, or first refused for overload if the same
+	// process did so, by the wall clock of the accepting process.
 	Accepted time.Time `json:"accepted,omitzero"`
 }
 
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/overload"
 	"github.com/sesamestream/sesamestream/pkg/decide/straggle"
 )
 
@@ -18,8 +19,11 @@
 	finalStateStored bool
 	// descriptionDropped is set for finished jobs of which only the ID, queue, acceptance time and state are kept.
 	descriptionDropped bool
-	// started is set once a task has started.
-	started bool
+	// started is set once a task has started; firstStartAt is when that was, if it was in this term.
+	started      bool
+	firstStartAt time.Time
+	// predicted is the estimate of the job as it was added, or nil.
+	predicted *overload.Estimate
 	// awaitsHosts is set while tasks of the job may run on hosts that are not yet
 	// connected to this scheduler. Until then none of its tasks is started.
 	awaitsHosts bool
@@ -265,7 +269,9 @@
 	t.firstReportAt, t.progressedAt, t.lastReportAt, t.firstPercent = time.Time{}, time.Time{}, time.Time{}, 0
 	w.addTask(t)
 	t.step.countOn(w, 1)
-	t.step.job.started = true
+	if j := t.step.job; !j.started {
+		j.started, j.firstStartAt = true, now
+	}
 }
 
 // release removes the task from its worker.
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"github.com/sesamestream/sesamestream/pkg/batch"
 )
 
 // The tiers of pending work, in the order of placement.
@@ -79,20 +81,14 @@
 			continue
 		}
 		q := s.queueConfig(j)
-		objective := time.Duration(q.Stretch*float64(j.criticalPath)) + q.Objective
+		objective := j.objective(q)
 		for _, o := range j.occurrences {
 			if o.unfinished == 0 {
 				continue
 			}
-			objectiveStart := j.Accepted
-			if objectiveStart.IsZero() {
-				objectiveStart = j.addedAt
-			}
-			if !o.startAt.IsZero() {
-				if now.Before(o.startAt.Add(timedStartMargin)) {
-					continue
-				}
-				objectiveStart = o.startAt
+			objectiveStart, due := j.objectiveStart(now, o)
+			if !due {
+				continue
 			}
 			for _, st := range o.steps {
 				if st.unassigned == 0 || st.unfinished == 0 || !st.ready() {
@@ -109,6 +105,13 @@
 					c.tier, c.agedWork = 0, -now.Sub(objectiveStart).Seconds()
 				case s.variant.deadlineOrder:
 					c.tier, c.agedWork = 0, c.slack.Seconds()
+				case s.variant.workOrder:
+					c.tier = tierInTime
+				case s.variant.valueOrder:
+					c.agedWork = j.remainingWork
+					if c.slack > -2*objective {
+						c.tier = tierInTime
+					}
 				}
 				cs = append(cs, c)
 			}
@@ -135,6 +138,22 @@
 	return cs
 }
 
+// objective returns the time in which an occurrence of j should complete.
+func (j *job) objective(q batch.Queue) time.Duration {
+	return time.Duration(q.Stretch*float64(j.criticalPath)) + q.Objective
+}
+
+// objectiveStart returns from when the objective of an occurrence counts, and whether it is due.
+func (j *job) objectiveStart(now time.Time, o *occurrence) (time.Time, bool) {
+	switch {
+	case !o.startAt.IsZero():
+		return o.startAt, !now.Before(o.startAt.Add(timedStartMargin))
+	case j.Accepted.IsZero():
+		return j.addedAt, true
+	}
+	return j.Accepted, true
+}
+
 // agedWork returns the rank of j among equally urgent jobs: its remaining work in
 // core-seconds, which counts the less the longer the job has waited, by its objective.
 // Most jobs are then done early, and none starves.
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -112,6 +112,7 @@
 	moves          []*servingMove
 	rearrangedAt   time.Time
 	nextMoveSource int
+	load           loadState
 	variant        policyVariant
 }
 
@@ -121,6 +122,9 @@
 	delayMoves bool
 	// arrivalOrder places equally urgent jobs in the order of their arrival, deadlineOrder in that of their slack.
 	arrivalOrder, deadlineOrder bool
+	// workOrder places equally urgent jobs by their remaining work with ageing, also the late
+	// ones, and valueOrder by value per core-second, which late jobs have up to three objectives.
+	workOrder, valueOrder bool
 	// constantServingUse takes the same part of each reservation of latency-critical tasks for used.
 	constantServingUse bool
 	// keepArrangement leaves latency-critical tasks on their workers.
@@ -174,6 +178,9 @@
 	if p != nil {
 		j.restore(p)
 	}
+	if !fromEarlierTerm {
+		s.predict(now, j)
+	}
 	s.jobs[b.ID], s.openJobs[b.ID] = j, j
 	if _, ok := s.earlyCancellations[b.ID]; ok {
 		delete(s.earlyCancellations, b.ID)
