Refuse jobs for overload at the gateways

Cause: a job that can't be of use was accepted, and its caller not told. Change: the scheduler sends its load summary to processes without a worker in each pong, and gateways decide by it before they write a job. A job that the scheduler or the store knows, or whose write may take effect, is never refused. A returning caller is placed by its first refusal. Refusals are counted as overload and logged with the estimate.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/sesamestream/sesamestream/internal/node"
 	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/overload"
 	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
@@ -101,6 +102,11 @@
 				c.Agent.SessionGranted(sent, grant)
 			}
 		},
+		OnLoad: func(s *overload.Summary) {
+			if c.Gateway != nil {
+				c.Gateway.SetLoad(time.Now(), *s)
+			}
+		},
 		OnSessionLost: func() {
 			if c.Agent != nil {
 				c.Agent.SessionLost()
@@ -117,6 +123,7 @@
 	if c.Entry {
 		c.Gateway = &gateway.Gateway{
 			Store: c.Store, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig, Send: c.node.Send,
+			DataCentre: c.DataCentre,
 		}
 		m.RegisterGauge(telemetry.StoreUp, func() float64 { return boolToFloat(c.Gateway.StoreReachable()) })
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
+	"github.com/sesamestream/sesamestream/pkg/decide/overload"
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
@@ -116,6 +117,8 @@
 	deferredJobs []deferredJob
 	// relayedWrites is the number of writes in progress for entries that lost the store.
 	relayedWrites int
+	// loadSummary is sent to the entries; nil until the scheduler has one.
+	loadSummary *overload.Summary
 	// flushing is set while a flush is in progress, loaded once the state in the store is read.
 	flushing, loaded bool
 	// Times of the last periodic actions.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -255,6 +255,7 @@
 		d.scheduler.HandleProgress(now, m.Progress.Key, m.Progress.Runs, m.Progress.Throttling)
 	case m.JobAccepted != nil:
 		d.handleAccepted(now, m.JobAccepted)
+		d.scheduler.SetOrigin(m.JobAccepted.Job, s.hello.DataCentre)
 	case m.JobCancelled != nil:
 		d.scheduler.Cancel(now, m.JobCancelled.Job)
 	case m.Query != nil:
@@ -278,7 +279,11 @@
 		return
 	}
 	s.leaseEnd = grantEnd(now)
-	s.conn.Send(link.Message{Pong: &link.Pong{Sent: p.Sent, Grant: hostagent.LeaseGrant, MaxStrength: d.strongest}})
+	pong := &link.Pong{Sent: p.Sent, Grant: hostagent.LeaseGrant, MaxStrength: d.strongest}
+	if !s.hello.Host {
+		pong.Load = d.loadSummary
+	}
+	s.conn.Send(link.Message{Pong: pong})
 }
 
 // grantEnd returns when a lease that is granted at a time has certainly ended.
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -130,6 +130,8 @@
 		return
 	}
 	o := d.scheduler.Schedule(now)
+	// Between passes there is room that waiting work is about to take.
+	d.loadSummary = d.scheduler.LoadSummary(now)
 	d.Log.Metrics.Observe(telemetry.SchedulePassSeconds, time.Since(now))
 	for _, x := range o.Stops {
 		d.Log.Event(eventlog.RunStopping).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Int("run", x.Number).
@@ -244,6 +246,21 @@
 	if j, ok := d.scheduler.Job(r.id); ok && !j.Accepted.IsZero() {
 		d.Log.Metrics.Observe(telemetry.JobSeconds, now.Sub(j.Accepted), "queue", j.Queue)
 	}
+	if x, ok := d.scheduler.EstimateError(r.id); ok {
+		d.observeEstimate(x.Queue, "start", x.SeenStart-x.PredictedStart)
+		d.observeEstimate(x.Queue, "end", x.SeenEnd-x.PredictedEnd)
+		d.Log.Event(eventlog.EstimateCompared).Str("job", string(r.id)).Str("queue", x.Queue).Dur("estimatedStart", x.PredictedStart).
+			Dur("start", x.SeenStart).Dur("estimatedEnd", x.PredictedEnd).Dur("end", x.SeenEnd).Msg("")
+	}
+}
+
+// observeEstimate records by how much the start or end of a job was later than its estimate.
+func (d *Dispatcher) observeEstimate(queue, of string, late time.Duration) {
+	sign := "late"
+	if late < 0 {
+		sign, late = "early", -late
+	}
+	d.Log.Metrics.Observe(telemetry.EstimateErrorSeconds, late, "queue", queue, "of", of, "seen", sign)
 }
 
 // applyInTerm applies a change on the condition that this term is the newest.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -53,6 +53,7 @@
 	JobOutcomeUnknown    = "jobOutcomeUnknown"
 	JobQueued            = "jobQueued"
 	JobEnded             = "jobEnded"
+	EstimateCompared     = "estimateCompared"
 	CancelAccepted       = "cancelAccepted"
 	CancelOutcomeUnknown = "cancelOutcomeUnknown"
 	JobStateUnknown      = "stateUnknown"
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -192,6 +192,8 @@
 	}
 	switch {
 	case accepted || refused == nil:
+	case refused.Fields["why"] != nil:
+		return "refused: there was too little room for it to be of use; the caller was told to come back"
 	case refused.Fields["storeDown"] == true:
 		return "refused: the store was away, so the job couldn't be kept; the caller was told to come back"
 	default:
--- /dev/null
+++ b/internal/gateway/admission.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sesamestream/sesamestream/internal/dispatch"
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/kv"
+	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/internal/telemetry"
+	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/overload"
+)
+
+const (
+	// maxRememberedJobs bounds the refused jobs that a gateway remembers, and those whose
+	// outcome is unknown. An entry takes about 100 bytes.
+	maxRememberedJobs = 4096
+	// rememberedFor is how long they are remembered; callers give up sooner.
+	rememberedFor = time.Minute
+)
+
+// admission is what a gateway knows to refuse jobs for overload. It is lost with the process.
+type admission struct {
+	// load is the last load summary, or nil.
+	load *overload.Summary
+	// firstRefused is when jobs were first refused for overload, unknown when the
+	// outcome of a submission was last unknown.
+	firstRefused, unknown jobTimes
+	// writing counts the submissions of each job that are being written.
+	writing map[batch.JobID]int
+}
+
+// mayApply reports whether a write of the job may still take effect.
+func (a *admission) mayApply(id batch.JobID) bool {
+	_, unknown := a.unknown[id]
+	return unknown || a.writing[id] > 0 || len(a.unknown) >= maxRememberedJobs
+}
+
+// jobTimes are times by job, of a bounded number of jobs.
+type jobTimes map[batch.JobID]time.Time
+
+// add adds a job unless it is there already. If the map is full, entries that are too old
+// make room; if none is, the job isn't added.
+func (m *jobTimes) add(now time.Time, id batch.JobID) {
+	if *m == nil {
+		*m = jobTimes{}
+	}
+	if _, ok := (*m)[id]; ok {
+		return
+	}
+	if len(*m) >= maxRememberedJobs {
+		for x, at := range *m {
+			if now.Sub(at) > rememberedFor {
+				delete(*m, x)
+			}
+		}
+		if len(*m) >= maxRememberedJobs {
+			return
+		}
+	}
+	(*m)[id] = now
+}
+
+// SetLoad records a load summary that was received at a time.
+func (g *Gateway) SetLoad(now time.Time, s overload.Summary) {
+	s.ReceivedAt = now
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.load = &s
+}
+
+// refuseForLoad decides whether a job is refused as it can't be of use any more. The last
+// result reports whether it is, or was accepted earlier, in which case nothing is written.
+func (g *Gateway) refuseForLoad(ctx context.Context, deadline time.Time, j *batch.Job) (SubmitResult, overload.Decision, bool) {
+	now := time.Now()
+	g.mu.Lock()
+	s := g.admission.load
+	first, refusedBefore := g.admission.firstRefused[j.ID]
+	mayApply := g.admission.mayApply(j.ID)
+	g.mu.Unlock()
+	x := overload.Job{Job: j, DataCentre: g.DataCentre}
+	if refusedBefore {
+		x.Waited = now.Sub(first)
+	}
+	d := overload.Decide(now, s, j.QueueConfig, x)
+	if !d.Refuse || mayApply {
+		// A write of unknown outcome may still take effect, so the job can't be refused.
+		return SubmitResult{}, d, false
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-responseMargin))
+	defer cancel()
+	if _, known := g.query(ctx, link.Query{Job: j.ID}); known {
+		return SubmitResult{Outcome: Accepted}, d, true
+	}
+	switch _, err := g.get(ctx, dispatch.JobPrefix+string(j.ID)); {
+	case err == nil:
+		return SubmitResult{Outcome: Accepted}, d, true
+	case !errors.Is(err, kv.ErrNotFound):
+		// It isn't known whether the job was accepted earlier.
+		return SubmitResult{}, d, false
+	}
+	g.mu.Lock()
+	g.admission.firstRefused.add(now, j.ID)
+	g.mu.Unlock()
+	return SubmitResult{Outcome: Refused, RetryAfter: d.RetryAfter}, d, true
+}
+
+// logLoadRefusal logs and counts the result of a submission that refuseForLoad has decided.
+func (g *Gateway) logLoadRefusal(began time.Time, j *batch.Job, v SubmitResult, d overload.Decision) {
+	e := eventlog.JobAccepted
+	if v.Outcome == Refused {
+		e = eventlog.JobRefused
+		g.Log.Metrics.Increment(telemetry.Refusals, "reason", "overload")
+	}
+	g.Log.Metrics.Observe(telemetry.AcceptSeconds, time.Since(began))
+	g.Log.Event(e).Str("job", string(j.ID)).Str("queue", j.Queue).Dur("took", time.Since(began)).Dur("retryAfter", v.RetryAfter).
+		Str("why", string(d.Reason)).Dur("estimatedStart", d.Estimate.Start).Dur("estimatedEnd", d.Estimate.End).
+		Dur("wait", d.Estimate.Wait()).Dur("limit", d.Limit).Msg("")
+}
+
+// objectiveStart returns from when the objective of a job that is accepted now counts: a job
+// that was refused for load before isn't put behind those that came since.
+func (g *Gateway) objectiveStart(now time.Time, id batch.JobID) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if at, ok := g.admission.firstRefused[id]; ok {
+		return at
+	}
+	return now
+}
+
+// submitNew stores a job that wasn't refused for load, and records for later
+// submissions of the same job what became of this one.
+func (g *Gateway) submitNew(ctx context.Context, deadline time.Time, j *batch.Job) SubmitResult {
+	g.mu.Lock()
+	if g.admission.writing == nil {
+		g.admission.writing = map[batch.JobID]int{}
+	}
+	g.admission.writing[j.ID]++
+	g.mu.Unlock()
+	v := g.submit(ctx, deadline, j)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.admission.writing[j.ID]--; g.admission.writing[j.ID] == 0 {
+		delete(g.admission.writing, j.ID)
+	}
+	switch v.Outcome {
+	case Unknown:
+		g.admission.unknown.add(time.Now(), j.ID)
+	case Accepted:
+		delete(g.admission.firstRefused, j.ID)
+		delete(g.admission.unknown, j.ID)
+	}
+	return v
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,8 @@
 	DecodeConfig func([]byte) (batch.Config, error)
 	// Send passes a message to the scheduler and reports whether there is a session with it.
 	Send func(link.Message) bool
+	// DataCentre is the data centre of the process.
+	DataCentre string
 
 	config  atomic.Pointer[batch.Config]
 	stopped atomic.Bool
@@ -99,6 +101,7 @@
 	lastFailure    time.Time
 	// lastContact is when the store last answered a call.
 	lastContact time.Time
+	admission   admission
 }
 
 // Run follows the configuration until ctx ends.
@@ -184,7 +187,11 @@
 // Submit stores a job. Only Refused guarantees that the job does not run as a result of the call.
 func (g *Gateway) Submit(ctx context.Context, deadline time.Time, j *batch.Job) SubmitResult {
 	began := time.Now()
-	v := g.submit(ctx, deadline, j)
+	if v, d, refused := g.refuseForLoad(ctx, deadline, j); refused {
+		g.logLoadRefusal(began, j, v, d)
+		return v
+	}
+	v := g.submitNew(ctx, deadline, j)
 	if v.Outcome == Refused {
 		// A repeated submission of a job that was accepted earlier, and may have run, must not be refused.
 		if _, known := g.query(ctx, link.Query{Job: j.ID}); known {
@@ -206,7 +213,7 @@
 }
 
 func (g *Gateway) submit(ctx context.Context, deadline time.Time, j *batch.Job) SubmitResult {
-	j.Accepted = time.Now()
+	j.Accepted = g.objectiveStart(time.Now(), j.ID)
 	b, err := json.Marshal(j)
 	if err != nil {
 		g.Log.Error().Err(err).Str("job", string(j.ID)).Msg("job can't be encoded")
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
+	"github.com/sesamestream/sesamestream/pkg/decide/overload"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -82,6 +83,9 @@
 	// MaxStrength is the highest succession strength among the processes
 	// without a worker on their host; 0 if none is known.
 	MaxStrength float64 `cbor:"3,keyasint,omitempty"`
+	// Load is the room for work and the work that waits; it is sent to processes without a
+	// worker on their host only. Schedulers of earlier versions don't send it.
+	Load *overload.Summary `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot is the full state of a worker under the session's fence.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
+	"github.com/sesamestream/sesamestream/pkg/decide/overload"
 	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
@@ -61,9 +62,11 @@
 	NewDispatcher func(*election.Term) *dispatch.Dispatcher
 	// OnWelcome is called at the start of a session, OnGrant at each pong,
 	// OnMessage at any other message and OnSessionLost at the end.
-	OnWelcome     func(link.Welcome)
-	OnGrant       func(sent, grant time.Duration)
-	OnMessage     func(link.Message)
+	OnWelcome func(link.Welcome)
+	OnGrant   func(sent, grant time.Duration)
+	OnMessage func(link.Message)
+	// OnLoad is called with the load summary of a pong that has one.
+	OnLoad        func(*overload.Summary)
 	OnSessionLost func()
 	// LeaseClock is the clock by which leases are counted.
 	LeaseClock func() time.Duration
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -83,6 +83,9 @@
 				n.strongest = m.Pong.MaxStrength
 				n.mu.Unlock()
 				n.OnGrant(time.Duration(m.Pong.Sent), m.Pong.Grant)
+				if m.Pong.Load != nil && n.OnLoad != nil {
+					n.OnLoad(m.Pong.Load)
+				}
 			case m.TakeOver != nil:
 				n.becomeSuccessor(*m.TakeOver)
 			default:
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -43,6 +43,9 @@
 	FirstStartSeconds Histogram = "sesamestream_first_start_seconds"
 	// JobSeconds is the time from a job's acceptance until its end is stored.
 	JobSeconds Histogram = "sesamestream_job_seconds"
+	// EstimateErrorSeconds is by how much a completed job started or ended earlier or later than was
+	// estimated when the scheduler added it.
+	EstimateErrorSeconds Histogram = "sesamestream_estimate_error_seconds"
 	// StoreCallSeconds is the duration of a call to the store.
 	StoreCallSeconds Histogram = "sesamestream_store_call_seconds"
 	// SchedulePassSeconds is the duration of one pass of the scheduler over the waiting tasks.
