Add a byte budget that both HTTP entry points share

Cause: only the product's own interface bounded the bytes of bodies, and it refused the newest caller while incomplete bodies kept the budget.

Change: internal/intake has a budget that evicts the oldest incomplete requests, waits until their bytes are released, and counts the bytes as they arrive; listeners with a bound on connections; deadlines; and a bound on the memory of requests in work. internal/caller uses its budget; a refusal for full buffers carries Retry-After. Counters and log lines, at most one per reason in 10 s, report the limits that clients reach.

--- a/internal/caller/responder.go
+++ b/internal/caller/responder.go
@@ -31,6 +31,10 @@
 // long after the request's deadline a target's answer may still be written.
 const writeGrace = 2 * time.Second
 
+// buffersFullRetryAfter is the Retry-After while the buffers for bodies are full, which bodies leave
+// within BodyTimeout.
+const buffersFullRetryAfter = time.Second
+
 // ErrGone is returned if the answer cannot be written to the caller any more.
 var ErrGone = errors.New("caller: cannot write the answer")
 
@@ -58,7 +62,11 @@
 func (p *responder) refuseMalformed(err error) {
 	for _, s := range errorStatuses {
 		if errors.Is(err, s.err) {
-			p.Refuse(s.status, s.err.Error(), 0)
+			var after time.Duration
+			if s.status == http.StatusServiceUnavailable {
+				after = buffersFullRetryAfter
+			}
+			p.Refuse(s.status, s.err.Error(), after)
 			return
 		}
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -11,8 +11,8 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/sesamestream/sesamestream/internal/intake"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -41,9 +41,9 @@
 	// Log receives the errors of the HTTP server; nil for the standard logger.
 	Log *log.Logger
 
-	// bufferedBytes limits the bytes of all body buffers.
-	bufferedBytes *semaphore.Weighted
-	draining      atomic.Bool
+	// bodies limits the bytes of all body buffers.
+	bodies   *intake.Budget
+	draining atomic.Bool
 }
 
 // PathReady is the path of the balancer's readiness check. The status is 200 while
@@ -93,7 +93,7 @@
 
 // HTTPHandler returns the handler for callers' requests. It must be called once.
 func (s *Server) HTTPHandler() http.Handler {
-	s.bufferedBytes = semaphore.NewWeighted(maxBufferedBytes)
+	s.bodies = intake.NewBudget(maxBufferedBytes)
 	return http.HandlerFunc(s.serve)
 }
 
@@ -119,11 +119,11 @@
 		return
 	}
 	p := &responder{w: w}
-	q, err := s.parse(w, r)
+	q, held, err := s.parse(w, r)
 	if err != nil {
 		p.refuseMalformed(err)
 		return
 	}
-	defer s.bufferedBytes.Release(int64(cap(q.Body)))
+	defer held.Release()
 	s.Handler.Serve(r.Context(), q, p)
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -65,6 +65,7 @@
 	RunPaced             = "runPaced"
 	ProgressStored       = "progressStored"
 	ProgressNotStored    = "progressNotStored"
+	ClientLimited        = "clientLimited"
 	LinesDropped         = "linesDropped"
 )
 
--- /dev/null
+++ b/internal/intake/conn_test.go
@@ -0,0 +1,163 @@
+package intake_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/intake"
+)
+
+func contextEnded(t *testing.T) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return ctx, cancel
+}
+
+// pipeListener accepts connections in memory.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (l pipeListener) Close() error   { close(l.closed); return nil }
+func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// serveInMemory serves requests whose bodies are read with a limit of 10,000 bytes and returns a
+// function that opens a connection.
+func serveInMemory(t *testing.T, i *intake.Intake, maxConns int) func() net.Conn {
+	l := pipeListener{make(chan net.Conn), make(chan struct{})}
+	s := &http.Server{ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, err := i.ReadBody(w, r, 10_000)
+		switch {
+		case errors.Is(err, intake.ErrTooLarge):
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		case err != nil:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			b.Release()
+		}
+	})
+	limited := i.Limit(l, s, func() int { return maxConns })
+	go func() { _ = s.Serve(limited) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return func() net.Conn {
+		a, b := net.Pipe()
+		l.conns <- b
+		return a
+	}
+}
+
+// exchange sends a request and returns the status of the response and whether the connection stays open.
+func exchange(c net.Conn, request string) (int, bool) {
+	go func() { _, _ = io.WriteString(c, request) }()
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = r.Body.Close() }()
+	return r.StatusCode, !r.Close
+}
+
+const post = "POST / HTTP/1.1\r\nHost: h\r\n"
+
+// Requests within the limits must not cost a client its connection. Those over them must be
+// refused and their connections closed.
+func TestRequestsOnOneConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		request string
+		status  int
+		open    bool
+	}{
+		"no body":        {"GET / HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusOK, true},
+		"body":           {post + "Content-Length: 3\r\n\r\nabc", http.StatusOK, true},
+		"chunked":        {post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", http.StatusOK, true},
+		"over-announced": {post + "Content-Length: 10001\r\n\r\n", http.StatusRequestEntityTooLarge, false},
+		"over the limit": {post + "Transfer-Encoding: chunked\r\n\r\n2711\r\n" + strings.Repeat("x", 10_001), http.StatusRequestEntityTooLarge, false},
+		"never complete": {post + "Content-Length: 3\r\n\r\nab", http.StatusServiceUnavailable, false},
+		"tiny chunks":    {post + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("0000000000000001\r\nx\r\n", 9000), http.StatusServiceUnavailable, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				i := intake.New(1<<20, 1<<20, nil)
+				client := serveInMemory(t, i, 10)()
+				status, open := exchange(client, c.request)
+				g.Expect(status).To(Equal(c.status))
+				g.Expect(open).To(Equal(c.open))
+				_ = client.Close()
+			})
+		})
+	}
+}
+
+// At the bound on connections, the oldest connection with an incomplete request must give way, and
+// idle connections of callers only where there is none.
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var reached []intake.Reason
+		open := serveInMemory(t, intake.New(1<<20, 1<<20, func(r intake.Reason) { reached = append(reached, r) }), 3)
+		idle := open()
+		status, _ := exchange(idle, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(status).To(Equal(http.StatusOK))
+		silent := open()
+		halfHeader := open()
+		_, _ = io.WriteString(halfHeader, post)
+		time.Sleep(2 * time.Second)
+		for n := range 2 {
+			c := open()
+			status, _ = exchange(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			g.Expect(status).To(Equal(http.StatusOK), "client %d", n)
+		}
+		g.Expect(reached).To(Equal([]intake.Reason{intake.ReasonConnections, intake.ReasonConnections}))
+		for _, c := range []net.Conn{silent, halfHeader} {
+			_, err := c.Read(make([]byte, 1))
+			g.Expect(err).To(MatchError(io.EOF))
+		}
+		status, _ = exchange(idle, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(status).To(Equal(http.StatusOK), "the idle connection was kept")
+		_ = open()
+		_, err := idle.Read(make([]byte, 1))
+		g.Expect(err).To(HaveOccurred(), "nothing else could give way")
+	})
+}
+
+// A crowd must not fill the log, and no occurrence may be lost from the counts.
+func TestLogLinesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var b bytes.Buffer
+		l := eventlog.New(&b, "n")
+		r := &intake.Reporter{Log: l}
+		for range 1000 {
+			r.Report(intake.ReasonBodyBytes)
+			time.Sleep(15 * time.Millisecond)
+		}
+		l.Close(time.Second)
+		g.Expect(strings.Count(b.String(), eventlog.ClientLimited)).To(Equal(2))
+		var m bytes.Buffer
+		l.Metrics.WriteText(&m)
+		g.Expect(m.String()).To(ContainSubstring(`sesamestream_client_limits_total{reason="bodyBytes"} 1000`))
+	})
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -34,6 +34,8 @@
 	Refusals Counter = "sesamestream_refusals_total"
 	// RelayedWrites counts records that the scheduler was asked to store on behalf of an entry, by outcome.
 	RelayedWrites Counter = "sesamestream_hand_overs_total"
+	// ClientLimits counts how often clients reached the limits of what a process accepts, by reason.
+	ClientLimits Counter = "sesamestream_client_limits_total"
 	// RunEnds counts ended runs by how they ended.
 	RunEnds Counter = "sesamestream_run_ends_total"
 
