Bound what strangers can send to the ports between processes

Cause: a frame's announced length, up to 2 MiB, was allocated before a byte of it arrived, and a connection without a hello was kept for ever. 700 strangers took a process to 963 MB.

Change: the first frame of an accepted connection is bounded to 32 KiB and 3 s, buffers of frames grow as bytes arrive, and connections without a hello give way to newer ones, the oldest first. Connections are bounded in total where the process sets a bound.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 	"github.com/sesamestream/sesamestream/internal/eventlog"
 	"github.com/sesamestream/sesamestream/internal/gateway"
 	"github.com/sesamestream/sesamestream/internal/hostagent"
+	"github.com/sesamestream/sesamestream/internal/intake"
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/internal/node"
@@ -52,6 +53,10 @@
 	DecodeConfig func([]byte) (batch.Config, error)
 	// EvacuationPrefix is the prefix of the store keys that request evacuations of data centres; empty is none.
 	EvacuationPrefix string
+	// MaxLinks bounds the connections of other processes to this one; 0 is no bound.
+	MaxLinks int
+	// OnLimit is called each time a peer reaches a limit; nil is none.
+	OnLimit func(intake.Reason)
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
 	// LeaderTTL is the duration of the leader lease in the store.
@@ -89,6 +94,8 @@
 			}
 			return h
 		},
+		MaxConns:      c.MaxLinks,
+		OnLimit:       c.OnLimit,
 		NewDispatcher: c.newDispatcher,
 		OnMessage:     c.handleMessage,
 		OnWelcome: func(w link.Welcome) {
@@ -122,6 +129,9 @@
 	}
 }
 
+// Links returns how many connections other processes have opened to this one.
+func (c *Process) Links() int { return c.node.Links() }
+
 // boolToFloat returns 1 for true and 0 for false, as metrics show them.
 func boolToFloat(b bool) float64 {
 	if b {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -26,6 +26,13 @@
 const (
 	// maxFrameSize bounds the body of a frame in bytes. A snapshot of 500 ends and 500 runs takes a twentieth of it.
 	maxFrameSize = 2 << 20
+	// maxFirstFrameSize bounds the first frame of a connection that was accepted, which is a hello
+	// of a few hundred bytes if the peer is a process of the system.
+	maxFirstFrameSize = 32 << 10
+	// firstFrameTimeout bounds the wait for that frame, which is sent as the connection opens.
+	firstFrameTimeout = 3 * time.Second
+	// initialFrameBytes is the initial size of a frame's buffer, which grows as the bytes arrive.
+	initialFrameBytes = 4 << 10
 	// maxQueuedMessages is the number of unsent messages at which the link is closed because its reader is too slow.
 	maxQueuedMessages = 4096
 	// SessionTimeout is the time without a message after which either side ends the session.
@@ -37,7 +44,9 @@
 
 // A Conn is one end of a link.
 type Conn struct {
-	conn      net.Conn
+	conn net.Conn
+	// accepted is set on the side that accepted the connection, from a peer that may be a stranger.
+	accepted  bool
 	closeOnce sync.Once
 	done      chan struct{}
 
@@ -55,6 +64,13 @@
 	return l
 }
 
+// Accept is New for a connection that a peer has opened. Its first frame is bounded in size and time.
+func Accept(c net.Conn) *Conn {
+	l := New(c)
+	l.accepted = true
+	return l
+}
+
 // Send queues m for sending. It closes the link if the queue is full.
 func (l *Conn) Send(m Message) {
 	l.mu.Lock()
@@ -101,18 +117,28 @@
 	defer l.Close()
 	r := bufio.NewReaderSize(l.conn, 8<<10)
 	var head [4]byte
-	for {
+	limit := uint32(maxFrameSize)
+	if l.accepted {
+		limit = maxFirstFrameSize
+		// An error shows up in the read.
+		_ = l.conn.SetReadDeadline(time.Now().Add(firstFrameTimeout))
+	}
+	for first := true; ; first = false {
 		if _, err := io.ReadFull(r, head[:]); err != nil {
 			return errors.Wrap(ErrClosed, err.Error())
 		}
 		n := binary.BigEndian.Uint32(head[:])
-		if n > maxFrameSize {
+		if n > limit {
 			return ErrTooLarge
 		}
-		b := make([]byte, n)
-		if _, err := io.ReadFull(r, b); err != nil {
+		b, err := readFrame(r, int(n))
+		if err != nil {
 			return errors.Wrap(ErrClosed, err.Error())
 		}
+		if first && l.accepted {
+			limit = maxFrameSize
+			_ = l.conn.SetReadDeadline(time.Time{})
+		}
 		m, err := codec.Decode[Message](b)
 		if err != nil {
 			return err
@@ -121,6 +147,22 @@
 	}
 }
 
+// readFrame reads n bytes into a buffer that grows as they arrive, so that a length that is
+// announced takes no memory.
+func readFrame(r io.Reader, n int) ([]byte, error) {
+	b := make([]byte, min(n, initialFrameBytes))
+	read := 0
+	for {
+		k, err := io.ReadFull(r, b[read:])
+		read += k
+		if err != nil || read == n {
+			return b, err
+		}
+		b = append(make([]byte, 0, min(2*len(b), n)), b...)
+		b = b[:cap(b)]
+	}
+}
+
 // write sends the queued messages until the link is closed. Messages that are
 // queued together share one write.
 func (l *Conn) write() {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"runtime"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,3 +99,40 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(m.WorkerGone).To(BeNil())
 }
+
+// What a stranger announces or leaves out may take neither memory nor a connection for long.
+func TestFirstFrameOfAStranger(t *testing.T) {
+	for name, sent := range map[string][]byte{
+		"too large": {0, 1, 0, 0},
+		"none":      nil,
+		"cut":       {0, 0, 16, 0, 1, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				a, b := net.Pipe()
+				go func() { _, _ = b.Write(sent) }()
+				g.Expect(link.Accept(a).Read(func(link.Message) { t.Error("a message was read") })).To(HaveOccurred())
+				g.Expect(b.Close()).To(Succeed())
+			})
+		})
+	}
+}
+
+// A session outlives the time-out of its first frame, and its later frames may be large.
+func TestLaterFramesAreNotBoundedAsTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a, b := net.Pipe()
+		from, to := link.New(a), link.Accept(b)
+		var sizes []int
+		go func() { _ = to.Read(func(m link.Message) { sizes = append(sizes, len(m.Start.Spec)) }) }()
+		for _, n := range []int{1, 1 << 20, 100_000} {
+			from.Send(link.Message{Start: &link.Start{Spec: strings.Repeat("x", n)}})
+			time.Sleep(time.Minute)
+		}
+		from.Close()
+		synctest.Wait()
+		g.Expect(sizes).To(Equal([]int{1, 1 << 20, 100_000}))
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +18,7 @@
 	"github.com/sesamestream/sesamestream/internal/dispatch"
 	"github.com/sesamestream/sesamestream/internal/election"
 	"github.com/sesamestream/sesamestream/internal/eventlog"
+	"github.com/sesamestream/sesamestream/internal/intake"
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/pkg/decide/succession"
@@ -67,6 +69,10 @@
 	OnSessionLost func()
 	// LeaseClock is the clock by which leases are counted.
 	LeaseClock func() time.Duration
+	// MaxConns bounds the connections of other processes that are open at once; 0 is no bound.
+	MaxConns int
+	// OnLimit is called each time a peer reaches a limit; nil is none.
+	OnLimit func(intake.Reason)
 	// RunsEnded reports whether no run that was started earlier can still run on this host.
 	RunsEnded func() bool
 	// LastStoreContact returns when the store last answered; zero if it never did.
@@ -88,6 +94,7 @@
 	knownLeader    election.Leader
 	announced      chan struct{}
 	packets        link.PacketConn
+	links          atomic.Int64
 }
 
 // Run serves until ctx ends.
@@ -126,6 +133,9 @@
 	return true
 }
 
+// Links returns how many connections other processes have opened to this one.
+func (n *Node) Links() int { return int(n.links.Load()) }
+
 // Reconnect ends the session, if there is one, so that a new one is opened.
 func (n *Node) Reconnect() {
 	n.mu.Lock()
@@ -182,6 +192,7 @@
 
 // accept serves the nodes that connect while this one is the leader.
 func (n *Node) accept(ctx context.Context, l net.Listener) error {
+	a := &acceptor{maxConns: n.MaxConns, onLimit: n.OnLimit, open: &n.links}
 	for ctx.Err() == nil {
 		c, err := l.Accept()
 		if err != nil {
@@ -189,14 +200,19 @@
 			n.pause(ctx, leaderLookupInterval)
 			continue
 		}
-		go n.serve(link.New(c))
+		if x := link.Accept(c); a.add(x) {
+			go func() {
+				defer a.remove(x)
+				n.serve(x, a)
+			}()
+		}
 	}
 	return nil
 }
 
 // serve passes the messages of a connected node to the dispatcher. The first one
 // must be a hello, and this node must be the leader.
-func (n *Node) serve(c *link.Conn) {
+func (n *Node) serve(c *link.Conn, a *acceptor) {
 	var h *link.Hello
 	var d *dispatch.Dispatcher
 	// The error only says how the link ended.
@@ -210,6 +226,7 @@
 				return
 			}
 			h = m.Hello
+			a.opened(c)
 			d.Accept(c, *h)
 			return
 		}
