Keep platform processes within their memory and descriptors

A job whose record the store does not take is answered with 413; it was retried, refused as if a later try could succeed, and a frame with it could end the session with the scheduler. An agent polls at most 64 workers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,8 +71,14 @@
 	Found
 	// NotFound jobs do not exist.
 	NotFound
+	// TooLarge jobs have a record that the store does not take.
+	TooLarge
 )
 
+// maxRecordBytes bounds the record of a job, as the store takes no larger values. A frame between
+// processes holds one.
+const maxRecordBytes = 1 << 20
+
 // A SubmitResult is the outcome of a job's submission.
 type SubmitResult struct {
 	Outcome Outcome
@@ -181,6 +187,12 @@
 // Stop makes Ready report false, so that the balancer takes the process out of rotation.
 func (g *Gateway) Stop() { g.stopped.Store(true) }
 
+// Known reports whether the scheduler knows a job, so that it must not be refused.
+func (g *Gateway) Known(ctx context.Context, id batch.JobID) bool {
+	_, known := g.query(ctx, link.Query{Job: id})
+	return known
+}
+
 // Submit stores a job. Only Refused guarantees that the job does not run as a result of the call.
 func (g *Gateway) Submit(ctx context.Context, deadline time.Time, j *batch.Job) SubmitResult {
 	began := time.Now()
@@ -193,6 +205,9 @@
 	}
 	e := eventlog.JobAccepted
 	switch v.Outcome {
+	case TooLarge:
+		e = eventlog.JobRefused
+		g.Log.Metrics.Increment(telemetry.Refusals, "reason", "recordSize")
 	case Refused:
 		e = eventlog.JobRefused
 		g.Log.Metrics.Increment(telemetry.Refusals, "reason", "storeAway")
@@ -212,6 +227,9 @@
 		g.Log.Error().Err(err).Str("job", string(j.ID)).Msg("job can't be encoded")
 		return g.refusedResult()
 	}
+	if len(b) > maxRecordBytes {
+		return SubmitResult{Outcome: TooLarge}
+	}
 	key := dispatch.JobPrefix + string(j.ID)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-responseMargin))
 	defer cancel()
--- a/internal/hostagent/agent.go
+++ b/internal/hostagent/agent.go
@@ -187,6 +187,10 @@
 	return a.ctx != nil && len(a.workers) == 0 && len(a.replaced) == 0 && a.Steady()-a.startedAt > LeaseGrant+leaseClockSlack
 }
 
+// maxWorkers bounds the workers of a host, each of which is polled over connections of its own. A
+// host has one worker, and for a short time its successor.
+const maxWorkers = 64
+
 // Heartbeat handles a worker's heartbeat, and reports whether the agent accepts heartbeats.
 func (a *Agent) Heartbeat(r Heartbeat) bool {
 	a.mu.Lock()
@@ -216,6 +220,10 @@
 				a.endWorker(x, "another worker took its place")
 			}
 		}
+		if len(a.workers) >= maxWorkers {
+			a.Log.Warning(eventlog.ReportRejected).Str("worker", k.ID).Str("why", "too many workers").Msg("")
+			return false
+		}
 		a.addWorker(r)
 		return true
 	}
--- a/pkg/batch/batch.go
+++ b/pkg/batch/batch.go
@@ -100,7 +100,8 @@
 
 // The limits of one job. The largest known steps have a tenth of these sizes.
 const (
-	maxSteps    = 64
+	// MaxSteps bounds the steps of a job.
+	MaxSteps    = 64
 	maxTasks    = 5000
 	maxRepeat   = 10000
 	maxSpecSize = 4000
@@ -111,7 +112,7 @@
 // Check validates the job and returns ErrBadJob with the reason if it is invalid.
 func (j *Job) Check() error {
 	switch {
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
 		return errors.Wrapf(ErrBadJob, "%d steps", len(j.Steps))
 	case len(j.Spec) > maxSpecSize:
 		return errors.Wrapf(ErrBadJob, "spec of %d bytes", len(j.Spec))
