Let bursts of large ordinary requests wait for their turn

Cause: a budget that evicts at once refused ordinary callers: of 1,200 bodies of 262,000 bytes by 300 callers at once, with 184 MB, 442 got 503 and 380 a closed connection.

Change: large requests wait up to 2 s for bytes, and evict only requests that have not grown for a second; small requests evict at once and have a quarter of the budget to themselves. A body that has sent 16 KiB gets the rest of its announced length in one step.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -6,11 +6,16 @@
 	"github.com/pkg/errors"
 )
 
-// initialBodyBytes is the initial size of the buffer of a body whose length is not announced.
-const initialBodyBytes = 4 << 10
+// The sizes through which the buffer of a body grows before it has the announced size. Bodies that
+// have sent so much get the rest at once, so that several bodies that grow do not each hold a
+// part of the budget and wait for each other.
+const (
+	initialBodyBytes = 4 << 10
+	nextBodyBytes    = 16 << 10
+)
 
-// maxInitialBytes bounds the initial size for an announced length, of which nothing has arrived.
-const maxInitialBytes = 16 << 10
+// unannouncedGrowth is the factor by which the buffer of a body without an announced length grows.
+const unannouncedGrowth = 4
 
 // ReadAll reads a body to its end into a buffer that grows as the bytes arrive, and reserves the
 // buffer's capacity in r. The length is the announced one, or negative; limit bounds either. After
@@ -20,9 +25,8 @@
 	if length > limit {
 		return nil, ErrTooLarge
 	}
-	first := int64(initialBodyBytes)
 	if length >= 0 {
-		limit, first = length, min(length, maxInitialBytes)
+		limit = length
 	}
 	var b []byte
 	for {
@@ -30,7 +34,15 @@
 			return b, expectEOF(body)
 		}
 		if len(b) == cap(b) {
-			capacity := min(max(first, 2*int64(cap(b))), limit)
+			capacity := limit
+			switch {
+			case b == nil:
+				capacity = min(initialBodyBytes, limit)
+			case cap(b) < nextBodyBytes:
+				capacity = min(nextBodyBytes, limit)
+			case length < 0:
+				capacity = min(unannouncedGrowth*int64(cap(b)), limit)
+			}
 			if err := r.Reserve(capacity); err != nil {
 				return nil, err
 			}
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -6,6 +6,7 @@
 import (
 	"container/list"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -21,8 +22,22 @@
 	ErrOverhead = errors.New("intake: the chunks of the body are too small")
 )
 
-// A Budget bounds the bytes that incomplete and complete requests hold together. When
-// it is exhausted, the oldest incomplete requests are evicted.
+const (
+	// minHoldTime is how long a request may keep its bytes, while it grows no further, before larger
+	// requests that wait may evict it. An ordinary body arrives within a few round trips.
+	minHoldTime = time.Second
+	// maxWait bounds the wait for bytes; callers wait up to 3 s for an answer.
+	maxWait = 2 * time.Second
+	// smallBytes is the size up to which a request does not wait for larger ones.
+	smallBytes = 20 << 10
+)
+
+// A Budget bounds the bytes that incomplete and complete requests hold together. When it is
+// exhausted, requests wait, and incomplete ones are evicted, those first that have not grown for
+// the longest time. Small requests evict others at once; large ones leave them minHoldTime, so
+// that a burst of ordinary large requests is served in turn, and a quarter of the budget to small
+// ones. Of the large ones that wait, the
+// newest is first, as stalled clients that came before it would hold it up otherwise.
 type Budget struct {
 	limit int64
 
@@ -30,10 +45,13 @@
 	used int64
 	// evicting is the part of used that belongs to evicted reservations that are not released yet.
 	evicting int64
-	// incomplete holds the reservations that may be evicted, the oldest first.
-	incomplete list.List
-	// waiting holds the reservations that wait for evicted ones to be released, in order.
-	waiting list.List
+	// smallWanted and largeWanted are the sums for which the reservations in small and large wait.
+	smallWanted, largeWanted int64
+	// holders holds the reservations that may be evicted and do not wait, small and large those that
+	// wait; the oldest first.
+	holders, small, large list.List
+	// recheck is set while a timer will call settle.
+	recheck bool
 }
 
 // NewBudget returns a budget of limit bytes.
@@ -55,16 +73,19 @@
 	// The fields below are guarded by the budget's mutex.
 	size    int64
 	evicted bool
-	// place is the element in budget.incomplete; nil if the reservation cannot be evicted.
+	// list is the list of the budget that holds the reservation at place; nil if there is none.
+	list  *list.List
 	place *list.Element
-	// wanted is the size of a pending Reserve, and granted is closed when it ends.
+	// since is when the request began or last grew.
+	since time.Time
+	// wanted is the size of a pending Reserve, and decided is closed when it ends.
 	wanted  int64
-	granted chan struct{}
-	waiting *list.Element
+	decided chan struct{}
 }
 
 // Open returns an empty reservation of an incomplete request. If it is evicted, interrupt
-// is called, which must not block, and the request has to release it soon.
+// is called, which must neither block nor use the budget, and the request has to release its
+// reservation soon.
 func (b *Budget) Open(interrupt func()) *Reservation {
 	r := &Reservation{budget: b, interrupt: interrupt}
 	if b == nil {
@@ -72,95 +93,151 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r.place = b.incomplete.PushBack(r)
+	r.moveTo(&b.holders)
 	return r
 }
 
-// Reserve adds n bytes. It evicts the oldest incomplete requests if necessary and waits until
-// they are released. It returns ErrBusy if that does not suffice, or if r is evicted itself.
+// moveTo moves the reservation to the end of a list; nil is none.
+func (r *Reservation) moveTo(l *list.List) {
+	if r.list != nil {
+		r.list.Remove(r.place)
+	}
+	r.list, r.place = l, nil
+	if l != nil {
+		r.place, r.since = l.PushBack(r), time.Now()
+	}
+}
+
+// Reserve adds n bytes and waits for them if necessary. It returns ErrBusy if they do not become
+// free in time, or if r is evicted.
 func (r *Reservation) Reserve(n int64) error {
 	b := r.budget
 	if b == nil {
 		return nil
 	}
 	b.mu.Lock()
-	if r.evicted || r.size+n > b.limit {
+	small := r.size+n <= smallBytes
+	if r.evicted || r.size+n > b.limit || !small && r.size+n > b.largeLimit() {
 		b.mu.Unlock()
 		return ErrBusy
 	}
-	if b.used+n <= b.limit && b.waiting.Len() == 0 {
-		b.used += n
-		r.size += n
-		b.mu.Unlock()
-		return nil
+	r.decided = make(chan struct{})
+	if small {
+		r.moveTo(&b.small)
+	} else {
+		r.moveTo(&b.large)
 	}
-	r.wanted, r.granted = n, make(chan struct{})
-	r.waiting = b.waiting.PushBack(r)
-	victims := b.evictFor()
-	b.grant()
+	b.setWanted(r, n)
+	b.settle()
+	waits := r.wanted > 0
 	b.mu.Unlock()
-	for _, v := range victims {
-		v.interrupt()
+	if waits {
+		t := time.NewTimer(maxWait)
+		defer t.Stop()
+		select {
+		case <-r.decided:
+		case <-t.C:
+		}
 	}
-	<-r.granted
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if r.wanted > 0 {
+		b.setWanted(r, 0)
+		r.moveTo(nil)
+		return ErrBusy
+	}
 	if r.evicted {
 		return ErrBusy
 	}
 	return nil
 }
 
-// evictFor evicts the oldest incomplete requests until all waiting reservations will fit,
-// and returns them.
-func (b *Budget) evictFor() []*Reservation {
-	var victims []*Reservation
-	var wanted int64
-	for e := b.waiting.Front(); e != nil; e = e.Next() {
-		wanted += e.Value.(*Reservation).wanted
+// largeLimit is the part of the limit that reservations above smallBytes may use.
+func (b *Budget) largeLimit() int64 { return b.limit / 4 * 3 }
+
+// setWanted sets for how much a reservation in small or large waits.
+func (b *Budget) setWanted(r *Reservation, n int64) {
+	sum := &b.smallWanted
+	if r.list == &b.large {
+		sum = &b.largeWanted
+	}
+	*sum += n - r.wanted
+	r.wanted = n
+}
+
+// settle grants what fits, and evicts holders for the reservations that wait.
+func (b *Budget) settle() {
+	b.grant()
+	for b.smallWanted > 0 && b.used-b.evicting+b.smallWanted > b.limit {
+		e := b.holders.Front()
+		if e == nil {
+			e = b.large.Front()
+		}
+		if e == nil {
+			break
+		}
+		b.evict(e.Value.(*Reservation))
 	}
-	for b.used-b.evicting+wanted > b.limit && b.waiting.Len() > 0 {
-		e := b.incomplete.Front()
+	for b.largeWanted > 0 && b.used-b.evicting+b.smallWanted+b.largeWanted > b.largeLimit() {
+		e := b.holders.Front()
 		if e == nil {
-			// Requests that are complete hold the rest, so that those that wait are evicted themselves.
-			e = b.waiting.Front()
+			break
 		}
-		v := e.Value.(*Reservation)
-		b.removeIncomplete(v)
-		v.evicted = true
-		b.evicting += v.size
-		if v.waiting != nil {
-			wanted -= v.wanted
-			b.endWait(v)
+		oldest := e.Value.(*Reservation)
+		if wait := minHoldTime - time.Since(oldest.since); wait > 0 {
+			b.settleAfter(wait)
+			break
 		}
-		victims = append(victims, v)
+		b.evict(oldest)
 	}
-	return victims
+	b.grant()
+}
+
+// settleAfter calls settle after d, unless that is already going to happen.
+func (b *Budget) settleAfter(d time.Duration) {
+	if b.recheck {
+		return
+	}
+	b.recheck = true
+	time.AfterFunc(d, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.recheck = false
+		b.settle()
+	})
 }
 
-// grant ends the wait of the reservations that fit, in order.
+func (b *Budget) evict(r *Reservation) {
+	if r.wanted > 0 {
+		b.setWanted(r, 0)
+		close(r.decided)
+	}
+	r.moveTo(nil)
+	r.evicted = true
+	b.evicting += r.size
+	r.interrupt()
+}
+
+// grant ends the wait of the reservations that fit: small ones in order, then large ones, the
+// newest first.
 func (b *Budget) grant() {
-	for e := b.waiting.Front(); e != nil; e = b.waiting.Front() {
+	for {
+		e, limit := b.small.Front(), b.limit
+		if e == nil {
+			e, limit = b.large.Back(), b.largeLimit()
+		}
+		if e == nil {
+			return
+		}
 		r := e.Value.(*Reservation)
-		if b.used+r.wanted > b.limit {
+		if b.used+r.wanted > limit {
 			return
 		}
 		b.used += r.wanted
 		r.size += r.wanted
-		b.endWait(r)
-	}
-}
-
-func (b *Budget) endWait(r *Reservation) {
-	b.waiting.Remove(r.waiting)
-	r.waiting, r.wanted = nil, 0
-	close(r.granted)
-}
-
-func (b *Budget) removeIncomplete(r *Reservation) {
-	if r.place != nil {
-		b.incomplete.Remove(r.place)
-		r.place = nil
+		b.setWanted(r, 0)
+		r.moveTo(&b.holders)
+		close(r.decided)
 	}
 }
 
@@ -182,7 +259,9 @@
 	if r.evicted {
 		b.evicting -= n
 	}
-	b.grant()
+	if b.smallWanted+b.largeWanted > 0 {
+		b.settle()
+	}
 }
 
 // Complete ends the time in which the reservation may be evicted. It returns ErrBusy if it
@@ -194,7 +273,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.removeIncomplete(r)
+	r.moveTo(nil)
 	if r.evicted {
 		return ErrBusy
 	}
@@ -209,6 +288,6 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.removeIncomplete(r)
+	r.moveTo(nil)
 	b.shrink(r, r.size)
 }
