--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -35,6 +35,9 @@
 	initialFrameBytes = 4 << 10
 	// maxQueuedMessages is the number of unsent messages at which the link is closed because its reader is too slow.
 	maxQueuedMessages = 4096
+	// maxQueuedRecordBytes is the size of the queued records of jobs from which further notices of
+	// accepted jobs are left out. The scheduler reads these jobs from the store, a little later.
+	maxQueuedRecordBytes = 8 << 20
 	// SessionTimeout is the time without a message after which either side ends the session.
 	SessionTimeout = succession.ContactTimeout
 	// writeTimeout bounds a write to a peer that doesn't read. It's above
@@ -53,6 +56,8 @@
 	mu sync.Mutex
 	// queue holds the messages that the writer hasn't taken yet; memory is allocated only for queued messages.
 	queue []Message
+	// queuedRecordBytes is the size of the records of accepted jobs in queue.
+	queuedRecordBytes int
 	// wake signals the writer that messages are queued.
 	wake chan struct{}
 }
@@ -74,6 +79,13 @@
 // Send queues m for sending. It closes the link if the queue is full.
 func (l *Conn) Send(m Message) {
 	l.mu.Lock()
+	if m.JobAccepted != nil {
+		if l.queuedRecordBytes+len(m.JobAccepted.Value) > maxQueuedRecordBytes {
+			l.mu.Unlock()
+			return
+		}
+		l.queuedRecordBytes += len(m.JobAccepted.Value)
+	}
 	full := len(l.queue) >= maxQueuedMessages
 	if !full {
 		l.queue = append(l.queue, m)
@@ -94,7 +106,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ms := l.queue
-	l.queue = nil
+	l.queue, l.queuedRecordBytes = nil, 0
 	return ms
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -136,3 +136,32 @@
 		g.Expect(sizes).To(Equal([]int{1, 1 << 20, 100_000}))
 	})
 }
+
+// Callers' large jobs may not pile up in front of a scheduler that reads slowly, nor end the session
+// with it.
+func TestQueuedRecordsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a, b := net.Pipe()
+		from, to := link.New(a), link.New(b)
+		for range 100 {
+			from.Send(link.Message{JobAccepted: &link.JobAccepted{Value: make([]byte, 1<<20)}})
+		}
+		from.Send(link.Message{Ping: &link.Ping{Sent: 7}})
+		jobs, pinged := 0, false
+		go func() {
+			_ = to.Read(func(m link.Message) {
+				if m.JobAccepted != nil {
+					jobs++
+				}
+				pinged = pinged || m.Ping != nil
+			})
+		}()
+		time.Sleep(time.Second)
+		from.Close()
+		to.Close()
+		synctest.Wait()
+		g.Expect(jobs).To(BeNumerically("<=", 17), "one queue is written while another fills")
+		g.Expect(pinged).To(BeTrue())
+	})
+}
