--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -66,6 +66,7 @@
 	RunPaced             = "runPaced"
 	ProgressStored       = "progressStored"
 	ProgressNotStored    = "progressNotStored"
+	ClientLimited        = "clientLimited"
 	LinesDropped         = "linesDropped"
 )
 
