Let running work yield room to urgent steps that would miss their objective

Cause: long-running tasks reserve nearly all processors, and priorities order only what waits, so urgent finite tasks find no room in a burst.

Log event runYields, counter sesamestream_yields_total.

--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -159,6 +159,12 @@
 		d.Log.Warning(eventlog.TaskWaiting).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Dur("waited", x.Waited).
 			Dur("backoff", x.Backoff).Str("workers", x.Workers.String()).Msg("")
 	}
+	for _, x := range o.Yields {
+		d.Log.Metrics.Increment(telemetry.Yields, "kind", string(x.Kind))
+		d.Log.Event(eventlog.RunYields).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Str("worker", x.Worker).Str("kind", string(x.Kind)).
+			Str("needJob", string(x.Need)).Int("needStep", x.NeedStep).Dur("slack", x.Slack).Int("missingMilliCpu", x.MissingMilliCPU).
+			Int("freesMilliCpu", x.FreedMilliCPU).Float64("lostCoreSeconds", x.LostWork).Float64("gainedCoreSeconds", x.GainedWork).Msg("")
+	}
 	for _, w := range o.AdviceRequests {
 		d.requestAdvice(w)
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -61,6 +61,7 @@
 	RunStarted           = "runStarted"
 	RunRefused           = "runRefused"
 	RunStopping          = "runStopping"
+	RunYields            = "runYields"
 	RunEnded             = "runEnded"
 	RunPaced             = "runPaced"
 	ProgressStored       = "progressStored"
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -36,6 +36,8 @@
 	RelayedWrites Counter = "sesamestream_hand_overs_total"
 	// RunEnds counts ended runs by how they ended.
 	RunEnds Counter = "sesamestream_run_ends_total"
+	// Yields counts runs that were stopped to free room for urgent work, by kind of task.
+	Yields Counter = "sesamestream_yields_total"
 
 	// AcceptSeconds is the time from reading a submitted job to the answer to its caller.
 	AcceptSeconds Histogram = "sesamestream_accept_seconds"
--- a/pkg/decide/schedule/backfill.go
+++ b/pkg/decide/schedule/backfill.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		for _, t := range c.step.tasks {
-			if t.worker != nil || t.hold != nil || !t.lastResortDue(now) {
+			if t.worker != nil || t.hold != nil || t.yield != nil || !t.lastResortDue(now) {
 				continue
 			}
 			if searches == maxHoldSearches {
--- a/pkg/decide/schedule/job.go
+++ b/pkg/decide/schedule/job.go
@@ -69,6 +69,10 @@
 	holdFailedAt time.Time
 	// moveFailedAt is when the last search for a worker to move a task to found none.
 	moveFailedAt time.Time
+	// waitsSince is since when a finite step has had tasks that found no room; zero while it has none.
+	waitsSince time.Time
+	// yieldFailedAt is when the last search for work that yields to the step found none.
+	yieldFailedAt time.Time
 	// peerDurations are the durations of the tasks that are done.
 	peerDurations straggle.PeerDurations
 }
@@ -95,8 +99,14 @@
 	confirmed bool
 	stopping  bool
 	// moving is set if the run was stopped for a move.
-	moving  bool
-	percent int
+	moving bool
+	// yielding is set if the run was stopped to yield room. yield is that room while it is
+	// kept, yields counts the times, and yieldNotBefore is the earliest time of the next one.
+	yielding       bool
+	yield          *roomYield
+	yields         int
+	yieldNotBefore time.Time
+	percent        int
 	// firstReportAt is when the worker first listed the progress of the run and
 	// firstPercent that progress. progressedAt is when the progress last rose, and
 	// lastReportAt when it was last listed.
@@ -258,10 +268,12 @@
 // assign assigns a run of the task to a worker and resets the state of the previous run.
 func (t *task) assign(w *worker, run int, now time.Time) {
 	if t.worker == nil && !t.done {
-		t.step.unassigned--
+		if t.step.unassigned--; t.step.unassigned == 0 {
+			t.step.waitsSince = time.Time{}
+		}
 	}
 	t.worker, t.run, t.startedAt = w, run, now
-	t.confirmed, t.stopping, t.moving, t.percent, t.throttledSince = false, false, false, 0, time.Time{}
+	t.confirmed, t.stopping, t.moving, t.yielding, t.percent, t.throttledSince = false, false, false, false, 0, time.Time{}
 	t.firstReportAt, t.progressedAt, t.lastReportAt, t.firstPercent = time.Time{}, time.Time{}, time.Time{}, 0
 	w.addTask(t)
 	t.step.countOn(w, 1)
--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -21,6 +21,8 @@
 	priority int
 	tier     int
 	slack    time.Duration
+	// objective is the time within which the occurrence should be done.
+	objective time.Duration
 	// agedWork ranks equally urgent jobs, the lowest first.
 	agedWork float64
 }
@@ -41,6 +43,7 @@
 	s.placeSteps(now, pending[:finite], bestEffortTurn, &o)
 	s.placeInNeed(now, pending[:finite], &o)
 	s.placeSteps(now, pending[finite:], bestEffortTurn, &o)
+	s.yieldRoom(now, pending[finite:], &o)
 	if bestEffortTurn {
 		s.moveThrottled(now, &o)
 		s.relocateStragglers(now, &o)
@@ -98,7 +101,7 @@
 				if st.unassigned == 0 || st.unfinished == 0 || !st.ready() {
 					continue
 				}
-				c := pendingStep{step: st, priority: q.Priority, agedWork: j.agedWork(now.Sub(objectiveStart), objective)}
+				c := pendingStep{step: st, priority: q.Priority, objective: objective, agedWork: j.agedWork(now.Sub(objectiveStart), objective)}
 				c.slack = objectiveStart.Add(objective).Sub(now) - st.pathToEnd
 				c.tier = tierInTime
 				if c.slack < 0 {
@@ -157,7 +160,7 @@
 	var x *search
 	var r candidateHeap
 	for _, t := range c.step.tasks {
-		if t.done || t.worker != nil || now.Before(t.retryAt) {
+		if t.done || t.worker != nil || t.pauses(now) {
 			continue
 		}
 		if c.step.LongRunning && s.placeMoved(now, c, t, o) {
@@ -282,7 +285,7 @@
 	var needs []need
 	for _, c := range pending {
 		for _, t := range c.step.tasks {
-			if t.worker == nil && !c.step.Gang && !now.Before(t.retryAt) && t.lastResortDue(now) {
+			if t.worker == nil && !c.step.Gang && !t.pauses(now) && t.lastResortDue(now) {
 				needs = append(needs, need{c, t})
 			}
 		}
@@ -306,6 +309,9 @@
 	}
 }
 
+// pauses reports whether t may not be started yet.
+func (t *task) pauses(now time.Time) bool { return now.Before(t.retryAt) || t.yield != nil }
+
 // lastResortDue reports whether a long-running task has waited for healthyWorkerWait.
 func (t *task) lastResortDue(now time.Time) bool {
 	return !t.waitingSince.IsZero() && now.Sub(t.waitingSince) >= healthyWorkerWait
--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -59,6 +59,8 @@
 			t.release()
 		case t.stopping && s.moveGivenUp(t):
 			t.stopping, t.moving = false, false
+		case t.stopping && t.yieldGivenUp():
+			t.stopping, t.yielding = false, false
 		case t.stopping:
 			s.orderStop(t, "again")
 		}
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -67,6 +67,8 @@
 	HealthChanges []HealthChange
 	// Waits tell why long-running tasks have no worker.
 	Waits []Wait
+	// Yields tell why tasks were stopped for urgent work.
+	Yields []Yield
 	// Searches counts the searches over the workers.
 	Searches int
 }
@@ -112,7 +114,10 @@
 	moves          []*servingMove
 	rearrangedAt   time.Time
 	nextMoveSource int
-	variant        policyVariant
+	// yields are the rooms that running tasks yield to urgent work; yieldedAt is when such tasks were last searched.
+	yields    []*roomYield
+	yieldedAt time.Time
+	variant   policyVariant
 }
 
 // policyVariant disables single rules, so that a replay can compare their effect.
@@ -129,6 +134,8 @@
 	ignoreSlowWorkers bool
 	// ignoreCompatibility places reserved tasks by free capacity alone.
 	ignoreCompatibility bool
+	// noYields lets no running work yield, yieldByPriority finite work of lower priority whatever it costs.
+	noYields, yieldByPriority bool
 }
 
 // New returns an empty scheduler.
--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -88,7 +88,7 @@
 		return 0, lacksLabel
 	case x.rack != "" && w.Rack() != x.rack:
 		return 0, otherRack
-	case w.hold.delays(x.now, st, x.reservation):
+	case w.hold.delays(x.now, st, x.reservation), w.yield.refuses(st, x.queue.Priority):
 		return 0, held
 	case st.MaxPerWorker > 0 && st.tasksPerWorker[w] >= st.MaxPerWorker:
 		return 0, atTaskLimit
--- a/pkg/decide/schedule/worker.go
+++ b/pkg/decide/schedule/worker.go
@@ -42,7 +42,9 @@
 	bestEffortMilliCPU int
 	health             health
 	// hold is the hold of room on the worker, or nil.
-	hold          *hold
+	hold *hold
+	// yield is the room on the worker that running tasks yield to urgent work, or nil.
+	yield         *roomYield
 	measuredSpare spareSample
 	// drainDeadline is when a draining worker may be gone.
 	drainDeadline time.Time
