Weigh the absence of long-running tasks by what their step loses

Cause: the work of a long-running task that is away was counted as lost in full, though the other tasks of its step do part of it. Steps missed their objective while the callers allowed a task to be away.

Change: half of that work counts as lost. Nothing yields before a new scheduler has heard of all hosts. The tests replace the scheduler while tasks yield.

--- a/pkg/decide/schedule/yield.go
+++ b/pkg/decide/schedule/yield.go
@@ -42,6 +42,9 @@
 	maxYieldPause = 5 * time.Minute
 	// maxFiniteYields bounds how often a finite task yields, as each time may cost all of its work.
 	maxFiniteYields = 2
+	// absenceLoss is the share of a long-running task's work that is lost while it's away. The
+	// other tasks of the step do the rest: a caller that allows tasks to be away provides for that.
+	absenceLoss = 0.5
 	// restartTime is how long a long-running task takes to be at work again besides its time without a worker.
 	restartTime = time.Second
 	// checkpointAge is the work that a task with checkpoints loses at most when it's stopped.
@@ -89,16 +92,16 @@
 	frees batch.Resources
 }
 
-// refuses reports whether a task of st, whose queue has the given priority, may not use the
-// room. Best-effort tasks reserve no processor time, but memory may be what was lacking.
+// refuses reports whether a task of st, whose queue has the given priority, may not be started beside the room.
 func (y *roomYield) refuses(st *step, priority int) bool {
 	switch {
 	case y == nil:
 		return false
 	case st.LongRunning:
 		return true
-	case st.BestEffort && y.frees.MilliCPU > 0 && priority > y.priority:
-		return y.worker.freeResources().MemoryMB-st.Need.MemoryMB < y.frees.MemoryMB
+	case st.BestEffort:
+		// The memory that was freed is kept too.
+		return priority > y.priority && y.worker.freeResources().MemoryMB-st.Need.MemoryMB < y.frees.MemoryMB
 	}
 	return priority > y.priority
 }
@@ -152,7 +155,8 @@
 // would miss their objective for want of room.
 func (s *Scheduler) yieldRoom(now time.Time, pending []pendingStep, o *Orders) {
 	s.endYields(now, pending)
-	if s.variant.noYields || now.Sub(s.yieldedAt) < yieldInterval {
+	// Until all hosts have connected, neither the capacity nor what is at work is known.
+	if s.variant.noYields || !s.recovered || now.Sub(s.yieldedAt) < yieldInterval {
 		return
 	}
 	s.yieldedAt = now
@@ -400,7 +404,7 @@
 			return v, false
 		}
 		v.kind = YieldLongRunning
-		v.lost = defaultLoad * cores * (n.useTime(st.Need.MilliCPU) + restartTime).Seconds()
+		v.lost = absenceLoss * defaultLoad * cores * (n.useTime(st.Need.MilliCPU) + restartTime).Seconds()
 		return v, true
 	}
 	if v.priority <= n.priority || t.yields >= maxFiniteYields || !s.variant.yieldByPriority && t.remainingTime(now) <= max(n.slack, yieldStopLimit) {
--- a/pkg/decide/schedule/yield_test.go
+++ b/pkg/decide/schedule/yield_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// Under random loads, with workers that lose contact, no stop may free less than it costs
+// Under random loads, with workers that lose contact and schedulers that are replaced, no stop may free less than it costs
 // or less than is needed, no task yields more often than the bound, and a step never has more
 // tasks away through yields than its caller allows.
 func TestYieldsKeepTheirBounds(t *testing.T) {
@@ -80,6 +80,9 @@
 			}
 			f.simulate(time.Duration(rapid.IntRange(1, 6).Draw(rt, "seconds"))*time.Second, rapid.Float64Range(0, 5).Draw(rt, "factor"), 1)
 			f.rejoin()
+			if rapid.Bool().Draw(rt, "take over") {
+				f.takeOver()
+			}
 		}
 	})
 }
@@ -329,3 +332,31 @@
 		g.Expect(s.Task).NotTo(Equal(ys[0].Task))
 	}
 }
+
+// A scheduler that is replaced between the stops and the starts forgets the room that was
+// kept. The tasks that yielded have to run again within 6 s all the same, no other task of
+// their steps may be stopped meanwhile, and no urgent job may be lost.
+func TestTakeoverWhileTasksYield(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(3) {
+		f := newYieldSim(seed+1, scarceFleet, policyVariant{})
+		f.simulate(10*time.Second, 1, 1)
+		takeovers := 0
+		for range 12 {
+			f.simulate(time.Second, 4, 1)
+			if len(f.Scheduler.yields) > 0 && takeovers < 3 {
+				takeovers++
+				f.takeOver()
+			}
+		}
+		f.simulate(20*time.Second, 0, 0)
+		g.Expect(takeovers).To(BeNumerically(">", 0))
+		g.Expect(f.longestAway).To(BeNumerically("<", maxLongRunningWait))
+		g.Expect(f.mostAway).To(BeNumerically("<=", scarceFleet.maxUnavailable))
+		for id := range f.submitted {
+			if id[0] == 'u' {
+				g.Expect(f.took).To(HaveKey(id))
+			}
+		}
+	}
+}
--- a/pkg/decide/schedule/yieldsim_test.go
+++ b/pkg/decide/schedule/yieldsim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -49,8 +50,7 @@
 	away, longestAway time.Duration
 	awaySince         map[batch.Task]time.Time
 	mostAway          int
-	passes            int
-	passTime, longest time.Duration
+	passTimes         []time.Duration
 	lostWork          float64
 	// afterPass is called with the orders of each pass.
 	afterPass func(Orders)
@@ -181,7 +181,7 @@
 	from := time.Now()
 	o := g.Schedule(g.now)
 	d := time.Since(from)
-	g.passes, g.passTime, g.longest = g.passes+1, g.passTime+d, max(g.longest, d)
+	g.passTimes = append(g.passTimes, d)
 	for _, s := range o.Starts {
 		r := &yieldRun{Start: s, startedAt: g.now, how: batch.Done}
 		if !s.Step.LongRunning {
@@ -241,26 +241,30 @@
 		if r == nil || r.Key != k {
 			continue
 		}
-		x := batch.Run{Task: id, Number: r.Number, Pace: 100}
-		age := g.now.Sub(r.startedAt)
-		switch {
-		case r.Step.LongRunning:
-			if age >= yieldWarmUp {
-				x.ProgressPercent = 100
-			}
-			x.Load = 20
-		default:
-			x.ProgressPercent = int(min(99, 100*age/max(r.Step.Estimate, 1)))
-			if r.Step.BestEffort {
-				x.ProgressPercent, x.Load = int(min(99, 50*age/max(r.Step.Estimate, 1))), r.Step.Need.MilliCPU/2
-			}
-		}
-		rs = append(rs, x)
+		rs = append(rs, g.report(id, r))
 	}
 	slices.SortFunc(rs, func(a, b batch.Run) int { return compareTasks(a.Task, b.Task) })
 	return rs
 }
 
+// report returns a run as its worker lists it.
+func (g *yieldSim) report(id batch.Task, r *yieldRun) batch.Run {
+	x := batch.Run{Task: id, Number: r.Number, Pace: 100}
+	age := g.now.Sub(r.startedAt)
+	switch {
+	case r.Step.LongRunning:
+		if age >= yieldWarmUp {
+			x.ProgressPercent = 100
+		}
+		x.Load = 20
+	case r.Step.BestEffort:
+		x.ProgressPercent, x.Load = int(min(99, 50*age/max(r.Step.Estimate, 1))), r.Step.Need.MilliCPU/2
+	default:
+		x.ProgressPercent = int(min(99, 100*age/max(r.Step.Estimate, 1)))
+	}
+	return x
+}
+
 // noteAway records how long long-running tasks that have run aren't at work, apart from those whose worker is cut off.
 func (g *yieldSim) noteAway() {
 	for _, j := range g.jobs {
@@ -309,12 +313,41 @@
 			continue
 		}
 		delete(g.cut, id)
-		w := testWorker(id, 16000)
-		g.SyncWorker(g.now, "host-"+id, w, g.listed(w.Key()), nil)
+		g.sync(id)
 		for _, e := range ends {
-			g.heard(w.Key(), e)
+			g.heard(batch.WorkerKey{ID: id, StartTime: 1}, e)
+		}
+	}
+}
+
+// sync lets the scheduler record a worker with the runs that it has.
+func (g *yieldSim) sync(id string) {
+	w := testWorker(id, 16000)
+	var rs []batch.Run
+	for task, r := range g.runs {
+		if r.Key == w.Key() {
+			rs = append(rs, g.report(task, r))
 		}
 	}
+	slices.SortFunc(rs, func(a, b batch.Run) int { return compareTasks(a.Task, b.Task) })
+	g.SyncWorker(g.now, "host-"+id, w, rs, nil)
+}
+
+// takeOver replaces the scheduler by one that knows only the stored jobs and the workers.
+// Stops that were ordered before are carried out all the same.
+func (g *yieldSim) takeOver() {
+	next := New()
+	next.queues, next.variant = g.queues, g.variant
+	for _, id := range slices.Sorted(maps.Keys(g.jobs)) {
+		p, _ := g.Progress(id)
+		next.Add(g.now, g.jobs[id].Job, p, true)
+	}
+	g.harness = &harness{Scheduler: next, now: g.now}
+	for i := range g.load.workers {
+		g.sync(fmt.Sprintf("%04d", i))
+	}
+	g.FinishRecovery()
+	clear(g.yieldsAt)
 }
 
 // playDay plays the loads of the page, one after the other, and lets the rest be served.
