Move long-running tasks of callers who state no limit out of evacuated data centres

Cause: kept the tasks of steps without MaxUnavailable where they were. On the wire 0 is the same as not stated, and no step of the present deployments states it, so that an evacuated data centre kept all its long-running tasks.

Change: such tasks move one of a step at a time, while all others of the step are at work, as rearranged tasks do. The test that expected them to stay is replaced by one that expects them to leave with never more than one away.

Measured: the new test fails on the code before and passes now.

--- a/pkg/decide/schedule/evacuate.go
+++ b/pkg/decide/schedule/evacuate.go
@@ -100,9 +100,10 @@
 }
 
 // mayLeaveEvacuated reports whether a worker is to be searched for t, which runs in an evacuated
-// data centre: t never ends, its caller lets a task of the step be away, and none is.
+// data centre: t never ends, and all other tasks of its step are at work. A caller who states no
+// MaxUnavailable would otherwise keep the data centre from ever being empty.
 func (t *task) mayLeaveEvacuated(now time.Time) bool {
-	if !t.step.LongRunning || t.step.Gang || t.step.MaxUnavailable == 0 || now.Sub(t.step.moveFailedAt) < moveRetryInterval || !t.mayBeAway() {
+	if !t.step.LongRunning || t.step.Gang || now.Sub(t.step.moveFailedAt) < moveRetryInterval || !t.mayBeAway() {
 		return false
 	}
 	// A task whose worker is out of reach may be gone.
