Answer where a job would go, and why

Cause: operators could only submit a job to see where it goes.

Change: link.Query carries a job that isn't submitted and link.Reply its explanation.

--- a/cmd/sesamestream/main.go
+++ b/cmd/sesamestream/main.go
@@ -32,7 +32,7 @@
 		Usage: "schedule latency-critical and batch work on the same hosts",
 		Commands: []*cli.Command{
 			entryCommand(), agentCommand(), tableCommand(), jobCommand(), statusCommand(), demoCommand(), localCommand(), checkCommand(), keysCommand(),
-			storeCommand(), targetCommand(), workerCommand(), reportCommand(), explainCommand(),
+			storeCommand(), targetCommand(), workerCommand(), reportCommand(), explainCommand(), whereCommand(),
 		},
 	}
 	err := c.Run(ctx, os.Args)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -13,6 +13,7 @@
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
 
 // Accept adds a session on the link of a node that sent a hello, or closes the
@@ -468,6 +469,8 @@
 	r := link.Reply{ID: a.ID}
 	switch {
 	case !d.loaded:
+	case len(a.Explain) > 0:
+		r.Explanation, r.Known = d.explain(time.Now(), a)
 	case a.Queue != "":
 		r.Known, r.Pending = true, d.scheduler.PendingJobs(a.Queue)
 	default:
@@ -476,6 +479,17 @@
 	s.conn.Send(link.Message{Reply: &r})
 }
 
+// explain tells where the job of a query would go now.
+func (d *Dispatcher) explain(now time.Time, a *link.Query) (*schedule.Explanation, bool) {
+	j, err := decodeJob(a.Job, a.Explain)
+	if err != nil {
+		d.Log.Warning(eventlog.ReportRejected).Str("job", string(a.Job)).Err(err).Msg("job to explain can't be used")
+		return nil, false
+	}
+	e := d.scheduler.Explain(now, j)
+	return &e, true
+}
+
 // send sends a message to a host. Without a session it's dropped; the state is
 // exchanged anew when the host connects.
 func (d *Dispatcher) send(host string, m link.Message) {
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
+	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
 
@@ -217,6 +218,8 @@
 	ID    uint64      `cbor:"1,keyasint"`
 	Job   batch.JobID `cbor:"2,keyasint,omitempty"`
 	Queue string      `cbor:"3,keyasint,omitempty"`
+	// Explain is the record of a job that isn't submitted, with the ID in Job: where would it go?
+	Explain []byte `cbor:"4,keyasint,omitempty"`
 }
 
 // StoreRequest asks the scheduler to store a record for an entry that can't reach the store.
@@ -260,6 +263,8 @@
 	Pending int            `cbor:"4,keyasint,omitempty"`
 	// Outcome is set in the answer to a StoreRequest.
 	Outcome StoreOutcome `cbor:"5,keyasint,omitempty"`
+	// Explanation is set in the answer to a Query with Explain.
+	Explanation *schedule.Explanation `cbor:"6,keyasint,omitempty"`
 }
 
 // Interference gives the hosts the interference estimates between images.
--- a/pkg/decide/schedule/explain.go
+++ b/pkg/decide/schedule/explain.go
@@ -8,40 +8,49 @@
 
 // An Explanation tells where the tasks of a job would go now.
 type Explanation struct {
-	Steps []StepExplanation
+	Steps []StepExplanation `json:"steps"`
 }
 
 // A StepExplanation tells where the tasks of one step would go now, if it were ready.
 type StepExplanation struct {
 	// Ready is set if the step depends on no other one. Steps that are ready share the free
 	// capacity; each of the others is explained by itself.
-	Ready bool
+	Ready bool `json:"ready"`
 	// Placements are the workers that would be given tasks, in the order of their first task.
-	Placements []Placement
+	Placements []Placement `json:"placements,omitempty"`
 	// Waiting is how many tasks would find no worker.
-	Waiting int
-	// Exclusions are the first reasons against each worker of the service for a waiting task.
-	Exclusions []WorkerExclusion
+	Waiting int `json:"waiting"`
+	// Exclusions are the first reasons against each worker of the service for a waiting task; of
+	// the first maxExplainedWaits steps with such tasks.
+	Exclusions []WorkerExclusion `json:"exclusions,omitempty"`
 }
 
 // A Placement is a worker that would be given tasks of a step, with the main terms of its score
 // before the first of them.
 type Placement struct {
-	Worker, DataCentre string
-	Tasks              int
-	Score              float64
-	Free               batch.Resources
+	Worker     string          `json:"worker"`
+	DataCentre string          `json:"dataCentre"`
+	Tasks      int             `json:"tasks"`
+	Score      float64         `json:"score"`
+	Free       batch.Resources `json:"free"`
 	// SpareMilliCPU is the processor time left for best-effort tasks, in thousandths of a core.
-	SpareMilliCPU int
+	SpareMilliCPU int `json:"spareMilliCpu"`
 	// Cold is set if the worker is slow after its start, and Remote if its rack isn't that of the data.
-	Cold, Remote bool
+	Cold   bool `json:"cold,omitempty"`
+	Remote bool `json:"remote,omitempty"`
 }
 
 // A WorkerExclusion is why a worker may not be given a task.
 type WorkerExclusion struct {
-	Worker, DataCentre, Reason string
+	Worker     string `json:"worker"`
+	DataCentre string `json:"dataCentre"`
+	Reason     string `json:"reason"`
 }
 
+// maxExplainedWaits bounds the steps of an explanation with reasons against each worker, so that
+// it fits into one message.
+const maxExplainedWaits = 16
+
 // explainedJob is the ID under which a job is explained, which no submitted job has, so that
 // its tasks aren't taken for those of one that runs.
 const explainedJob batch.JobID = ""
@@ -57,10 +66,16 @@
 	defer func() { s.nextSearchStart = start }()
 	defer func() { j.forEachTask((*task).release) }()
 	var e Explanation
+	waits := 0
 	for _, st := range j.occurrences[0].steps {
 		ready := len(st.DependsOn) == 0
 		x := s.explainStep(now, st)
 		x.Ready = ready
+		if x.Waiting > 0 {
+			if waits++; waits > maxExplainedWaits {
+				x.Exclusions = nil
+			}
+		}
 		e.Steps = append(e.Steps, x)
 		if !ready {
 			st.releaseAll()
