Test moves out of an evacuated data centre in whole deployments

Cause: moves of long-running tasks were tested in the scheduler alone, where no start or stop is lost with a process.

Change: a deployment moves four tasks of a step, also while its schedulers are killed, and at least three run all the time.

--- a/test/fleet/evacuation_test.go
+++ b/test/fleet/evacuation_test.go
@@ -11,6 +11,7 @@
 	"github.com/sesamestream/sesamestream/internal/hostagent/standin"
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
+	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/test/history"
 )
 
@@ -233,6 +234,56 @@
 	}
 }
 
+// Long-running tasks that leave an evacuated data centre all at once, or whose move is lost with the
+// scheduler that ordered it, don't serve meanwhile. They leave one at a time and come to run
+// elsewhere, also where the scheduler is killed again and again.
+func TestLongRunningTasksLeaveWholeDeployment(t *testing.T) {
+	for name, kills := range map[string]int{"same scheduler": 0, "schedulers killed": 3} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRigIn(t, 1, 3, 4, []string{"d", "e"})
+				j := r.newJob(0)
+				const tasks = 4
+				j.Steps = []batch.Step{{Count: tasks, Need: batch.Resources{MilliCPU: 1000, MemoryMB: 100}, LongRunning: true, MaxUnavailable: 1}}
+				for _, p := range r.procs {
+					if p.host {
+						p.worker.Duration = func(batch.Task) time.Duration { return 0 }
+					}
+				}
+				time.Sleep(5 * time.Second)
+				// With the other data centre evacuated all tasks start in d.
+				r.requestEvacuation("e")
+				time.Sleep(history.EvacuationBound)
+				r.submit(j)
+				time.Sleep(3 * time.Second)
+				if n := r.history.RunningIn(j.ID, "d"); n != tasks {
+					t.Fatalf("%d tasks run in d", n)
+				}
+				r.endEvacuation("e")
+				time.Sleep(time.Second)
+				r.requestEvacuation("d")
+				for i := range 600 {
+					time.Sleep(50 * time.Millisecond)
+					if i%100 == 20 && i/100 < kills {
+						p := r.leader()
+						p.kill()
+						p.start()
+					}
+					if n := r.history.RunningIn(j.ID, "d") + r.history.RunningIn(j.ID, "e"); n < tasks-1 {
+						t.Errorf("%d of %d tasks run", n, tasks)
+					}
+				}
+				if n := r.history.RunningIn(j.ID, "e"); n != tasks {
+					t.Errorf("%d of %d tasks have moved", n, tasks)
+				}
+				r.cancel(j.ID)
+				time.Sleep(5 * time.Second)
+				r.close()
+			})
+		})
+	}
+}
+
 // A new scheduler that reads the requests beside its other state starts tasks in a data centre
 // whose evacuation was requested while it still read the rest, here 3.3 s before its first start,
 // until its watch tells of the request.
--- a/test/history/history.go
+++ b/test/history/history.go
@@ -260,6 +260,21 @@
 	return h.startCounts[id]
 }
 
+// RunningIn returns how many tasks of a job run in a data centre.
+func (h *History) RunningIn(id batch.JobID, dataCentre string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for t, runs := range h.running {
+		for w := range runs {
+			if t.Job == id && w.Info.DataCentre == dataCentre {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // DoneTasks returns the tasks that are done.
 func (h *History) DoneTasks() []batch.Task {
 	h.mu.Lock()
