--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -77,16 +77,10 @@
 // result reports whether it is, or was accepted earlier, in which case nothing is written.
 func (g *Gateway) refuseForLoad(ctx context.Context, deadline time.Time, j *batch.Job) (SubmitResult, overload.Decision, bool) {
 	now := time.Now()
+	d := g.decideForLoad(now, j)
 	g.mu.Lock()
-	s := g.admission.load
-	first, refusedBefore := g.admission.firstRefused[j.ID]
 	mayApply := g.admission.mayApply(j.ID)
 	g.mu.Unlock()
-	x := overload.Job{Job: j, DataCentre: g.DataCentre}
-	if refusedBefore {
-		x.Waited = now.Sub(first)
-	}
-	d := overload.Decide(now, s, j.QueueConfig, x)
 	if !d.Refuse || mayApply {
 		// A write of unknown outcome may still take effect, so the job can't be refused.
 		return SubmitResult{}, d, false
@@ -109,6 +103,19 @@
 	return SubmitResult{Outcome: Refused, RetryAfter: d.RetryAfter}, d, true
 }
 
+// decideForLoad decides by the last load summary whether j would be of use if it were accepted.
+func (g *Gateway) decideForLoad(now time.Time, j *batch.Job) overload.Decision {
+	g.mu.Lock()
+	s := g.admission.load
+	first, refusedBefore := g.admission.firstRefused[j.ID]
+	g.mu.Unlock()
+	x := overload.Job{Job: j, DataCentre: g.DataCentre}
+	if refusedBefore {
+		x.Waited = now.Sub(first)
+	}
+	return overload.Decide(now, s, j.QueueConfig, x)
+}
+
 // logLoadRefusal logs and counts the result of a submission that refuseForLoad has decided.
 func (g *Gateway) logLoadRefusal(began time.Time, j *batch.Job, v SubmitResult, d overload.Decision) {
 	e := eventlog.JobAccepted
