End connections that pipeline many requests

Cause: a connection's buffers hold a thousand requests, which are served in a row.

Change: a connection ends after 16 requests that had arrived whole before the response to the one before. Clients that wait for responses never reach it.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -19,6 +19,10 @@
 	writeTimeout = 5 * time.Second
 	// freeHeaderBytes is how much of a header is not counted; ordinary headers are shorter.
 	freeHeaderBytes = 1 << 10
+	// maxPipelined is how many requests of a connection may have arrived whole before the response to
+	// the one before. A client that waits for its responses has none, and a connection's buffers
+	// hold a thousand, which take a small machine's processor from other callers.
+	maxPipelined = 16
 	// headerFactor is the memory of a decoded header by its bytes: a line of four bytes takes an
 	// entry of a map, a key and a slice.
 	headerFactor = 24
@@ -56,6 +60,10 @@
 	since  time.Time
 	closed bool
 
+	// pipelined counts requests that had arrived whole before the response to the one before, and
+	// closing is set once the next response ends the connection; the goroutine of the connection uses them.
+	pipelined int
+	closing   bool
 	// header is the reservation for the header; it is used by the goroutine of the connection.
 	header     *Reservation
 	headerSize int64
@@ -177,6 +185,16 @@
 	return n, err
 }
 
+// countPipelined counts a request of which nothing arrived since the connection was idle. It
+// reports whether the connection has to end.
+func (c *conn) countPipelined() bool {
+	if c.arrived.Load() == 0 {
+		c.pipelined++
+	}
+	c.closing = c.pipelined > maxPipelined
+	return c.closing
+}
+
 // headerDone corrects the reservation to the lines that the header has, and starts to count the
 // bytes of the body.
 func (c *conn) headerDone(lines int) {
--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -111,6 +111,27 @@
 	}
 }
 
+// Requests that are sent without waiting for responses may not take all of the processor. Those of a
+// client that waits are served without end.
+func TestPipelinedRequestsEndTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		open := serveInMemory(t, intake.New(1<<20, 1<<20, nil), 10)
+		const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		c := open()
+		go func() { _, _ = io.WriteString(c, strings.Repeat(get, 500)) }()
+		all, _ := io.ReadAll(c)
+		g.Expect(bytes.Count(all, []byte("200 OK"))).To(BeNumerically("~", 17, 3))
+		c = open()
+		for range 200 {
+			status, open := exchange(c, get)
+			g.Expect(status).To(Equal(http.StatusOK))
+			g.Expect(open).To(BeTrue())
+		}
+		_ = c.Close()
+	})
+}
+
 // At the bound on connections, the oldest connection with an incomplete request must give way, and
 // idle connections of callers only where there is none.
 func TestConnectionsAreBounded(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -26,6 +26,7 @@
 	ReasonChunkOverhead Reason = "chunkOverhead"
 	ReasonWork          Reason = "work"
 	ReasonSlowReader    Reason = "slowReader"
+	ReasonPipelined     Reason = "pipelined"
 	// ReasonLinks is the number of connections between processes, ReasonStrangers the number of
 	// those that have not opened a session.
 	ReasonLinks     Reason = "links"
@@ -107,6 +108,10 @@
 			h.ServeHTTP(w, r)
 			return
 		}
+		if c.countPipelined() {
+			i.report(ReasonPipelined)
+			w.Header().Set("Connection", "close")
+		}
 		c.headerDone(len(r.Header))
 		if r.ContentLength == 0 {
 			c.setPhase(nil)
@@ -199,7 +204,9 @@
 	if err != nil || c == nil {
 		return b, err
 	}
-	w.Header().Del("Connection")
+	if !c.closing {
+		w.Header().Del("Connection")
+	}
 	c.setPhase(nil)
 	// An error means that the connection is closed, which the response shows.
 	_ = c.SetReadDeadline(time.Time{})
