--- a/internal/hostagent/agent_test.go
+++ b/internal/hostagent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/netip"
 	"sync"
@@ -46,6 +47,44 @@
 	}
 }
 
+// Heartbeats under many names at many addresses must not make the agent poll each of them.
+func TestWorkersOfAHostAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := eventlog.New(io.Discard, "n")
+		var dialled atomic.Int64
+		begin := time.Now()
+		a := &hostagent.Agent{
+			Log: l, MaxLease: time.Second, Steady: func() time.Duration { return time.Since(begin) },
+			Send: func(link.Message) bool { return true },
+			Dial: func(netip.AddrPort, batch.WorkerKey) hostagent.Worker { dialled.Add(1); return &standin.Worker{} },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() {
+			if err := a.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+		synctest.Wait()
+		report := func(id string, port uint16, seq int64) bool {
+			address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port).String()
+			return a.Heartbeat(hostagent.Heartbeat{Worker: batch.Worker{ID: id, StartTime: 1, Address: address}, Seq: seq})
+		}
+		for n := range uint16(200) {
+			report(fmt.Sprint("w", n), 1000+n, 1)
+		}
+		if n := dialled.Load(); n != 64 {
+			t.Errorf("%d workers are polled", n)
+		}
+		if !report("w0", 1000, 2) || !report("successor", 1000, 1) {
+			t.Error("the heartbeats of a known worker and of its successor are refused")
+		}
+		cancel()
+		g.Wait()
+		l.Close(0)
+	})
+}
+
 // lossyWorker leaves four of five polls unanswered.
 type lossyWorker struct {
 	*standin.Worker
