Leave held room out of the load summary

Cause: room that is held for a waiting long-running task counted as free. With a third of the workers lost such room is there for seconds, and nearly all jobs that were accepted in vain were taken to fit. Change: held room counts only for tasks that end before it is needed. One loop over a worker's tasks instead of two. The estimate of a returning job counts its wait.

--- a/pkg/decide/overload/overload.go
+++ b/pkg/decide/overload/overload.go
@@ -115,7 +115,7 @@
 			}
 			need.MilliCPU = 0
 		}
-		if x.LargestFree.Fits(need) {
+		if x.LargestFree.Fits(need) || !s.LongRunning && s.Estimate <= x.HeldFor && x.LargestHeld.Fits(need) {
 			return true
 		}
 	}
--- a/pkg/decide/overload/overload_test.go
+++ b/pkg/decide/overload/overload_test.go
@@ -98,6 +98,19 @@
 	g.Expect(Decide(testNow, s, urgent, job("a", fill)).Reason).To(Equal(Fits), "it starts with half of its request")
 }
 
+// Room that is kept for a long-running task serves only tasks that end before it is needed: a
+// job that can't use it isn't taken to fit.
+func TestHeldRoom(t *testing.T) {
+	g := NewWithT(t)
+	s := crowded(500)
+	x := s.Service("s")
+	x.LargestHeld, x.HeldFor = Amounts{MilliCPU: 4000, MemoryMB: 1000}, 900*time.Millisecond
+	j := job("a", step(5, 500))
+	g.Expect(Decide(testNow, s, urgent, j).Refuse).To(BeTrue())
+	x.HeldFor = time.Second
+	g.Expect(Decide(testNow, s, urgent, j).Reason).To(Equal(Fits))
+}
+
 // A long-running job is refused only where long-running tasks hold all room that is large enough and others have waited for long.
 func TestLongRunningJobWithoutRoomInSight(t *testing.T) {
 	g := NewWithT(t)
--- a/pkg/decide/overload/summary.go
+++ b/pkg/decide/overload/summary.go
@@ -55,6 +55,10 @@
 	// most processor time that one has left for best-effort tasks.
 	LargestFree  Amounts `cbor:"3,keyasint,omitzero"`
 	LargestSpare int     `cbor:"4,keyasint,omitempty"`
+	// LargestHeld is the same of workers whose room is kept for long-running tasks. Tasks that
+	// take no longer than HeldFor may use it before.
+	LargestHeld Amounts       `cbor:"16,keyasint,omitzero"`
+	HeldFor     time.Duration `cbor:"17,keyasint,omitempty"`
 	// LargestRoom is LargestFree without finite work; it covers workers out of reach too.
 	// LargestCapacity is the same without any work.
 	LargestRoom     Amounts `cbor:"5,keyasint,omitzero"`
--- a/pkg/decide/schedule/loadsummary.go
+++ b/pkg/decide/schedule/loadsummary.go
@@ -111,42 +111,43 @@
 
 // addRoom adds the room of a worker to that of its service.
 func (s *Scheduler) addRoom(now time.Time, x *overload.Service, w *worker) {
+	e := w.refusesTasks(now)
 	room := w.Capacity
 	for _, t := range w.tasks {
-		if t.step.LongRunning {
+		switch {
+		case t.step.LongRunning:
 			room = room.Minus(t.step.Need)
+		case e != eligible:
+		case t.step.BestEffort:
+			x.BestEffort.AddFreed(t.timeLeft(now), t.expectedMilliCPU(now))
+		default:
+			left := t.timeLeft(now)
+			x.Reserved.AddFreed(left, t.step.Need.MilliCPU)
+			x.BestEffort.AddFreed(left, t.step.Need.MilliCPU)
 		}
 	}
 	x.LargestCapacity.Raise(w.Capacity)
-	switch e := w.refusesTasks(now); {
+	switch {
+	case e == eligible:
+		x.Workers++
+		x.LargestRoom.Raise(room)
+		free, spare := w.freeResources(), max(s.spareMilliCPU(now, w), 0)
+		if h := w.hold; h != nil {
+			x.LargestHeld.Raise(free)
+			x.HeldFor = max(x.HeldFor, h.readyAt.Sub(now))
+			free = free.Minus(reservation(h.task.step.Step))
+		}
+		x.LargestFree.Raise(free)
+		x.LargestSpare = max(x.LargestSpare, spare)
+		x.Reserved.Free += max(free.MilliCPU, 0)
+		x.BestEffort.Free += spare
 	case e == unresponsive:
 		// The worker may answer again before its tasks are given to others.
 		x.LargestRoom.Raise(room)
 		x.Reserved.AddOutOfReach(max(room.MilliCPU, 0))
 		x.BestEffort.AddOutOfReach(max(room.MilliCPU, 0))
-		return
 	case e.doubtful():
 		x.LargestRoom.Raise(room)
-		return
-	case e != eligible:
-		return
-	}
-	x.Workers++
-	x.LargestRoom.Raise(room)
-	free, spare := w.freeResources(), max(s.spareMilliCPU(now, w), 0)
-	x.LargestFree.Raise(free)
-	x.LargestSpare = max(x.LargestSpare, spare)
-	x.Reserved.Free += max(free.MilliCPU, 0)
-	x.BestEffort.Free += spare
-	for _, t := range w.tasks {
-		switch left := t.timeLeft(now); {
-		case t.step.LongRunning:
-		case t.step.BestEffort:
-			x.BestEffort.AddFreed(left, t.expectedMilliCPU(now))
-		default:
-			x.Reserved.AddFreed(left, t.step.Need.MilliCPU)
-			x.BestEffort.AddFreed(left, t.step.Need.MilliCPU)
-		}
 	}
 }
 
@@ -233,7 +234,12 @@
 	if sum == nil || now.Sub(s.load.computedAt) > overload.MaxAge || j.Repeat > 0 || len(j.Steps) == 0 || j.state.Final() || j.started {
 		return
 	}
-	e := sum.Estimate(overload.Job{Job: j.Job, Queue: s.queueConfig(j)})
+	x := overload.Job{Job: j.Job, Queue: s.queueConfig(j)}
+	if waited := now.Sub(j.Accepted); !j.Accepted.IsZero() && waited >= time.Second {
+		// The job was refused before. Shorter times are the clocks' difference.
+		x.Waited = waited
+	}
+	e := sum.Estimate(x)
 	if e.Certain {
 		j.predicted = &e
 	}
