--- a/pkg/decide/schedule/admission_test.go
+++ b/pkg/decide/schedule/admission_test.go
@@ -46,6 +46,8 @@
 	admissionWorkers    = 24
 	admissionUrgentRate = 13
 	admissionWideRate   = 0.25
+	// admissionSimStep is the step of simulated time.
+	admissionSimStep = 20 * time.Millisecond
 	// uselessAfter is how many objectives after its submission the end of a job is of no use.
 	uselessAfter = 3
 )
@@ -66,21 +68,23 @@
 // admissionSim is a fleet with callers, a gateway that decides by the last summary, and workers that get lost.
 type admissionSim struct {
 	*fleetSim
-	policy     admissionPolicy
-	callers    []*admissionCaller
-	byJob      map[batch.JobID]*admissionCaller
-	summary    *overload.Summary
-	pongAt     time.Time
-	lost       int
-	lostAt     time.Time
-	lostBefore map[string]bool
+	policy admissionPolicy
+	// reports draws what workers report, so that all policies see the same arrivals.
+	reports *rand.Rand
+	callers []*admissionCaller
+	byJob   map[batch.JobID]*admissionCaller
+	summary *overload.Summary
+	pongAt  time.Time
+	// lost is the number of workers out of reach, since lostAt.
+	lost   int
+	lostAt time.Time
 }
 
 func newAdmissionSim(seed uint64, p admissionPolicy, v policyVariant) *admissionSim {
 	l := fleetLoad{workers: admissionWorkers, servingWidth: 14, victimImages: 2, aggressorImages: 4}
-	m := &admissionSim{fleetSim: newFleetSim(seed, l), policy: p, byJob: map[batch.JobID]*admissionCaller{}, lostBefore: map[string]bool{}}
+	m := &admissionSim{fleetSim: newFleetSim(seed, l), policy: p, byJob: map[batch.JobID]*admissionCaller{}}
 	m.variant = v
-	m.random = rand.New(rand.NewPCG(seed, 2))
+	m.random, m.reports = rand.New(rand.NewPCG(seed, 2)), rand.New(rand.NewPCG(seed, 3))
 	for i := range 2 {
 		st := batch.Step{
 			Count: 14, Need: batch.Resources{MilliCPU: 6400, MemoryMB: 500}, LongRunning: true, LatencyTarget: 50 * time.Millisecond,
@@ -93,7 +97,7 @@
 
 // arrive adds the callers that arrive in one step.
 func (m *admissionSim) arrive(p overloadPhase) {
-	dt := fleetSimStep.Seconds()
+	dt := admissionSimStep.Seconds()
 	for range m.poisson(admissionUrgentRate * p.urgent * dt) {
 		st := batch.Step{
 			Count: max(1, int(m.varied(10))), Need: batch.Resources{MilliCPU: int(m.varied(650)), MemoryMB: 300},
@@ -204,7 +208,7 @@
 			m.endInOrder()
 			m.reportReachable()
 			m.runSchedulePass()
-			m.now = m.now.Add(fleetSimStep)
+			m.now = m.now.Add(admissionSimStep)
 		}
 	}
 	for id, at := range m.completedAt {
@@ -235,8 +239,8 @@
 
 // reportReachable reports the runs of the workers in reach whose reports are due, in the order of their names.
 func (m *admissionSim) reportReachable() {
-	const slots = int(simReportInterval / fleetSimStep)
-	at := int(m.now.Sub(testStart)/fleetSimStep) % slots
+	const slots = int(simReportInterval / admissionSimStep)
+	at := int(m.now.Sub(testStart)/admissionSimStep) % slots
 	for i := max(at, (m.lost+slots-1-at)/slots*slots+at); i < admissionWorkers; i += slots {
 		k := batch.WorkerKey{ID: fmt.Sprintf("%02d", i), StartTime: 1}
 		var rs []batch.Run
@@ -244,7 +248,7 @@
 			r := batch.Run{Task: t.id, Number: t.run, ProgressPercent: 50, Pace: m.bestEffortPace}
 			switch {
 			case t.step.LongRunning:
-				r.Load = 15 + m.random.IntN(10)
+				r.Load = 15 + m.reports.IntN(10)
 			case t.step.BestEffort:
 				r.Load = t.step.Need.MilliCPU
 			}
@@ -345,8 +349,9 @@
 	k.toldAfter += o.toldAfter
 }
 
-// admissionSeeds are the seeds of each row of the replay.
-var admissionSeeds = []uint64{1, 2, 3}
+// admissionSeeds are the seeds of each row of the replay. With fewer the largest tenth of the
+// large jobs are less than ten jobs.
+var admissionSeeds = []uint64{1, 2, 3, 4, 5, 6}
 
 // playAdmission plays a load with each seed.
 func playAdmission(load string, p admissionPolicy, v policyVariant) admissionOutcome {
@@ -455,6 +460,9 @@
 			second := st
 			second.DependsOn = []int{0}
 			j := overload.Job{Job: testJob("0123456789abcdef", "urgent", st, second)}
+			if d := overload.Decide(f.now, sum, f.queues["urgent"], j); d.Estimate.Alone == 0 {
+				b.Fatalf("decided without an estimate: %+v", d)
+			}
 			for b.Loop() {
 				overload.Decide(f.now, sum, f.queues["urgent"], j)
 			}
