Send no load summary while workers may still be joining

Cause: a scheduler that starts with a fleet sees the first workers before the others; their absence looked like a shortage. Change: the summary is sent from takeoverHostWait after the start of a term. Measured: the tests of whole deployments pass with the race detector; at a start of the real fleet not measured.

--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -131,7 +131,10 @@
 	}
 	o := d.scheduler.Schedule(now)
 	// Between passes there is room that waiting work is about to take.
-	d.loadSummary = d.scheduler.LoadSummary(now)
+	if l := d.scheduler.LoadSummary(now); now.Sub(d.startTime) >= takeoverHostWait {
+		// Until then workers may still be joining, and their absence isn't a shortage.
+		d.loadSummary = l
+	}
 	d.Log.Metrics.Observe(telemetry.SchedulePassSeconds, time.Since(now))
 	for _, x := range o.Stops {
 		d.Log.Event(eventlog.RunStopping).Str("job", string(x.Task.Job)).Str("task", x.Task.String()).Int("run", x.Number).
