--- a/pkg/decide/schedule/yield.go
+++ b/pkg/decide/schedule/yield.go
@@ -421,10 +421,12 @@
 	return v, true
 }
 
-// mayYield reports whether the caller of the long-running task allows it to be unavailable besides those that are.
-func (t *task) mayYield() bool {
-	return t.step.MaxUnavailable > 0 && t.step.countAway(t) < t.step.MaxUnavailable
-}
+// mayYield reports whether the long-running task may be unavailable besides those that are.
+func (t *task) mayYield() bool { return t.step.countAway(t) < t.step.maxAway() }
+
+// maxAway returns how many long-running tasks of the step may be unavailable at once through
+// the scheduler's doing. Most callers state no limit; then it's one, as for moves.
+func (s *step) maxAway() int { return max(s.MaxUnavailable, 1) }
 
 // mayYieldWith reports whether t may still yield if the chosen tasks do.
 func (t *task) mayYieldWith(chosen []yieldVictim) bool {
@@ -437,7 +439,7 @@
 			away++
 		}
 	}
-	return away < t.step.MaxUnavailable
+	return away < t.step.maxAway()
 }
 
 // countAway returns how many tasks of the step besides t aren't at work, for any cause.
