Keep the room of long-running tasks that yield for short work

Cause: the 6 s within which a long-running task that yielded runs again take it that the tasks in its room end within 2 s, but nothing checked their estimates. A step of 20 s tasks made such tasks yield, and any urgent task could take the room kept for a short need.

Change: steps whose estimate exceeds 2 s (maxYieldUse) make no long-running task yield, and get nothing on a worker while such room is kept there. Finite tasks that yield are chosen as before.

--- a/pkg/decide/schedule/yield.go
+++ b/pkg/decide/schedule/yield.go
@@ -30,6 +30,9 @@
 	// maxYieldTime is how long room is kept for a need at most. The task that yielded has to
 	// run again within 6 s, of which the ends of the tasks in its room take up to two.
 	maxYieldTime = 3 * time.Second
+	// maxYieldUse bounds the estimate of a task that may take the room of a long-running one: the
+	// rest of the 6 s after maxYieldTime and the stop and start of the task that yielded.
+	maxYieldUse = 2 * time.Second
 	// yieldStopLimit is how long a stop may take to be carried out until its room isn't counted on any more.
 	yieldStopLimit = time.Second
 	// workersPerYield is the number of workers for each of which one may have work that yields at a time.
@@ -90,6 +93,8 @@
 	orderedAt time.Time
 	// frees are the resources of the tasks.
 	frees batch.Resources
+	// longRunning is set if one of the tasks is long-running, and needs the room back in time.
+	longRunning bool
 }
 
 // refuses reports whether a task of st, whose queue has the given priority, may not be started beside the room.
@@ -99,6 +104,8 @@
 		return false
 	case st.LongRunning:
 		return true
+	case y.longRunning && !st.BestEffort && st.Estimate > maxYieldUse:
+		return true
 	case st.BestEffort:
 		// The memory that was freed is kept too.
 		return priority > y.priority && y.worker.freeResources().MemoryMB-st.Need.MemoryMB < y.frees.MemoryMB
@@ -401,7 +408,7 @@
 	age := now.Sub(t.startedAt)
 	cores := float64(st.Need.MilliCPU) / 1000
 	if st.LongRunning {
-		if s.variant.yieldByPriority || v.priority < n.priority || age < minServingTime || !t.mayYield() {
+		if s.variant.yieldByPriority || v.priority < n.priority || age < minServingTime || n.step.Estimate > maxYieldUse || !t.mayYield() {
 			return v, false
 		}
 		v.kind = YieldLongRunning
@@ -463,6 +470,7 @@
 		t.yielding = true
 		t.yieldNotBefore = now.Add(yieldPause(t.yields))
 		y.tasks = append(y.tasks, t)
+		y.longRunning = y.longRunning || t.step.LongRunning
 		s.orderStop(t, yieldReason)
 		o.Yields = append(o.Yields, Yield{
 			Task: t.id, Worker: p.worker.ID, Kind: v.kind, Need: n.step.job.ID, NeedStep: n.step.index, Slack: n.slack,
--- a/pkg/decide/schedule/yield_test.go
+++ b/pkg/decide/schedule/yield_test.go
@@ -212,6 +212,9 @@
 		"no second task of a step without a stated limit": {
 			job: testJob("l", "urgent", testStep(3, 8000, endless, func(s *batch.Step) { s.MaxPerWorker = 2 })), age: 10 * time.Second,
 		},
+		"no long-running task to work that occupies its room for longer than it may be away": {
+			job: testJob("l", "urgent", serving), age: 10 * time.Second, urgent: []func(*batch.Step){lasts(20 * time.Second)},
+		},
 		"no long-running task that has just started": {job: testJob("l", "urgent", serving), age: time.Second},
 		"no long-running task beside one that is away": {
 			job: testJob("l", "urgent", testStep(3, 8000, endless, allow(1), func(s *batch.Step) { s.MaxPerWorker = 2 })), age: 10 * time.Second,
@@ -311,6 +314,31 @@
 	g.Expect(back).To(HaveLen(len(yieldedAt)), "tasks that yielded and ran again")
 }
 
+// Urgent work of any length may take the room that is kept for a short need. A task of 20 s there
+// keeps the long-running task that yielded away for as long.
+func TestRoomOfLongRunningTaskIsNotTakenForLong(t *testing.T) {
+	g := NewWithT(t)
+	f := newYieldCase(1, testJob("l", "urgent", testStep(2, 8000, endless)))
+	for range 100 {
+		f.pass(100 * time.Millisecond)
+	}
+	f.addUrgent("u", 40)
+	ys := f.waitForYields(time.Second)
+	g.Expect(ys).To(HaveLen(1))
+	f.addUrgent("a", 1, func(s *batch.Step) { s.Estimate = 20 * time.Second })
+	f.endRun(f.started[ys[0].Task], batch.Stopped)
+	yieldedAt := f.now
+	for f.findTask(ys[0].Task).worker == nil && f.now.Sub(yieldedAt) < 30*time.Second {
+		f.pass(100 * time.Millisecond)
+		for id, s := range f.started {
+			if t := f.findTask(id); !s.Step.LongRunning && t.worker != nil && f.now.Sub(t.startedAt) >= s.Step.Estimate {
+				f.endRun(s, batch.Done)
+			}
+		}
+	}
+	g.Expect(f.now.Sub(yieldedAt)).To(BeNumerically("<", maxLongRunningWait), "time without a run")
+}
+
 // A stop that the worker doesn't carry out frees nothing: its room is given up, and the
 // run continues once the worker is connected anew.
 func TestYieldWhoseStopIsLostIsGivenUp(t *testing.T) {
