Stop the tasks of a draining worker in a fixed order

Cause: moveFromDraining went through the tasks of a worker in the order of a map, so that chance decided which of them got room that isn't enough for all, and the same inputs gave other orders.

Change: it takes them in the order of their names, as evacuations do.

Measured: the new test failed before the change (task 7 was stopped instead of task 0) and passes now; so does TestDrainMovesLastingTasks.

--- a/pkg/decide/schedule/drain.go
+++ b/pkg/decide/schedule/drain.go
@@ -47,7 +47,7 @@
 		if !w.Draining || w.outOfReach() {
 			continue
 		}
-		for _, t := range w.tasks {
+		for _, t := range w.tasksInOrder() {
 			if t.stopping || !t.confirmed || t.step.Gang || !t.shouldLeaveDraining(now, w) {
 				continue
 			}
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -338,6 +338,25 @@
 	g.Expect(string(o.Stops[0].Task.Job)).To(Equal("l"))
 }
 
+// The tasks of a worker are a map. Which of them gets the only room must not depend on its order,
+// or the same inputs give other orders in a replay.
+func TestDrainStopsTasksInAFixedOrder(t *testing.T) {
+	g := NewWithT(t)
+	for range 20 {
+		f := newHarness(testWorker("1", 8000))
+		f.Add(f.now, endlessJob("l", 8, 1000), nil, false)
+		for _, s := range f.scheduleAfter(0).Starts {
+			f.confirmStart(s)
+			f.reportAtWork(s)
+		}
+		f.SyncWorker(f.now, "host-2", testWorker("2", 1000), nil, nil)
+		f.setDraining("1")
+		stops := f.scheduleAfter(100 * time.Millisecond).Stops
+		g.Expect(stops).To(HaveLen(1))
+		g.Expect(stops[0].Task.Index).To(Equal(0))
+	}
+}
+
 // Tasks of an advised queue start only with a ticket of the policy service, which
 // is requested once.
 func TestAdvisedQueueWaitsForATicket(t *testing.T) {
