Keep room for the long-running tasks that leave a draining worker

Cause: only while a data centre is evacuated was room kept for a long-running task that drains. Otherwise each later pass, until the first stop had ended, found the same room free and stopped another task for it, which then had no worker although it could have run on until the drain ends.

--- a/pkg/decide/schedule/drain.go
+++ b/pkg/decide/schedule/drain.go
@@ -55,8 +55,8 @@
 			if to == nil || !reservation(t.step.Step).Plus(reserved[to]).Fits(to.freeResources()) {
 				continue
 			}
-			if t.step.LongRunning && len(s.evacuations) > 0 {
-				// Tasks that leave an evacuated data centre look for the same room.
+			if t.step.LongRunning {
+				// Later passes, and tasks that leave an evacuated data centre, look for the same room.
 				s.moveServing(now, t, to, drainReason)
 				continue
 			}
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -338,6 +338,25 @@
 	g.Expect(string(o.Stops[0].Task.Job)).To(Equal("l"))
 }
 
+// A pass that comes before the first stop has ended finds the room of the stopped task free. A
+// second task that is stopped for it could have run on until the drain ends, and has no worker.
+func TestDrainStopsNoMoreTasksThanFit(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 8000))
+	f.Add(f.now, endlessJob("l", 2, 4000), nil, false)
+	for _, s := range f.scheduleAfter(0).Starts {
+		f.confirmStart(s)
+		f.reportAtWork(s)
+	}
+	f.SyncWorker(f.now, "host-2", testWorker("2", 4000), nil, nil)
+	f.setDraining("1")
+	stops := 0
+	for range 5 {
+		stops += len(f.scheduleAfter(100 * time.Millisecond).Stops)
+	}
+	g.Expect(stops).To(Equal(1))
+}
+
 // The tasks of a worker are a map. Which of them gets the only room must not depend on its order,
 // or the same inputs give other orders in a replay.
 func TestDrainStopsTasksInAFixedOrder(t *testing.T) {
