Let a moved task start in its room beside a hold

Cause: a hold that was taken on the target of a move while the task was being stopped refused the task as it came, although the hold counts the room of the move as taken. The task had been stopped for that room and then waited beside it.

Change: the check of the target before the start of a moved task leaves out the hold. Kept yields, health, drains and evacuations apply as before.

Measured: in the new test the moved task had no worker before the change and starts on its target now. The tests of moves, holds and evacuations pass.

--- a/pkg/decide/schedule/move_test.go
+++ b/pkg/decide/schedule/move_test.go
@@ -88,3 +88,26 @@
 	stops := f.scheduleAfter(50 * time.Millisecond).Stops
 	g.Expect(stops).To(HaveLen(1))
 }
+
+// Room that is held beside the room of a move counts this as taken. If the hold kept the moved
+// task from its room, that would wait beside it although it was stopped for it.
+func TestHoldBesideRoomOfMoveDoesNotKeepTaskFromIt(t *testing.T) {
+	g := NewWithT(t)
+	f, s := movingTask(t)
+	f.RemoveWorker(keyOf("3"))
+	f.Add(f.now, testJob("f", "urgent", testStep(1, 1000)), nil, false)
+	for _, x := range f.scheduleAfter(0).Starts {
+		f.confirmStart(x)
+	}
+	f.Add(f.now, lastingJob("b", 1000), nil, false)
+	f.scheduleAfter(50 * time.Millisecond)
+	waiting := f.findTask(batch.Task{Job: "b"})
+	g.Expect(waiting.worker).To(BeNil())
+	f.scheduleAfter(healthyWorkerWait)
+	g.Expect(waiting.hold).NotTo(BeNil())
+	g.Expect(f.moves).To(HaveLen(1))
+	f.endRun(s, batch.Stopped)
+	f.RemoveWorker(keyOf("1"))
+	f.scheduleAfter(50 * time.Millisecond)
+	g.Expect(f.findTask(s.Task).worker).To(Equal(f.workerOf("2")))
+}
--- a/pkg/decide/schedule/rearrange.go
+++ b/pkg/decide/schedule/rearrange.go
@@ -267,7 +267,9 @@
 	if w == nil || s.workers[w.Key()] != w {
 		return false
 	}
-	if _, e := s.newSearch(now, c.step, "", o).evaluate(w); e != eligible {
+	x := s.newSearch(now, c.step, "", o)
+	x.ignoreHold = true
+	if _, e := x.evaluate(w); e != eligible {
 		return false
 	}
 	s.orderStart(now, c, t, w, t.run+1, o)
--- a/pkg/decide/schedule/search.go
+++ b/pkg/decide/schedule/search.go
@@ -27,6 +27,8 @@
 	lastResort bool
 	// ignoreRoom admits workers that have no room now.
 	ignoreRoom bool
+	// ignoreHold admits workers with a hold, for a task whose own room the hold counts as taken.
+	ignoreHold bool
 	// unadvised are the workers on which the policy service has not decided.
 	unadvised []string
 	orders    *Orders
@@ -88,7 +90,7 @@
 		return 0, lacksLabel
 	case x.rack != "" && w.Rack() != x.rack:
 		return 0, otherRack
-	case w.hold.delays(x.now, st, x.reservation), w.yield.refuses(st, x.queue.Priority):
+	case !x.ignoreHold && w.hold.delays(x.now, st, x.reservation), w.yield.refuses(st, x.queue.Priority):
 		return 0, held
 	case st.MaxPerWorker > 0 && st.tasksPerWorker[w] >= st.MaxPerWorker:
 		return 0, atTaskLimit
