Explain dependent steps without the tasks of those before them

Cause: the tasks of the steps that are ready kept their places while dependent steps were explained, so that a job whose steps each fill the fleet was told that its second step waits. By the time that step is ready the tasks before it are done.

Change: ready steps are explained together and taken back, and then each dependent step by itself, as the documentation says.

Measured: in the new test 4 tasks waited before the change and none do now; the other tests of explanations pass.

--- a/pkg/decide/schedule/explain.go
+++ b/pkg/decide/schedule/explain.go
@@ -65,21 +65,28 @@
 	start := s.nextSearchStart
 	defer func() { s.nextSearchStart = start }()
 	defer func() { j.forEachTask((*task).release) }()
-	var e Explanation
+	steps := j.occurrences[0].steps
+	e := Explanation{Steps: make([]StepExplanation, len(steps))}
+	for i, st := range steps {
+		if len(st.DependsOn) == 0 {
+			e.Steps[i] = s.explainStep(now, st)
+			e.Steps[i].Ready = true
+		}
+	}
+	j.forEachTask((*task).release)
+	for i, st := range steps {
+		if len(st.DependsOn) > 0 {
+			e.Steps[i] = s.explainStep(now, st)
+			st.releaseAll()
+		}
+	}
 	waits := 0
-	for _, st := range j.occurrences[0].steps {
-		ready := len(st.DependsOn) == 0
-		x := s.explainStep(now, st)
-		x.Ready = ready
-		if x.Waiting > 0 {
+	for i := range e.Steps {
+		if x := &e.Steps[i]; x.Waiting > 0 {
 			if waits++; waits > maxExplainedWaits {
 				x.Exclusions = nil
 			}
 		}
-		e.Steps = append(e.Steps, x)
-		if !ready {
-			st.releaseAll()
-		}
 	}
 	return e
 }
--- a/pkg/decide/schedule/explain_test.go
+++ b/pkg/decide/schedule/explain_test.go
@@ -84,6 +84,18 @@
 	}
 }
 
+// A step that depends on others starts once they are done. If their tasks took room from it, its
+// tasks would be said to wait beside room that is free by then.
+func TestDependentStepIsExplainedWithoutThoseBeforeIt(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 4000))
+	after := func(s *batch.Step) { s.DependsOn = []int{0} }
+	e := f.Explain(f.now, testJob("j", "urgent", testStep(4, 1000), testStep(4, 1000, after)))
+	g.Expect(e.Steps[0].Waiting).To(Equal(0))
+	g.Expect(e.Steps[1].Waiting).To(Equal(0))
+	g.Expect(f.workerOf("1").reserved).To(Equal(batch.Resources{}))
+}
+
 // A question that reserves room, counts a start or moves the search on changes what happens to others.
 func TestExplanationChangesNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
