Order the stops of a returning worker again in a fixed order

Cause: SyncWorker went through the tasks of the worker in the order of a map, so that the same inputs gave the stops in other orders.

Change: it takes the tasks in the order of their names.

--- a/pkg/decide/schedule/report.go
+++ b/pkg/decide/schedule/report.go
@@ -52,9 +52,9 @@
 		kept = append(kept, r.Task)
 		t.recordProgress(now, r)
 	}
-	for id, t := range w.tasks {
+	for _, t := range w.tasksInOrder() {
 		switch {
-		case !listed[id]:
+		case !listed[t.id]:
 			// The run has neither started nor ended, so the worker never carried out the start.
 			t.release()
 		case t.stopping && s.moveGivenUp(t):
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -376,6 +376,27 @@
 	}
 }
 
+// The tasks of a worker that returns are a map too, and their stops are ordered again.
+func TestStopsAreOrderedAgainInAFixedOrder(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 8000))
+	f.Add(f.now, endlessJob("l", 8, 1000), nil, false)
+	var runs []batch.Run
+	for _, s := range f.scheduleAfter(0).Starts {
+		f.confirmStart(s)
+		runs = append(runs, batch.Run{Task: s.Task, Number: s.Number})
+	}
+	f.Cancel(f.now, "l")
+	g.Expect(f.scheduleAfter(0).Stops).To(HaveLen(8))
+	f.MarkUnresponsive("host-1")
+	f.SyncWorker(f.now, "host-1", testWorker("1", 8000), runs, nil)
+	stops := f.scheduleAfter(0).Stops
+	g.Expect(stops).To(HaveLen(8))
+	for i, s := range stops {
+		g.Expect(s.Task.Index).To(Equal(i))
+	}
+}
+
 // Tasks of an advised queue start only with a ticket of the policy service, which
 // is requested once.
 func TestAdvisedQueueWaitsForATicket(t *testing.T) {
