Let long-running tasks pass a hold that is overdue

Cause: a hold expects its room within 4 s by the estimates of the tasks there, and is kept without a limit if one of them runs for longer. A smaller long-running task that fits beside that task waited as long, against the 6 s within which it has to run beside room for it.

Change: 1.5 s (maxHoldOverrun) after its time a hold keeps other long-running tasks from the room no more. Finite tasks wait as before.

--- a/pkg/decide/schedule/backfill.go
+++ b/pkg/decide/schedule/backfill.go
@@ -24,6 +24,9 @@
 const (
 	// maxHoldWait bounds the time until a hold is expected to be ready; estimates of longer tasks are rough.
 	maxHoldWait = maxAvoidance
+	// maxHoldOverrun is how long after that a hold still keeps other long-running tasks from the room,
+	// as these have to run again within 6 s beside room for them. Their start takes the other half second.
+	maxHoldOverrun = 6*time.Second - maxHoldWait - 500*time.Millisecond
 	// holdInterval is the time between two searches for room to hold.
 	holdInterval = 250 * time.Millisecond
 	// maxHoldSearches bounds the tasks for which one of them looks, as each compares all workers.
@@ -138,6 +141,9 @@
 	if h == nil || h.task.step == st || !st.LongRunning && !now.Add(st.Estimate).After(h.readyAt) {
 		return false
 	}
+	if st.LongRunning && now.Sub(h.readyAt) >= maxHoldOverrun {
+		return false
+	}
 	left := h.worker.freeResources().Minus(reservation(h.task.step.Step))
 	return need.MilliCPU > max(0, left.MilliCPU) || need.MemoryMB > max(0, left.MemoryMB) || need.GPU > max(0, left.GPU)
 }
--- a/pkg/decide/schedule/backfill_test.go
+++ b/pkg/decide/schedule/backfill_test.go
@@ -119,3 +119,25 @@
 	}
 	g.Expect(n).To(Equal(5), "all long-running tasks run")
 }
+
+// A hold lasts while a task runs far longer than its estimate. A smaller long-running task must not
+// wait beside the free part of the room for as long.
+func TestOverdueHoldLeavesRoomToOtherLongRunningTasks(t *testing.T) {
+	for _, percent := range []int{0, 20} {
+		g := NewWithT(t)
+		f := newHarness(testWorker("1", 16000))
+		f.Add(f.now, testJob("f", "urgent", testStep(1, 8000)), nil, false)
+		late := f.scheduleAfter(0).Starts[0]
+		f.confirmStart(late)
+		f.Add(f.now, endlessJob("a", 1, 12000), nil, false)
+		f.startFor(healthyWorkerWait + 2*holdInterval)
+		g.Expect(f.findTask(batch.Task{Job: "a"}).hold).NotTo(BeNil())
+		f.Add(f.now, endlessJob("b", 1, 6000), nil, false)
+		addedAt := f.now
+		for f.findTask(batch.Task{Job: "b"}).worker == nil && f.now.Sub(addedAt) < 30*time.Second {
+			f.HandleProgress(f.now, late.Key, []batch.Run{{Task: late.Task, Number: late.Number, ProgressPercent: percent}}, false)
+			f.startFor(100 * time.Millisecond)
+		}
+		g.Expect(f.now.Sub(addedAt)).To(BeNumerically("<", maxLongRunningWait))
+	}
+}
