--- a/pkg/decide/schedule/drain.go
+++ b/pkg/decide/schedule/drain.go
@@ -47,7 +47,7 @@
 		if !w.Draining || w.outOfReach() {
 			continue
 		}
-		for _, t := range w.tasks {
+		for _, t := range w.tasksInOrder() {
 			if t.stopping || !t.confirmed || t.step.Gang || !t.shouldLeaveDraining(now, w) {
 				continue
 			}
@@ -55,8 +55,8 @@
 			if to == nil || !reservation(t.step.Step).Plus(reserved[to]).Fits(to.freeResources()) {
 				continue
 			}
-			if t.step.LongRunning && len(s.evacuations) > 0 {
-				// Tasks that leave an evacuated data centre look for the same room.
+			if t.step.LongRunning {
+				// Later passes, and tasks that leave an evacuated data centre, look for the same room.
 				s.moveServing(now, t, to, drainReason)
 				continue
 			}
--- a/pkg/decide/schedule/schedule_test.go
+++ b/pkg/decide/schedule/schedule_test.go
@@ -338,6 +338,65 @@
 	g.Expect(string(o.Stops[0].Task.Job)).To(Equal("l"))
 }
 
+// A pass that comes before the first stop has ended finds the room of the stopped task free. A
+// second task that is stopped for it could have run on until the drain ends, and has no worker.
+func TestDrainStopsNoMoreTasksThanFit(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 8000))
+	f.Add(f.now, endlessJob("l", 2, 4000), nil, false)
+	for _, s := range f.scheduleAfter(0).Starts {
+		f.confirmStart(s)
+		f.reportAtWork(s)
+	}
+	f.SyncWorker(f.now, "host-2", testWorker("2", 4000), nil, nil)
+	f.setDraining("1")
+	stops := 0
+	for range 5 {
+		stops += len(f.scheduleAfter(100 * time.Millisecond).Stops)
+	}
+	g.Expect(stops).To(Equal(1))
+}
+
+// The tasks of a worker are a map. Which of them gets the only room must not depend on its order,
+// or the same inputs give other orders in a replay.
+func TestDrainStopsTasksInAFixedOrder(t *testing.T) {
+	g := NewWithT(t)
+	for range 20 {
+		f := newHarness(testWorker("1", 8000))
+		f.Add(f.now, endlessJob("l", 8, 1000), nil, false)
+		for _, s := range f.scheduleAfter(0).Starts {
+			f.confirmStart(s)
+			f.reportAtWork(s)
+		}
+		f.SyncWorker(f.now, "host-2", testWorker("2", 1000), nil, nil)
+		f.setDraining("1")
+		stops := f.scheduleAfter(100 * time.Millisecond).Stops
+		g.Expect(stops).To(HaveLen(1))
+		g.Expect(stops[0].Task.Index).To(Equal(0))
+	}
+}
+
+// The tasks of a worker that returns are a map too, and their stops are ordered again.
+func TestStopsAreOrderedAgainInAFixedOrder(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 8000))
+	f.Add(f.now, endlessJob("l", 8, 1000), nil, false)
+	var runs []batch.Run
+	for _, s := range f.scheduleAfter(0).Starts {
+		f.confirmStart(s)
+		runs = append(runs, batch.Run{Task: s.Task, Number: s.Number})
+	}
+	f.Cancel(f.now, "l")
+	g.Expect(f.scheduleAfter(0).Stops).To(HaveLen(8))
+	f.MarkUnresponsive("host-1")
+	f.SyncWorker(f.now, "host-1", testWorker("1", 8000), runs, nil)
+	stops := f.scheduleAfter(0).Stops
+	g.Expect(stops).To(HaveLen(8))
+	for i, s := range stops {
+		g.Expect(s.Task.Index).To(Equal(i))
+	}
+}
+
 // Tasks of an advised queue start only with a ticket of the policy service, which
 // is requested once.
 func TestAdvisedQueueWaitsForATicket(t *testing.T) {
