Read the store before a submission that was not decoded is refused

Cause: the intake asked only the scheduler. A job that another gateway had just stored, that the scheduler no longer knew or that it didn't know yet after a takeover was refused with 503, and so was one that this gateway was writing or whose write had an unknown outcome.

Change: the intake decides as the refusal for overload does, with the query, a read of the store and the writes of this gateway. Where the outcome stays open the response is 504, also while the store can't be read. Both check the writes before and after the read, as one may begin meanwhile.

Measured: TestUnreadSubmissionIsRefusedOnlyWithCertainty with the query alone fails (jobs that are stored, being written or of unknown outcome get Refused), and passes with the change; the tests of admission in internal/gateway pass under -race.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -78,23 +78,16 @@
 func (g *Gateway) refuseForLoad(ctx context.Context, deadline time.Time, j *batch.Job) (SubmitResult, overload.Decision, bool) {
 	now := time.Now()
 	d := g.decideForLoad(now, j)
-	g.mu.Lock()
-	mayApply := g.admission.mayApply(j.ID)
-	g.mu.Unlock()
-	if !d.Refuse || mayApply {
+	if !d.Refuse || g.mayApply(j.ID) {
 		// A write of unknown outcome may still take effect, so the job can't be refused.
 		return SubmitResult{}, d, false
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-responseMargin))
 	defer cancel()
-	if _, known := g.query(ctx, link.Query{Job: j.ID}); known {
-		return SubmitResult{Outcome: Accepted}, d, true
-	}
-	switch _, err := g.get(ctx, dispatch.JobPrefix+string(j.ID)); {
-	case err == nil:
+	switch g.lookUpRefused(ctx, j.ID) {
+	case Accepted:
 		return SubmitResult{Outcome: Accepted}, d, true
-	case !errors.Is(err, kv.ErrNotFound):
-		// It isn't known whether the job was accepted earlier.
+	case Unknown:
 		return SubmitResult{}, d, false
 	}
 	g.mu.Lock()
@@ -103,6 +96,32 @@
 	return SubmitResult{Outcome: Refused, RetryAfter: d.RetryAfter}, d, true
 }
 
+// lookUpRefused returns Refused if a job that is to be refused wasn't accepted by an earlier submission. It
+// returns Accepted if the scheduler or the store knows the job, and Unknown if a write of it may still take effect or
+// the store can't be read.
+func (g *Gateway) lookUpRefused(ctx context.Context, id batch.JobID) Outcome {
+	if _, known := g.query(ctx, link.Query{Job: id}); known {
+		return Accepted
+	}
+	// A write that ends before the read shows in the store, and one that begins meanwhile after it.
+	before := g.mayApply(id)
+	_, err := g.get(ctx, dispatch.JobPrefix+string(id))
+	switch {
+	case err == nil:
+		return Accepted
+	case before || g.mayApply(id) || !errors.Is(err, kv.ErrNotFound):
+		return Unknown
+	}
+	return Refused
+}
+
+// mayApply reports whether a write of the job may still take effect.
+func (g *Gateway) mayApply(id batch.JobID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.mayApply(id)
+}
+
 // decideForLoad decides by the last load summary whether j would be of use if it were accepted.
 func (g *Gateway) decideForLoad(now time.Time, j *batch.Job) overload.Decision {
 	g.mu.Lock()
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -184,3 +184,28 @@
 		g.Expect(len(r.admission.firstRefused)).To(Equal(1))
 	})
 }
+
+// A submission that is refused before its body is decoded must not be, if only the store knows its job, or a write of it
+// is in progress or had an unknown outcome. If the store can't be read, nothing may be promised.
+func TestUnreadSubmissionIsRefusedOnlyWithCertainty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, r := NewWithT(t), newAdmissionRig()
+		defer r.Log.Close(time.Second)
+		v, _ := r.submitJob("stored")
+		g.Expect(v.Outcome).To(Equal(Accepted))
+		r.known["ended"] = true
+		r.store.Set(memory.Faults{ApplyDelay: time.Minute})
+		v, _ = r.submitJob("unknown")
+		g.Expect(v.Outcome).To(Equal(Unknown))
+		go func() { r.submitJob("writing") }()
+		time.Sleep(time.Millisecond)
+		for id, want := range map[batch.JobID]Outcome{
+			"stored": Accepted, "ended": Accepted, "unknown": Unknown, "writing": Unknown, "new": Refused,
+		} {
+			g.Expect(r.RefuseUnread(t.Context(), id)).To(Equal(want), string(id))
+		}
+		r.store.Set(memory.Faults{Down: true})
+		g.Expect(r.RefuseUnread(t.Context(), "new")).To(Equal(Unknown))
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,9 @@
 	unknownOutcomeOutageLimit = 1200 * time.Millisecond
 	// lookupTimeout bounds the read before a job is stored; the farthest store answers in 70 ms.
 	lookupTimeout = 400 * time.Millisecond
+	// refusalLookupTimeout bounds the query and the read before a submission that was not decoded
+	// is refused, which begin half a second before the caller's deadline.
+	refusalLookupTimeout = 450 * time.Millisecond
 )
 
 // An Outcome is what is known about the effect of a request.
@@ -190,10 +193,13 @@
 // Stop makes Ready report false, so that the balancer takes the process out of rotation.
 func (g *Gateway) Stop() { g.stopped.Store(true) }
 
-// Known reports whether the scheduler knows a job, so that it must not be refused.
-func (g *Gateway) Known(ctx context.Context, id batch.JobID) bool {
-	_, known := g.query(ctx, link.Query{Job: id})
-	return known
+// RefuseUnread returns Refused for a job whose submission was not decoded. If the scheduler or the store knows the job, an
+// earlier submission was accepted, and it returns Accepted. It returns Unknown if a write of the job may
+// still take effect or the store can't be read.
+func (g *Gateway) RefuseUnread(ctx context.Context, id batch.JobID) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, refusalLookupTimeout)
+	defer cancel()
+	return g.lookUpRefused(ctx, id)
 }
 
 // Submit stores a job. Only Refused guarantees that the job does not run as a result of the call.
