Don't refuse a job for the store while an earlier write of it may take effect

Cause: a submission that can't be stored was refused if the scheduler didn't know the job, also where another submission of the same job in this gateway was being written or had an unknown outcome.

Change: its outcome is then unknown too (504).

Measured: TestUnstoredJobIsNotRefusedAfterAnUnknownOutcome got Refused before the change and passes after it.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -209,3 +209,20 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// A submission that can't be stored must not be refused while an earlier one of the same job may still take effect.
+func TestUnstoredJobIsNotRefusedAfterAnUnknownOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, r := NewWithT(t), newAdmissionRig()
+		defer r.Log.Close(time.Second)
+		r.store.Set(memory.Faults{ApplyDelay: time.Minute})
+		v, _ := r.submitJob("a")
+		g.Expect(v.Outcome).To(Equal(Unknown))
+		r.store.Set(memory.Faults{Refuse: true})
+		v, _ = r.submitJob("a")
+		g.Expect(v.Outcome).To(Equal(Unknown))
+		v, _ = r.submitJob("b")
+		g.Expect(v.Outcome).To(Equal(Refused))
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,6 +214,9 @@
 		// A repeated submission of a job that was accepted earlier, and may have run, must not be refused.
 		if _, known := g.query(ctx, link.Query{Job: j.ID}); known {
 			v = SubmitResult{Outcome: Accepted}
+		} else if g.mayApply(j.ID) {
+			// Another submission of the job may still take effect.
+			v = SubmitResult{Outcome: Unknown}
 		}
 	}
 	e := eventlog.JobAccepted
