Count only the header's bytes in the reservation for a header

Cause: the first read of a connection takes up to 4 KiB, of which the whole was counted as header at 24 times its size once it exceeded 1 KiB. A submission of 3,000 bytes reserved 74 kB, waited like a large request beside others outside the limits, and lost its connection without a response if it did not get them.

Change: bytes behind the end of the header are not counted.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"container/list"
 	"net"
 	"sync"
@@ -28,6 +29,9 @@
 	headerFactor = 24
 )
 
+// headerEnd ends a header.
+var headerEnd = []byte("\r\n\r\n")
+
 // A Listener bounds the connections that are open at once. When a further one arrives, the
 // connection with the oldest incomplete request is closed if that has taken longer than
 // minIncompleteAge; or else the one that has been idle for the longest, the one with the oldest
@@ -159,10 +163,18 @@
 	if n == 0 || !c.inHeader.Load() || arrived <= freeHeaderBytes {
 		return n, err
 	}
+	counted := n
+	if end := bytes.Index(b[:n], headerEnd); end >= 0 {
+		// The rest belongs to the body.
+		counted = end + len(headerEnd)
+	}
+	if arrived-int64(n-counted) <= freeHeaderBytes {
+		return n, err
+	}
 	if c.header == nil {
 		c.header = c.listener.intake.budget.Open(func() { _ = c.Close() })
 	}
-	size := int64(n) * headerFactor
+	size := int64(counted) * headerFactor
 	if err := c.header.Reserve(size); err != nil {
 		c.listener.intake.report(ReasonHeaderBytes)
 		_ = c.Close()
--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -182,3 +182,26 @@
 		g.Expect(m.String()).To(ContainSubstring(`sesamestream_client_limits_total{reason="bodyBytes"} 1000`))
 	})
 }
+
+// The bytes of a body that arrive together with a short header must not count as a header, which takes many times
+// its size: a small request would wait like a large one, or lose its connection.
+func TestBodyBesideItsHeaderIsNotCountedAsHeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var reached []intake.Reason
+		i := intake.New(64<<10, 1<<20, func(r intake.Reason) { reached = append(reached, r) })
+		c := serveInMemory(t, i, 10)()
+		for range 2 {
+			status, open := exchange(c, post+"Content-Length: 3000\r\n\r\n"+strings.Repeat("x", 3000))
+			g.Expect(status).To(Equal(http.StatusOK))
+			g.Expect(open).To(BeTrue())
+		}
+		g.Expect(reached).To(BeEmpty())
+		_ = c.Close()
+		c = serveInMemory(t, i, 10)()
+		status, _ := exchange(c, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 3000)+"\r\n\r\n")
+		g.Expect(status).To(BeZero(), "a long header counts")
+		g.Expect(reached).To(Equal([]intake.Reason{intake.ReasonHeaderBytes}))
+		_ = c.Close()
+	})
+}
