Leave the reservation for a header alone in background reads

Cause: net/http reads one byte of a connection in another goroutine from before the handler begins. If it arrived before headerDone, beside a header of more than 1 KiB, Read changed the reservation that the connection's goroutine completes: a data race, and a request in work could stay among those that are evicted.

Change: reads of a single byte are not counted as header.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -160,7 +160,8 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	arrived := c.arrived.Add(int64(n))
-	if n == 0 || !c.inHeader.Load() || arrived <= freeHeaderBytes {
+	// The HTTP server reads a single byte in another goroutine as a request begins to be in work.
+	if n == 0 || len(b) == 1 || !c.inHeader.Load() || arrived <= freeHeaderBytes {
 		return n, err
 	}
 	counted := n
--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -205,3 +206,28 @@
 		_ = c.Close()
 	})
 }
+
+// The HTTP server reads one byte of the next request while a handler works. With a long header, that must
+// not change the reservation for it, which the connection's goroutine uses at the same time.
+func TestBackgroundReadLeavesHeaderReservation(t *testing.T) {
+	g := NewWithT(t)
+	i := intake.New(64<<20, 1<<20, nil)
+	s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Minute}
+	l, err := i.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), s, func() int { return 100 })
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(l) }()
+	defer func() { _ = s.Close() }()
+	// The header fills the server's read buffer, so that the next byte is read in the background.
+	const start, bufferBytes = "GET / HTTP/1.1\r\nHost: h\r\nX: ", 4096
+	get := start + strings.Repeat("x", bufferBytes-len(start)-4) + "\r\n\r\n"
+	for range 300 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(c, get+"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		all, err := io.ReadAll(c)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(bytes.Count(all, []byte("200 OK"))).To(Equal(2))
+		_ = c.Close()
+	}
+}
