Forget unknown outcomes where the map of them is full and no other is added

Cause: while 4,096 jobs of unknown outcome are remembered, no job is refused, as any may be one that was not recorded. Old entries were deleted only when a further outcome was unknown, so that after a long outage the gateway refused nothing for overload any more.

Change: the check deletes them too, while the map is full.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -52,19 +52,25 @@
 	if _, ok := (*m)[id]; ok {
 		return
 	}
+	m.makeRoom(now)
 	if len(*m) >= maxRememberedJobs {
-		for x, at := range *m {
-			if now.Sub(at) > rememberedFor {
-				delete(*m, x)
-			}
-		}
-		if len(*m) >= maxRememberedJobs {
-			return
-		}
+		return
 	}
 	(*m)[id] = now
 }
 
+// makeRoom deletes the entries that are too old if the map is full.
+func (m jobTimes) makeRoom(now time.Time) {
+	if len(m) < maxRememberedJobs {
+		return
+	}
+	for x, at := range m {
+		if now.Sub(at) > rememberedFor {
+			delete(m, x)
+		}
+	}
+}
+
 // SetLoad records a load summary that was received at a time.
 func (g *Gateway) SetLoad(now time.Time, s overload.Summary) {
 	s.ReceivedAt = now
@@ -119,6 +125,8 @@
 func (g *Gateway) mayApply(id batch.JobID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// While the map is full, any job may have an unknown outcome.
+	g.admission.unknown.makeRoom(time.Now())
 	return g.admission.mayApply(id)
 }
 
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -226,3 +226,21 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// After a long outage, the jobs whose outcomes it left unknown must not keep the gateway from refusing others for good.
+func TestUnknownOutcomesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, r := NewWithT(t), newAdmissionRig()
+		defer r.Log.Close(time.Second)
+		for n := range maxRememberedJobs {
+			r.admission.unknown.add(time.Now(), batch.JobID(fmt.Sprint(n)))
+		}
+		r.SetLoad(time.Now(), overloaded(400))
+		v, _ := r.submitJob("a")
+		g.Expect(v.Outcome).To(Equal(Accepted), "others may be unknown too")
+		time.Sleep(2 * rememberedFor)
+		r.SetLoad(time.Now(), overloaded(400))
+		v, _ = r.submitJob("b")
+		g.Expect(v.Outcome).To(Equal(Refused))
+	})
+}
