--- a/pkg/decide/schedule/loadsummary.go
+++ b/pkg/decide/schedule/loadsummary.go
@@ -37,13 +37,27 @@
 	s.decayArrivals(now)
 	q := s.queueConfig(j)
 	for i := range j.Steps {
-		if st := &j.Steps[i]; !st.LongRunning {
+		if st := &j.Steps[i]; !st.LongRunning && !s.fitsNoWorker(q.Service, st) {
 			k := arrivalKind{q.Service, q.Priority, st.BestEffort, math.Exp2(math.Floor(math.Log2(max(j.remainingWork, 0.5))))}
 			s.load.arrivals[k] += taskWork(st) * float64(st.Count)
 		}
 	}
 }
 
+// fitsNoWorker reports whether no worker of a service was large enough for a task of a step, even without
+// any work, at the last load summary. Such tasks delay nothing.
+func (s *Scheduler) fitsNoWorker(service string, st *batch.Step) bool {
+	if s.load.summary == nil {
+		return false
+	}
+	for i := range s.load.summary.Services {
+		if x := &s.load.summary.Services[i]; x.Name == service {
+			return x.LargestCapacity != overload.Amounts{} && !x.LargestCapacity.Fits(reservation(st))
+		}
+	}
+	return false
+}
+
 // decayArrivals reduces the recorded arrivals to what is left of them.
 func (s *Scheduler) decayArrivals(now time.Time) {
 	if s.load.arrivals == nil {
--- a/pkg/decide/schedule/loadsummary_test.go
+++ b/pkg/decide/schedule/loadsummary_test.go
@@ -140,3 +140,24 @@
 	g.Expect(f.jobs["b"].predicted.Start).To(BeNumerically(">", 5*time.Second))
 	g.Expect(overload.Decide(f.now, f.LoadSummary(f.now), f.queues["wide"], overload.Job{Job: f.jobs["b"].Job}).Refuse).To(BeTrue())
 }
+
+// Work for which no worker is large enough delays nothing. Counted as arriving it would get less urgent jobs refused.
+func TestArrivalsLeaveOutWorkThatFitsNoWorker(t *testing.T) {
+	g := NewWithT(t)
+	f := newHarness(testWorker("1", 4000))
+	f.scheduleAfter(0)
+	f.LoadSummary(f.now)
+	f.Add(f.now, testJob("huge", "urgent", testStep(100, 9000)), nil, false)
+	f.scheduleAfter(loadSummaryInterval)
+	g.Expect(f.LoadSummary(f.now).Services[0].Waiting).To(BeEmpty())
+	f.Add(f.now, testJob("run", "urgent", testStep(1, 3000)), nil, false)
+	f.scheduleAfter(loadSummaryInterval)
+	x := f.LoadSummary(f.now).Services[0]
+	g.Expect(x.Waiting).To(HaveLen(1))
+	arriving := 0
+	for _, n := range x.Waiting[0].Arriving {
+		arriving += n
+	}
+	g.Expect(arriving).To(BeNumerically(">", 0))
+	g.Expect(arriving).To(BeNumerically("<", 9000))
+}
