Apply the limits of the intake to OPTIONS requests for the whole server

Cause: net/http answers "OPTIONS *" without calling the handler, so that such requests passed the bound on pipelining, and a body that stopped had no deadline.

--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -231,3 +231,21 @@
 		_ = c.Close()
 	}
 }
+
+// The HTTP server answers OPTIONS requests for the whole server itself, beside the limits: without a bound on
+// pipelining, and without a deadline for a body.
+func TestOptionsForTheServerAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		open := serveInMemory(t, intake.New(1<<20, 1<<20, nil), 10)
+		c := open()
+		go func() { _, _ = io.WriteString(c, strings.Repeat("OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 500)) }()
+		all, _ := io.ReadAll(c)
+		g.Expect(bytes.Count(all, []byte("200 OK"))).To(BeNumerically("~", 17, 3))
+		c = open()
+		status, stays := exchange(c, "OPTIONS * HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab")
+		g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(stays).To(BeFalse())
+		_ = c.Close()
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -101,6 +101,8 @@
 			c.releaseHeader()
 		}
 	}
+	// The server would answer OPTIONS requests for "*" beside the handler below.
+	s.DisableGeneralOptionsHandler = true
 	h := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
