--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -182,3 +183,69 @@
 		g.Expect(m.String()).To(ContainSubstring(`sesamestream_client_limits_total{reason="bodyBytes"} 1000`))
 	})
 }
+
+// The bytes of a body that arrive together with a short header must not count as a header, which takes many times
+// its size: a small request would wait like a large one, or lose its connection.
+func TestBodyBesideItsHeaderIsNotCountedAsHeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var reached []intake.Reason
+		i := intake.New(64<<10, 1<<20, func(r intake.Reason) { reached = append(reached, r) })
+		c := serveInMemory(t, i, 10)()
+		for range 2 {
+			status, open := exchange(c, post+"Content-Length: 3000\r\n\r\n"+strings.Repeat("x", 3000))
+			g.Expect(status).To(Equal(http.StatusOK))
+			g.Expect(open).To(BeTrue())
+		}
+		g.Expect(reached).To(BeEmpty())
+		_ = c.Close()
+		c = serveInMemory(t, i, 10)()
+		status, _ := exchange(c, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", 3000)+"\r\n\r\n")
+		g.Expect(status).To(BeZero(), "a long header counts")
+		g.Expect(reached).To(Equal([]intake.Reason{intake.ReasonHeaderBytes}))
+		_ = c.Close()
+	})
+}
+
+// The HTTP server reads one byte of the next request while a handler works. With a long header, that must
+// not change the reservation for it, which the connection's goroutine uses at the same time.
+func TestBackgroundReadLeavesHeaderReservation(t *testing.T) {
+	g := NewWithT(t)
+	i := intake.New(64<<20, 1<<20, nil)
+	s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Minute}
+	l, err := i.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), s, func() int { return 100 })
+	g.Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(l) }()
+	defer func() { _ = s.Close() }()
+	// The header fills the server's read buffer, so that the next byte is read in the background.
+	const start, bufferBytes = "GET / HTTP/1.1\r\nHost: h\r\nX: ", 4096
+	get := start + strings.Repeat("x", bufferBytes-len(start)-4) + "\r\n\r\n"
+	for range 300 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(c, get+"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		all, err := io.ReadAll(c)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(bytes.Count(all, []byte("200 OK"))).To(Equal(2))
+		_ = c.Close()
+	}
+}
+
+// The HTTP server answers OPTIONS requests for the whole server itself, beside the limits: without a bound on
+// pipelining, and without a deadline for a body.
+func TestOptionsForTheServerAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		open := serveInMemory(t, intake.New(1<<20, 1<<20, nil), 10)
+		c := open()
+		go func() { _, _ = io.WriteString(c, strings.Repeat("OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n", 500)) }()
+		all, _ := io.ReadAll(c)
+		g.Expect(bytes.Count(all, []byte("200 OK"))).To(BeNumerically("~", 17, 3))
+		c = open()
+		status, stays := exchange(c, "OPTIONS * HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab")
+		g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(stays).To(BeFalse())
+		_ = c.Close()
+	})
+}
