--- a/pkg/decide/schedule/yield.go
+++ b/pkg/decide/schedule/yield.go
@@ -93,8 +93,8 @@
 	orderedAt time.Time
 	// frees are the resources of the tasks.
 	frees batch.Resources
-	// longRunning is set if one of the tasks is long-running, and needs the room back in time.
-	longRunning bool
+	// hasLongRunning is set if one of the tasks is long-running, and needs the room back in time.
+	hasLongRunning bool
 }
 
 // refuses reports whether a task of st, whose queue has the given priority, may not be started beside the room.
@@ -104,7 +104,7 @@
 		return false
 	case st.LongRunning:
 		return true
-	case y.longRunning && !st.BestEffort && st.Estimate > maxYieldUse:
+	case y.hasLongRunning && !st.BestEffort && st.Estimate > maxYieldUse:
 		return true
 	case st.BestEffort:
 		// The memory that was freed is kept too.
@@ -470,7 +470,7 @@
 		t.yielding = true
 		t.yieldNotBefore = now.Add(yieldPause(t.yields))
 		y.tasks = append(y.tasks, t)
-		y.longRunning = y.longRunning || t.step.LongRunning
+		y.hasLongRunning = y.hasLongRunning || t.step.LongRunning
 		s.orderStop(t, yieldReason)
 		o.Yields = append(o.Yields, Yield{
 			Task: t.id, Worker: p.worker.ID, Kind: v.kind, Need: n.step.job.ID, NeedStep: n.step.index, Slack: n.slack,
