Don't keep room that a waiting long-running task fits into for urgent work

Room that yielded was kept from waiting long-running tasks for up to 3 s, and TestYieldedTaskReturnsAndDoesNotBounce expected so.

Change: nothing yields room that a waiting long-running task fits into, and a yield ends once such a task comes.

--- a/pkg/decide/schedule/place.go
+++ b/pkg/decide/schedule/place.go
@@ -45,7 +45,7 @@
 	s.placeSteps(now, pending[:finite], bestEffortTurn, &o)
 	s.placeInNeed(now, pending[:finite], &o)
 	s.placeSteps(now, pending[finite:], bestEffortTurn, &o)
-	s.yieldRoom(now, pending[finite:], &o)
+	s.yieldRoom(now, pending[:finite], pending[finite:], &o)
 	if bestEffortTurn {
 		s.moveThrottled(now, &o)
 		s.relocateStragglers(now, &o)
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -119,7 +119,9 @@
 	nextMoveSource int
 	load           loadState
 	// yields are the rooms that running tasks yield to urgent work; yieldedAt is when such tasks were last searched.
-	yields    []*roomYield
+	yields []*roomYield
+	// unplaced is what the waiting long-running tasks need, as of the last pass.
+	unplaced  []unplacedNeed
 	yieldedAt time.Time
 	variant   policyVariant
 }
--- a/pkg/decide/schedule/yield.go
+++ b/pkg/decide/schedule/yield.go
@@ -160,7 +160,8 @@
 
 // yieldRoom ends yields that are over, and stops running work for the finite steps that
 // would miss their objective for want of room.
-func (s *Scheduler) yieldRoom(now time.Time, pending []pendingStep, o *Orders) {
+func (s *Scheduler) yieldRoom(now time.Time, endless, pending []pendingStep, o *Orders) {
+	s.unplaced = s.unplacedEndless(endless, s.unplaced[:0])
 	s.endYields(now, pending)
 	// Until all hosts have connected, neither the capacity nor what is at work is known.
 	if s.variant.noYields || !s.recovered || now.Sub(s.yieldedAt) < yieldInterval {
@@ -181,6 +182,28 @@
 	})
 }
 
+// unplacedNeed is what a long-running task that has no worker needs.
+type unplacedNeed struct {
+	service string
+	need    batch.Resources
+}
+
+// unplacedEndless appends to out what the long-running tasks need that wait for room, without those that yielded theirs.
+func (s *Scheduler) unplacedEndless(endless []pendingStep, out []unplacedNeed) []unplacedNeed {
+	for _, c := range endless {
+		if slices.ContainsFunc(c.step.tasks, func(t *task) bool { return t.worker == nil && t.yield == nil }) {
+			out = append(out, unplacedNeed{s.queueConfig(c.step.job).Service, reservation(c.step.Step)})
+		}
+	}
+	return out
+}
+
+// owed reports whether a long-running task that waits fits into free room of w. It is placed
+// before finite work, so that such room isn't kept for others.
+func (s *Scheduler) owed(w *worker, free batch.Resources) bool {
+	return slices.ContainsFunc(s.unplaced, func(n unplacedNeed) bool { return n.service == w.Service && n.need.Fits(free) })
+}
+
 // maxYields returns on how many workers tasks may yield at a time.
 func (s *Scheduler) maxYields() int {
 	return (len(s.workerList) + workersPerYield - 1) / workersPerYield
@@ -333,7 +356,7 @@
 		}
 	}
 	p.dropSuperfluous(need, free)
-	if !need.Fits(free.Plus(p.frees)) {
+	if !need.Fits(free.Plus(p.frees)) || s.owed(w, free.Plus(p.frees)) {
 		return nil
 	}
 	useTime := n.useTime(p.frees.MilliCPU)
@@ -523,6 +546,9 @@
 	if age >= maxYieldTime || s.workers[y.worker.Key()] != y.worker || y.worker.refusesTasks(now) != eligible {
 		return false
 	}
+	if s.owed(y.worker, y.worker.freeResources()) {
+		return false
+	}
 	if age < yieldStopLimit {
 		return true
 	}
