Gather waiting long-running tasks only where yields need them

Cause: each scheduling pass went through the tasks of all pending long-running steps for a list that only a search for yields, or a yield in force, reads. The name owed was figurative.

Change: the list is made only then; owed is now fitsUnplaced. No decision changes.

--- a/pkg/decide/schedule/yield.go
+++ b/pkg/decide/schedule/yield.go
@@ -161,10 +161,14 @@
 // yieldRoom ends yields that are over, and stops running work for the finite steps that
 // would miss their objective for want of room.
 func (s *Scheduler) yieldRoom(now time.Time, endless, pending []pendingStep, o *Orders) {
+	// Until all hosts have connected, neither the capacity nor what is at work is known.
+	due := !s.variant.noYields && s.recovered && now.Sub(s.yieldedAt) >= yieldInterval
+	if !due && len(s.yields) == 0 {
+		return
+	}
 	s.unplaced = s.unplacedEndless(endless, s.unplaced[:0])
 	s.endYields(now, pending)
-	// Until all hosts have connected, neither the capacity nor what is at work is known.
-	if s.variant.noYields || !s.recovered || now.Sub(s.yieldedAt) < yieldInterval {
+	if !due {
 		return
 	}
 	s.yieldedAt = now
@@ -198,9 +202,9 @@
 	return out
 }
 
-// owed reports whether a long-running task that waits fits into free room of w. It is placed
+// fitsUnplaced reports whether a long-running task that waits fits into free room of w. It is placed
 // before finite work, so that such room isn't kept for others.
-func (s *Scheduler) owed(w *worker, free batch.Resources) bool {
+func (s *Scheduler) fitsUnplaced(w *worker, free batch.Resources) bool {
 	return slices.ContainsFunc(s.unplaced, func(n unplacedNeed) bool { return n.service == w.Service && n.need.Fits(free) })
 }
 
@@ -356,7 +360,7 @@
 		}
 	}
 	p.dropSuperfluous(need, free)
-	if !need.Fits(free.Plus(p.frees)) || s.owed(w, free.Plus(p.frees)) {
+	if !need.Fits(free.Plus(p.frees)) || s.fitsUnplaced(w, free.Plus(p.frees)) {
 		return nil
 	}
 	useTime := n.useTime(p.frees.MilliCPU)
@@ -546,7 +550,7 @@
 	if age >= maxYieldTime || s.workers[y.worker.Key()] != y.worker || y.worker.refusesTasks(now) != eligible {
 		return false
 	}
-	if s.owed(y.worker, y.worker.freeResources()) {
+	if s.fitsUnplaced(y.worker, y.worker.freeResources()) {
 		return false
 	}
 	if age < yieldStopLimit {
