--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -133,6 +133,10 @@
 			DataCentre: c.DataCentre,
 		}
 		m.RegisterGauge(telemetry.StoreUp, func() float64 { return boolToFloat(c.Gateway.StoreReachable()) })
+		m.RegisterGauge(telemetry.ConfigVersion, func() float64 {
+			v, _ := c.Gateway.Config()
+			return float64(v.Version)
+		})
 	}
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -65,6 +65,8 @@
 	SessionUp Gauge = "sesamestream_session_up"
 	// StoreUp is 1 if the last call reached the store.
 	StoreUp Gauge = "sesamestream_store_up"
+	// ConfigVersion is the version of the configuration that the process applies to callers; 0 is none.
+	ConfigVersion Gauge = "sesamestream_config_version"
 	// HeapBytes is the size of the allocated heap objects.
 	HeapBytes Gauge = "sesamestream_heap_bytes"
 )
