Bound the calls that follow the configuration by progress, not by duration

Cause: kv.Follow gave a read 900 ms and the end of a watch 700 ms for the whole response. The store takes values of 1 MiB, 1.4 MB in its responses; a link of 10 Mbit/s carries that in 1.1 s. A watch whose rest was too short failed, and each read after it was cut off shortly before its end and begun anew, without end. When the watch had begun decided which entries were hit.

Change: such a call fails once nothing has arrived for that long. A connection that goes silent is detected as fast as before, and the store gets no more calls.

--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -16,9 +16,9 @@
 	// watchWait is how long the store holds a watch open; with watchReplyMargin it bounds
 	// the time until an unresponsive connection is detected.
 	watchWait = time.Second
-	// watchReplyMargin is how long after watchWait the reply of a watch may arrive.
+	// watchReplyMargin is how long after watchWait the reply of a watch may begin, and how long it may pause.
 	watchReplyMargin = 700 * time.Millisecond
-	// readTimeout bounds each read of a followed key.
+	// readTimeout is how long a read of a followed key may make no progress.
 	readTimeout = 900 * time.Millisecond
 	// retryDelay is the delay before a store call is retried; it limits one process to ten calls a second.
 	retryDelay = 100 * time.Millisecond
@@ -29,7 +29,7 @@
 
 // WatchOnce makes one call of Watch, with a timeout that detects an unresponsive connection.
 func WatchOnce(ctx context.Context, s Store, prefix string, after Revision) ([]Item, Revision, error) {
-	c, cancel := context.WithTimeout(ctx, watchWait+watchReplyMargin)
+	c, cancel := WithStallTimeout(ctx, watchWait+watchReplyMargin, watchReplyMargin)
 	defer cancel()
 	return s.Watch(c, prefix, after, watchWait)
 }
@@ -42,7 +42,7 @@
 	reload := from == 0
 	for ctx.Err() == nil {
 		if reload {
-			c, cancel := context.WithTimeout(ctx, readTimeout)
+			c, cancel := WithStallTimeout(ctx, readTimeout, readTimeout)
 			i, err := s.Get(c, key)
 			cancel()
 			if errors.Is(err, ErrNotFound) {
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -88,7 +88,7 @@
 // it's a limit of the platform's store.
 const MaxChangeEntries = 32
 
-// A Store is the platform's store.
+// A Store is the platform's store. Its calls report Progress.
 type Store interface {
 	// Get returns the item, or ErrNotFound.
 	Get(ctx context.Context, key string) (Item, error)
