Bound large transfers of schedulers and gateways by progress

Each of them starts anew after its time, so that what the link doesn't carry in it is never transferred: a scheduler starts nothing, ends stay unacknowledged, a state stays unknown.

Change: these calls fail once they make no progress for the same time.

Not changed: calls for small records (lease, epoch, evacuations, relayed writes, unregistering), which are bounded as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -44,8 +44,10 @@
 	tickInterval = 100 * time.Millisecond
 	// flushInterval is how long progress is collected for one write; ends of runs are acknowledged only after the write.
 	flushInterval = 120 * time.Millisecond
-	// storeCallTimeout bounds calls to the store that have no timeout of their own.
+	// storeCallTimeout is how long a call to the store may make no progress.
 	storeCallTimeout = 900 * time.Millisecond
+	// loadTimeout is the same for the reads of all keys below a prefix, which take several calls.
+	loadTimeout = 4 * storeCallTimeout
 	// maxSessionsPerTerm is how many session fences are reserved for each term.
 	maxSessionsPerTerm = 100000
 	// collectInterval is how often expired jobs are removed.
@@ -245,7 +247,7 @@
 	var config, estimates kv.Item
 	var from kv.Revision
 	for {
-		c, cancel := context.WithTimeout(ctx, 4*storeCallTimeout)
+		c, cancel := kv.WithStallTimeout(ctx, loadTimeout, loadTimeout)
 		g, c := errgroup.WithContext(c)
 		g.Go(func() (err error) { in, from, err = d.Store.Range(c, InputPrefix); return err })
 		g.Go(func() (err error) { states, _, err = d.Store.Range(c, StatePrefix); return err })
@@ -452,7 +454,7 @@
 		items, upto, err := kv.WatchOnce(ctx, d.Store, InputPrefix, from)
 		switch {
 		case errors.Is(err, kv.ErrCompacted):
-			c, cancel := context.WithTimeout(ctx, 4*storeCallTimeout)
+			c, cancel := kv.WithStallTimeout(ctx, loadTimeout, loadTimeout)
 			items, upto, err = d.Store.Range(c, InputPrefix)
 			cancel()
 			if err != nil {
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"encoding/json"
 	"maps"
 	"time"
@@ -275,7 +274,7 @@
 // applyInTerm applies a change on the condition that this term is the newest.
 func (d *Dispatcher) applyInTerm(c kv.Change) (kv.Revision, error) {
 	c.Conditions = append([]kv.Condition{{Key: election.EpochKey, Revision: d.Term.Epoch}}, c.Conditions...)
-	ctx, cancel := context.WithTimeout(d.ctx, storeCallTimeout)
+	ctx, cancel := kv.WithStallTimeout(d.ctx, storeCallTimeout, storeCallTimeout)
 	defer cancel()
 	return d.Store.Apply(ctx, c)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	// storeCallTimeout bounds one call to the store; several fit into a caller's deadline.
+	// storeCallTimeout is how long a call to the store may make no progress; several such times fit
+	// into a caller's deadline.
 	storeCallTimeout = 700 * time.Millisecond
 	// queryTimeout bounds a query to the scheduler; the farthest scheduler answers in 60 ms.
 	queryTimeout = 400 * time.Millisecond
@@ -260,7 +261,7 @@
 	// mayApply is set once a write has an unknown outcome and may still take effect.
 	mayApply := false
 	for {
-		c, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		c, cancel := kv.WithStallTimeout(ctx, storeCallTimeout, storeCallTimeout)
 		r, err := g.Store.Apply(c, kv.Change{
 			Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: b}},
 		})
@@ -407,7 +408,7 @@
 
 // get reads a key and records the outcome of the call.
 func (g *Gateway) get(ctx context.Context, key string) (kv.Item, error) {
-	c, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	c, cancel := kv.WithStallTimeout(ctx, storeCallTimeout, storeCallTimeout)
 	defer cancel()
 	i, err := g.Store.Get(c, key)
 	if ctx.Err() == nil {
