Continue a followed key from the revision at which it was read

Cause: after a failed watch, kv.Follow read the key and watched from the revision of its last change. Where the store's history begins later, each such watch fails with ErrCompacted and the key is read again, ten times a second, until it changes. An entry that starts more than the store's history (20 s) after the last configuration was in the same loop, and each read carries the whole configuration.

Evidence: TestFollowMakesFewCalls, which counted 1,198 calls in the minute after a compaction.

Change: the key is read with the store's revision, and the watch continues from that. An unchanged value isn't passed on again, which spares its decoding.

Measured: 61 calls in that minute.

--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/sesamestream/sesamestream/internal/steady"
 )
 
@@ -36,45 +34,47 @@
 
 // Follow calls f with each new value of a key until ctx ends. It starts after the
 // revision from or, if that is 0, with the current value. After a failed watch it
-// reads the key again. It calls observe with the result of each store call, where
-// a missing key isn't an error.
+// reads the key again. It calls observe with the result of each store call.
 func Follow(ctx context.Context, s Store, key string, from Revision, f func(Item), observe func(error)) {
-	reload := from == 0
+	known, reload := from, from == 0
+	apply := func(items []Item) {
+		for _, i := range items {
+			if i.Key == key && !i.Removed && i.Revision > known {
+				known = i.Revision
+				f(i)
+			}
+		}
+	}
 	for ctx.Err() == nil {
 		if reload {
-			c, cancel := WithStallTimeout(ctx, readTimeout, readTimeout)
-			i, err := s.Get(c, key)
-			cancel()
-			if errors.Is(err, ErrNotFound) {
-				observe(nil)
-				WaitRetry(ctx)
-				continue
-			}
+			items, upto, err := readPrefix(ctx, s, key)
 			observe(err)
 			if err != nil {
 				WaitRetry(ctx)
 				continue
 			}
-			from, reload = i.Revision, false
-			f(i)
+			from, reload = upto, false
+			apply(items)
 		}
 		items, upto, err := WatchOnce(ctx, s, key, from)
 		observe(err)
 		if err != nil {
-			// A read of the key returns what the watch missed.
+			// A read returns what the watch missed, and a revision of which the store has the history.
 			reload = true
 			WaitRetry(ctx)
 			continue
 		}
 		from = max(from, upto)
-		for _, i := range items {
-			if i.Key == key && !i.Removed {
-				f(i)
-			}
-		}
+		apply(items)
 	}
 }
 
+func readPrefix(ctx context.Context, s Store, prefix string) ([]Item, Revision, error) {
+	c, cancel := WithStallTimeout(ctx, readTimeout, readTimeout)
+	defer cancel()
+	return s.Range(c, prefix)
+}
+
 // FollowKeys calls f with all keys below prefix, sorted, after each change of them until ctx ends.
 // It starts with the given keys, as they were at the revision from. Beside the watch it reads the
 // keys every keyReadInterval, as a watch may be silent. A change is known at most that interval
