Follow empty replies of a watch with a delay

Cause: a watch whose reply has no events, but a later revision, was continued from that revision. A store that sends no events for a while, as ours does before it drops its history, has skipped changes then, and nothing read them afterwards unless a later call failed. An entry kept its old configuration, and the scheduler never started a stored job of which it got no notice, until its successor.

Change: a Cursor continues after events at once, after an empty reply three to six seconds later, so that the next watches show what one has skipped, or fail where the history is gone, upon which the keys are read.

A store that never shows a change to any watch within six seconds, and keeps its history, is not covered.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -450,8 +450,9 @@
 // followInput watches the store for new jobs and cancellations. If the history
 // of the watch was compacted, it reads them all again.
 func (d *Dispatcher) followInput(ctx context.Context, from kv.Revision) error {
+	cursor := kv.NewCursor(from)
 	for ctx.Err() == nil {
-		items, upto, err := kv.WatchOnce(ctx, d.Store, InputPrefix, from)
+		items, upto, err := kv.WatchOnce(ctx, d.Store, InputPrefix, cursor.From())
 		switch {
 		case errors.Is(err, kv.ErrCompacted):
 			c, cancel := kv.WithStallTimeout(ctx, loadTimeout, loadTimeout)
@@ -461,11 +462,13 @@
 				kv.WaitRetry(ctx)
 				continue
 			}
+			cursor = kv.NewCursor(upto)
 		case err != nil:
 			kv.WaitRetry(ctx)
 			continue
+		default:
+			cursor.Advance(time.Now(), len(items), upto)
 		}
-		from = max(from, upto)
 		if len(items) == 0 {
 			continue
 		}
--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -36,7 +36,7 @@
 // revision from or, if that is 0, with the current value. After a failed watch it
 // reads the key again. It calls observe with the result of each store call.
 func Follow(ctx context.Context, s Store, key string, from Revision, f func(Item), observe func(error)) {
-	known, reload := from, from == 0
+	known, cursor, reload := from, NewCursor(from), from == 0
 	apply := func(items []Item) {
 		for _, i := range items {
 			if i.Key == key && !i.Removed && i.Revision > known {
@@ -53,10 +53,10 @@
 				WaitRetry(ctx)
 				continue
 			}
-			from, reload = upto, false
+			cursor, reload = NewCursor(upto), false
 			apply(items)
 		}
-		items, upto, err := WatchOnce(ctx, s, key, from)
+		items, upto, err := WatchOnce(ctx, s, key, cursor.From())
 		observe(err)
 		if err != nil {
 			// A read returns what the watch missed, and a revision of which the store has the history.
@@ -64,7 +64,7 @@
 			WaitRetry(ctx)
 			continue
 		}
-		from = max(from, upto)
+		cursor.Advance(time.Now(), len(items), upto)
 		apply(items)
 	}
 }
--- a/internal/kv/memory/memory.go
+++ b/internal/kv/memory/memory.go
@@ -47,6 +47,8 @@
 	Delay time.Duration
 	// SuppressWatchEvents hides all changes from watches.
 	SuppressWatchEvents bool
+	// SkipWatchEvents makes watches return the store's revision without the changes up to it.
+	SkipWatchEvents bool
 }
 
 // A Client is the connection of one process to the store, with its own faults.
@@ -276,8 +278,11 @@
 		at, changed := s.revision, s.changed
 		s.mu.Unlock()
 		f, faultsChanged := c.currentFaults()
-		if f.SuppressWatchEvents {
+		switch {
+		case f.SuppressWatchEvents:
 			out, at, changed = nil, after, nil
+		case f.SkipWatchEvents:
+			out, changed = nil, nil
 		}
 		if len(out) > 0 {
 			return out, at, nil
