Bound the bytes of frames between processes in total

Cause: a link held a frame of up to 2 MiB until it was complete. Clients that sent a valid hello and then stopped short of the end of a frame made a process hold as many of them as it has descriptors for.

Counted as frameBytes.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -56,6 +56,8 @@
 	EvacuationPrefix string
 	// MaxLinks bounds the connections of other processes to this one; 0 is no bound.
 	MaxLinks int
+	// Frames bounds the bytes of the frames that other processes send on them; nil is no bound.
+	Frames *intake.Budget
 	// OnLimit is called each time a peer reaches a limit; nil is none.
 	OnLimit func(intake.Reason)
 	// MaxLease is the longest lease that a worker accepts.
@@ -96,6 +98,7 @@
 			return h
 		},
 		MaxConns:      c.MaxLinks,
+		Frames:        c.Frames,
 		OnLimit:       c.OnLimit,
 		NewDispatcher: c.newDispatcher,
 		OnMessage:     c.handleMessage,
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -31,6 +31,8 @@
 	// those that have not opened a session.
 	ReasonLinks     Reason = "links"
 	ReasonStrangers Reason = "strangers"
+	// ReasonFrameBytes is the number of bytes of incomplete frames between processes.
+	ReasonFrameBytes Reason = "frameBytes"
 )
 
 const (
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sesamestream/sesamestream/internal/codec"
+	"github.com/sesamestream/sesamestream/internal/intake"
 	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
@@ -21,6 +22,8 @@
 var (
 	ErrClosed   = errors.New("link: closed")
 	ErrTooLarge = errors.New("link: frame too large")
+	// ErrBusy is returned if the bytes of a frame are needed for those of other links.
+	ErrBusy = errors.New("link: too many bytes of frames are held")
 )
 
 const (
@@ -49,7 +52,9 @@
 type Conn struct {
 	conn net.Conn
 	// accepted is set on the side that accepted the connection, from a peer that may be a stranger.
-	accepted  bool
+	accepted bool
+	// frames bounds the bytes of received frames, together with those of other links; nil is no bound.
+	frames    *intake.Budget
 	closeOnce sync.Once
 	done      chan struct{}
 
@@ -76,6 +81,10 @@
 	return l
 }
 
+// BoundFrames makes received frames use the bytes of b, from which the oldest incomplete frames
+// are evicted with their links. It must be called before Read.
+func (l *Conn) BoundFrames(b *intake.Budget) { l.frames = b }
+
 // Send queues m for sending. It closes the link if the queue is full.
 func (l *Conn) Send(m Message) {
 	l.mu.Lock()
@@ -143,8 +152,13 @@
 		if n > limit {
 			return ErrTooLarge
 		}
-		b, err := readFrame(r, int(n))
+		held := l.holdFrame(int(n))
+		b, err := readFrame(r, int(n), held)
 		if err != nil {
+			held.Release()
+			if errors.Is(err, intake.ErrBusy) {
+				return ErrBusy
+			}
 			return errors.Wrap(ErrClosed, err.Error())
 		}
 		if first && l.accepted {
@@ -152,6 +166,7 @@
 			_ = l.conn.SetReadDeadline(time.Time{})
 		}
 		m, err := codec.Decode[Message](b)
+		held.Release()
 		if err != nil {
 			return err
 		}
@@ -159,19 +174,43 @@
 	}
 }
 
+// holdFrame returns the reservation for a frame of n bytes. It's empty for small ones, which are
+// bounded by the number of links.
+func (l *Conn) holdFrame(n int) *intake.Reservation {
+	b := l.frames
+	if n <= initialFrameBytes {
+		b = nil
+	}
+	// An error shows up in the read.
+	return b.Open(func() { _ = l.conn.SetReadDeadline(time.Now()) })
+}
+
 // readFrame reads n bytes into a buffer that grows as they arrive, so that a length that is
-// announced takes no memory.
-func readFrame(r io.Reader, n int) ([]byte, error) {
+// announced takes no memory. What it holds beyond initialFrameBytes is reserved in held.
+func readFrame(r io.Reader, n int, held *intake.Reservation) ([]byte, error) {
 	b := make([]byte, min(n, initialFrameBytes))
 	read := 0
 	for {
 		k, err := io.ReadFull(r, b[read:])
 		read += k
-		if err != nil || read == n {
-			return b, err
+		switch {
+		case err != nil:
+			// A link that was closed for its frame fails with an error of the connection.
+			if evicted := held.Complete(); evicted != nil {
+				err = evicted
+			}
+			return nil, err
+		case read == n:
+			return b, held.Complete()
+		}
+		size := min(2*len(b), n)
+		if err := held.Reserve(int64(size)); err != nil {
+			return nil, err
 		}
-		b = append(make([]byte, 0, min(2*len(b), n)), b...)
+		old := int64(len(b))
+		b = append(make([]byte, 0, size), b...)
 		b = b[:cap(b)]
+		held.Shrink(old)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,8 @@
 	LeaseClock func() time.Duration
 	// MaxConns bounds the connections of other processes that are open at once; 0 is no bound.
 	MaxConns int
+	// Frames bounds the bytes of the frames that other processes send on them; nil is no bound.
+	Frames *intake.Budget
 	// OnLimit is called each time a peer reaches a limit; nil is none.
 	OnLimit func(intake.Reason)
 	// RunsEnded reports whether no run that was started earlier can still run on this host.
@@ -203,7 +205,9 @@
 			n.pause(ctx, leaderLookupInterval)
 			continue
 		}
-		if x := link.Accept(c); a.add(x) {
+		x := link.Accept(c)
+		x.BoundFrames(n.Frames)
+		if a.add(x) {
 			go func() {
 				defer a.remove(x)
 				n.serve(x, a)
@@ -218,8 +222,7 @@
 func (n *Node) serve(c *link.Conn, a *acceptor) {
 	var h *link.Hello
 	var d *dispatch.Dispatcher
-	// The error only says how the link ended.
-	_ = c.Read(func(m link.Message) {
+	err := c.Read(func(m link.Message) {
 		if h == nil {
 			n.mu.Lock()
 			d = n.dispatcher
@@ -235,6 +238,10 @@
 		}
 		d.Message(c, h, m)
 	})
+	// Other errors only say how the link ended.
+	if errors.Is(err, link.ErrBusy) && n.OnLimit != nil {
+		n.OnLimit(intake.ReasonFrameBytes)
+	}
 	if h != nil {
 		d.LinkClosed(c, h)
 	}
