Bound the registrations that are written at once

Cause: the scheduler wrote a key for each process that it didn't know, each in a call of its own, all at once. Where a deployment starts, or strangers send a hello, they took as many connections to the store as there are sessions: up to twice the sessions in descriptors, of which the limits count one half.

Evidence: TestStartOfADeploymentOpensFewConnectionsToTheStore counted 149 changes at once with 150 hosts. In the crowds of TestFramesBetweenProcesses up to 481 of 600 descriptors were open, 213 of 427 of them to the store in a sample.

Change: at most 32 at once. With 295 processes and the farthest store, 70 ms away, that is 0.7 s for all of them (reckoned); the writes of a store are limited too.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -130,6 +130,8 @@
 	ctx            context.Context
 	background     sync.WaitGroup
 	adviceRequests chan schedule.AdviceRequest
+	// registrations holds an element for each write of a node's key in progress.
+	registrations chan struct{}
 }
 
 // node is a registered process. Its exported fields are stored below nodePrefix.
@@ -186,6 +188,7 @@
 	d.progressRevisions, d.hostLeaseEnds, d.lastContacts = map[batch.JobID]kv.Revision{}, map[string]time.Time{}, map[string]time.Time{}
 	d.workerLeaseEnds, d.endAcks = map[batch.WorkerKey]time.Time{}, map[batch.WorkerKey]int64{}
 	d.adviceRequests = make(chan schedule.AdviceRequest, adviceQueueSize)
+	d.registrations = make(chan struct{}, maxRegistrations)
 	var g errgroup.Group
 	g.Go(func() error { return d.load(ctx) })
 	if d.Advise != nil {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -97,6 +97,10 @@
 		n.Address == s.hello.Address && n.Host == s.hello.Host
 }
 
+// maxRegistrations bounds the writes of nodes' keys in progress: each takes a connection to the
+// store, and all nodes connect at once when a deployment starts.
+const maxRegistrations = 32
+
 // register writes the node's key in the background and then calls then, if the
 // session still exists. It does nothing while a write is pending. A host's key is
 // written before its worker gets a lease, so that the next scheduler knows which
@@ -114,10 +118,16 @@
 	}
 	d.background.Go(func() {
 		for d.ctx.Err() == nil {
+			select {
+			case d.registrations <- struct{}{}:
+			case <-d.ctx.Done():
+				return
+			}
 			r, err := d.applyInTerm(kv.Change{
 				Conditions: []kv.Condition{{Key: nodePrefix + name, Revision: n.revision}},
 				Puts:       []kv.Put{{Key: nodePrefix + name, Value: v}},
 			})
+			<-d.registrations
 			var conflict *kv.Conflict
 			if errors.As(err, &conflict) {
 				if r, ok := conflict.Revision(nodePrefix + name); ok {
