Bound connections and headers at the product's own entry

The limits that followed reached the platform's entry. The product's own one bounded the bytes of bodies alone.

Change: the server uses the limits of internal/intake. The responder keeps its own deadlines of writes, and sockets their buffers. Half of the process's descriptors are for callers; there is no new setting.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -10,8 +10,8 @@
 )
 
 // parse reads the whole request, its body included, within the server's bounds. On success
-// the caller of parse must release the reservation once the request is answered.
-func (s *Server) parse(w http.ResponseWriter, r *http.Request) (*Request, *intake.Reservation, error) {
+// the caller of parse must release the body once the request is answered.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request) (*Request, *intake.Body, error) {
 	q, err := Parse(r)
 	if err != nil {
 		return nil, nil, err
@@ -21,18 +21,13 @@
 	}
 	c := http.NewResponseController(w)
 	_ = c.SetReadDeadline(time.Now().Add(s.BodyTimeout))
-	held := s.bodies.Open(func() { _ = c.SetReadDeadline(time.Now()) })
-	q.Body, err = intake.ReadAll(r.Body, r.ContentLength, int64(s.MaxBody), held, nil)
-	// An evicted body fails with a timeout.
-	if evicted := held.Complete(); evicted != nil {
-		err = evicted
-	}
+	b, err := s.intake.ReadBody(w, r, int64(s.MaxBody))
 	if err != nil {
-		held.Release()
 		return nil, nil, bodyError(err)
 	}
 	_ = c.SetReadDeadline(time.Time{})
-	return q, held, nil
+	q.Body = b.Bytes
+	return q, b, nil
 }
 
 // bodyError maps an error of reading a body to that which is sent to the caller.
@@ -40,7 +35,7 @@
 	switch {
 	case errors.Is(err, intake.ErrBusy):
 		return ErrBuffersFull
-	case errors.Is(err, intake.ErrTooLarge):
+	case errors.Is(err, intake.ErrTooLarge), errors.Is(err, intake.ErrOverhead):
 		return ErrBodyTooLarge
 	case errors.Is(err, intake.ErrTimeout):
 		return ErrBodyTimeout
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/sesamestream/sesamestream/internal/intake"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
@@ -41,8 +43,8 @@
 	// Log receives the errors of the HTTP server; nil for the standard logger.
 	Log *log.Logger
 
-	// bodies limits the bytes of all body buffers.
-	bodies   *intake.Budget
+	// intake bounds what callers can make the process hold.
+	intake   *intake.Intake
 	draining atomic.Bool
 }
 
@@ -78,6 +80,13 @@
 	if s.Log != nil {
 		h.ErrorLog = s.Log.Std("", 0)
 	}
+	maxConns, err := maxConnections()
+	if err != nil {
+		return err
+	}
+	limited := s.intake.Limit(l, h, func() int { return maxConns })
+	// The responder sets the deadlines of its writes.
+	limited.WriteTimeout = 0
 	done := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
@@ -85,15 +94,25 @@
 		defer cancel()
 		done <- h.Shutdown(c)
 	}()
-	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := h.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "caller: serve")
 	}
 	return errors.Wrap(<-done, "caller: shutdown")
 }
 
+// maxConnections returns how many connections of callers may be open: half of the descriptors of
+// the process. The others are for peers, the store and operators.
+func maxConnections() (int, error) {
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil {
+		return 0, errors.Wrap(err, "caller: limit of descriptors")
+	}
+	return int(min(l.Cur/2, math.MaxInt32)), nil
+}
+
 // HTTPHandler returns the handler for callers' requests. It must be called once.
 func (s *Server) HTTPHandler() http.Handler {
-	s.bodies = intake.NewBudget(maxBufferedBytes)
+	s.intake = intake.New(maxBufferedBytes, math.MaxInt64, nil)
 	return http.HandlerFunc(s.serve)
 }
 
@@ -106,24 +125,30 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// serve parses one request and passes it to the Handler.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	// A chunked request may have had a Content-Length too, and a proxy in front of
-	// this server may have used that to find the request's end. Closing the
-	// connection prevents request smuggling (RFC 9112, section 6.1).
+// closeAfterResponse closes the connection with the response while the server drains, and after a
+// chunked request. Such a request may have had a Content-Length too, and a proxy in front of
+// this server may have used that to find the request's end. Closing the
+// connection prevents request smuggling (RFC 9112, section 6.1).
+func (s *Server) closeAfterResponse(w http.ResponseWriter, r *http.Request) {
 	if s.draining.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
+}
+
+// serve parses one request and passes it to the Handler.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == PathReady {
+		s.closeAfterResponse(w, r)
 		s.serveReady(w)
 		return
 	}
 	p := &responder{w: w}
-	q, held, err := s.parse(w, r)
+	q, body, err := s.parse(w, r)
+	s.closeAfterResponse(w, r)
 	if err != nil {
 		p.refuseMalformed(err)
 		return
 	}
-	defer held.Release()
+	defer body.Release()
 	s.Handler.Serve(r.Context(), q, p)
 }
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -15,9 +15,9 @@
 	// minIncompleteAge is the age from which an incomplete request is closed before an idle
 	// connection; an ordinary request arrives within a few round trips.
 	minIncompleteAge = time.Second
-	// writeTimeout bounds one write to a client that does not read its responses. Responses are
+	// defaultWriteTimeout bounds one write to a client that does not read its responses. Responses are
 	// small, and callers wait up to 3 s for one.
-	writeTimeout = 5 * time.Second
+	defaultWriteTimeout = 5 * time.Second
 	// freeHeaderBytes is how much of a header is not counted; ordinary headers are shorter.
 	freeHeaderBytes = 1 << 10
 	// maxPipelined is how many requests of a connection may have arrived whole before the response to
@@ -38,8 +38,11 @@
 // incomplete request, or the new one.
 type Listener struct {
 	net.Listener
-	intake   *Intake
-	maxConns func() int
+	// WriteTimeout bounds each write to a client; 0 leaves the deadlines to the handler. It's set
+	// before Accept.
+	WriteTimeout time.Duration
+	intake       *Intake
+	maxConns     func() int
 
 	mu sync.Mutex
 	// open is the number of open connections.
@@ -188,8 +191,10 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
-	// An error shows up in the write.
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if t := c.listener.WriteTimeout; t > 0 {
+		// An error shows up in the write.
+		_ = c.SetWriteDeadline(time.Now().Add(t))
+	}
 	n, err := c.Conn.Write(b)
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -127,7 +127,7 @@
 		}
 		h.ServeHTTP(w, r)
 	})
-	return &Listener{Listener: l, intake: i, maxConns: maxConns}
+	return &Listener{Listener: l, WriteTimeout: defaultWriteTimeout, intake: i, maxConns: maxConns}
 }
 
 // limitBuffers sets the buffers of a listening socket, whose connections inherit them.
