Read the keys where the reply of a watch is too large

Cause: the client reads 8 MiB of a response. A reply with more, as after a burst of large jobs, failed with an unknown outcome, and the scheduler requested the same reply again until the store dropped its history. Jobs of which it got no notice, as a link leaves them out above 8 MiB, weren't started meanwhile.

Evidence: found by reading.

Change: such a watch fails with ErrReplyTooLarge, upon which the keys are read in pages, as after a compaction.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -451,13 +451,13 @@
 }
 
 // followInput watches the store for new jobs and cancellations. If the history
-// of the watch was compacted, it reads them all again.
+// of the watch was compacted or exceeds a reply, it reads them all again.
 func (d *Dispatcher) followInput(ctx context.Context, from kv.Revision) error {
 	cursor := kv.NewCursor(from)
 	for ctx.Err() == nil {
 		items, upto, err := kv.WatchOnce(ctx, d.Store, InputPrefix, cursor.From())
 		switch {
-		case errors.Is(err, kv.ErrCompacted):
+		case errors.Is(err, kv.ErrCompacted), errors.Is(err, kv.ErrReplyTooLarge):
 			c, cancel := kv.WithStallTimeout(ctx, loadTimeout, loadTimeout)
 			items, upto, err = d.Store.Range(c, InputPrefix)
 			cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,8 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err == nil || errors.Is(err, kv.ErrConflict) || errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrCompacted) {
+	if err == nil || errors.Is(err, kv.ErrConflict) || errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrCompacted) ||
+		errors.Is(err, kv.ErrReplyTooLarge) {
 		if !g.failingSince.IsZero() && now.Sub(g.failingSince) > storeDownThreshold {
 			g.Log.Event(eventlog.StoreRecovered).Dur("away", now.Sub(g.failingSince)).Msg("")
 		}
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -19,6 +19,8 @@
 	ErrNoLease = errors.New("kv: lease not found")
 	// ErrCompacted is returned for a watch of history that the store has discarded.
 	ErrCompacted = errors.New("kv: history was compacted")
+	// ErrReplyTooLarge is returned for a watch of more changes than a reply can hold.
+	ErrReplyTooLarge = errors.New("kv: reply too large")
 	// ErrRefused is returned if the store reported that it did nothing.
 	ErrRefused = errors.New("kv: request refused")
 	// ErrUnknown is returned if a change may or may not be made, also later.
--- a/test/fleet/skipped_test.go
+++ b/test/fleet/skipped_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/sesamestream/sesamestream/internal/dispatch"
+	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 )
@@ -36,3 +38,50 @@
 		})
 	}
 }
+
+// largeReplies is a store whose watches fail while more events than fit into a reply are new.
+type largeReplies struct {
+	kv.Store
+	most int
+}
+
+func (s largeReplies) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Item, kv.Revision, error) {
+	items, upto, err := s.Store.Watch(ctx, prefix, after, wait)
+	if len(items) > s.most {
+		return nil, 0, kv.ErrReplyTooLarge
+	}
+	return items, upto, err
+}
+
+// Jobs of which the scheduler got no notice were never started if they were too many for a reply
+// of the watch.
+func TestJobsThatExceedAReplyOfTheWatchAreStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r := newRig(t, 1, 2, 3)
+		defer r.close()
+		for _, p := range r.procs {
+			p.wrapStore = func(s kv.Store) kv.Store { return largeReplies{s, 3} }
+			p.kill()
+			p.start()
+		}
+		time.Sleep(8 * time.Second)
+		var jobs []*batch.Job
+		r.withStoreFaults(memory.Faults{SuppressWatchEvents: true}, func() {
+			for n := range 6 {
+				j := r.newJob(n)
+				j.Accepted = time.Now()
+				b, err := json.Marshal(j)
+				g.Expect(err).NotTo(HaveOccurred())
+				r.store.Put(dispatch.JobPrefix+string(j.ID), b)
+				jobs = append(jobs, j)
+			}
+			time.Sleep(time.Second)
+		})
+		for _, j := range jobs {
+			r.history.Accepted(j)
+		}
+		time.Sleep(20 * time.Second)
+		r.checkCompleted(6)
+	})
+}
