--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -67,6 +67,10 @@
 // Run serves callers until ctx ends, then waits up to ShutdownTimeout for the
 // requests in flight.
 func (s *Server) Run(ctx context.Context) error {
+	maxConns, err := maxConnections()
+	if err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp", s.Listen.String())
 	if err != nil {
 		return errors.Wrap(err, "caller: listen")
@@ -80,10 +84,6 @@
 	if s.Log != nil {
 		h.ErrorLog = s.Log.Std("", 0)
 	}
-	maxConns, err := maxConnections()
-	if err != nil {
-		return err
-	}
 	limited := s.intake.Limit(l, h, func() int { return maxConns })
 	// The responder sets the deadlines of its writes.
 	limited.WriteTimeout = 0
