--- a/review/rig3/deployment.go
+++ b/review/rig3/deployment.go
@@ -377,28 +377,6 @@
 	return len(done) == len(j.Tasks)*j.tasksPerStep
 }
 
-// leader returns the name of the machine whose log last says that it took the leadership.
-func (d *deployment) leader() *machine {
-	var leader *machine
-	best := ""
-	for _, m := range d.machines() {
-		b, err := os.ReadFile(filepath.Join(d.dir, m.name+".log"))
-		if err != nil {
-			continue
-		}
-		for line := range strings.Lines(string(b)) {
-			var e struct {
-				Time  string `json:"time"`
-				Event string `json:"event"`
-			}
-			if json.Unmarshal([]byte(line), &e) == nil && e.Event == "leadTaken" && e.Time > best {
-				best, leader = e.Time, m
-			}
-		}
-	}
-	return leader
-}
-
 // firstStep returns the body of the first step.
 func (j *job) firstStep() map[string]any {
 	steps, _ := j.Body["steps"].([]map[string]any)
--- a/review/rig3/recurring.go
+++ b/review/rig3/idle.go
@@ -1,10 +1,6 @@
 package main
 
-import (
-	"fmt"
-	"net/http"
-	"time"
-)
+import "time"
 
 const (
 	// finish is the bound finish_s.
@@ -13,48 +9,6 @@
 	idleBound = 3 * time.Second
 )
 
-// playRecurring submits a job that is due each hour of a year, kills the scheduler before the first
-// time, and then sends small jobs.
-func playRecurring(d *deployment, trouble bool) (bool, error) {
-	yearly := d.newJob("wide", 1, 5, task{duration: time.Second, cpu: 240, mem: 100})
-	yearly.Body["startAtMs"] = time.Now().Add(20 * time.Second).UnixMilli()
-	yearly.Body["intervalMs"] = time.Hour.Milliseconds()
-	yearly.Body["repeatCount"] = 365 * 24
-	if s := d.submit(0, yearly); s != http.StatusOK {
-		return false, fmt.Errorf("%w: the recurring job was answered %d", errCannotRun, s)
-	}
-	time.Sleep(5 * time.Second)
-	if trouble {
-		if err := d.killScheduler(); err != nil {
-			return false, err
-		}
-	}
-	time.Sleep(10 * time.Second)
-	var small []*job
-	for i := range 200 {
-		j := d.newJob("quick", 1, 20, task{duration: 300 * time.Millisecond, cpu: 240, mem: 100})
-		if s := d.submit(i, j); s == http.StatusOK {
-			small = append(small, j)
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	d.record.print("small jobs accepted: %d", len(small))
-	time.Sleep(finish)
-	return d.nothingIdle(small), nil
-}
-
-// killScheduler kills the process that leads, and starts it again.
-func (d *deployment) killScheduler() error {
-	m := d.leader()
-	if m == nil {
-		return fmt.Errorf("%w: no process leads", errCannotRun)
-	}
-	d.record.print("kill of %s, which leads", m.name)
-	m.kill()
-	time.Sleep(500 * time.Millisecond)
-	return d.startMachine(m)
-}
-
 // nothingIdle watches for idleBound and reports whether none of the jobs has tasks whose turn has
 // come, nothing running, room for it twice over, and under half of all processors in use.
 func (d *deployment) nothingIdle(jobs []*job) bool {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -27,7 +27,6 @@
 	"held":      {playHeld, 3, 4},
 	"memory":    {playMemory, 3, 4},
 	"reborn":    {playReborn, 3, 4},
-	"recurring": {playRecurring, 3, 4},
 }
 
 func main() { os.Exit(play()) }
