--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -166,7 +166,7 @@
 	revision := n.revision
 	n.keyRemoved, n.revision = true, 0
 	d.nodes[name] = n
-	d.Log.Event(eventlog.HostRemoved).Str("peer", name).Msg("")
+	d.Log.Event(eventlog.HostRemoved).Str("peer", name).Dur("storeAge", time.Since(d.Term.LastContact())).Msg("")
 	d.background.Go(func() {
 		_, err := d.applyInTerm(kv.Change{
 			Conditions: []kv.Condition{{Key: nodePrefix + name, Revision: revision}},
@@ -427,7 +427,8 @@
 	n := d.scheduler.RemoveWorker(k)
 	delete(d.workerLeaseEnds, k)
 	delete(d.endAcks, k)
-	d.Log.Warning(eventlog.WorkerRemoved).Str("worker", k.ID).Int64("born", k.StartTime).Str("why", reason).Int("runsLost", n).Msg("")
+	d.Log.Warning(eventlog.WorkerRemoved).Str("worker", k.ID).Int64("born", k.StartTime).Str("why", reason).Int("runsLost", n).
+		Dur("storeAge", time.Since(d.Term.LastContact())).Msg("")
 }
 
 // handleEnds passes ends of runs to the scheduler and records them for acknowledgement.
