Free tasks of lost hosts under the leader's own lease only

Cause: tick treated the leases of lost hosts as expired while TermEvidence.Current held. That counts a process which was lost more than 1.2 s after the store's last answer as a witness that nobody reaches the store, for up to 8 s. But what a process saw before it was lost says nothing of later: the store came back for the processes outside, the next term began 2 s after the cut, and its leader renewed the leases that the old one, in its island, took for expired. The old leader started their tasks on the hosts of its zone.

Change: a worker's lease that has ended frees its tasks only while the leader's own lease in the store is valid, so that no other term can have begun. No contact with other processes proves that.

--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -15,6 +15,7 @@
 	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
+	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
 // announceInterval is how often the scheduler announces itself to nodes without a session.
@@ -79,7 +80,8 @@
 		}
 	}
 	for k, at := range d.workerLeaseEnds {
-		if now.After(at) && d.termEvidence().Current(now) {
+		// In a later term the worker may have got a new lease.
+		if now.After(at) && succession.LeaseValid(now, d.Term.LastContact()) {
 			d.removeWorker(k, "lease lapsed")
 		}
 	}
--- a/pkg/decide/succession/term.go
+++ b/pkg/decide/succession/term.go
@@ -44,8 +44,7 @@
 
 // Current reports whether, by the evidence, no other term has begun: the
 // scheduler reached the store recently, or the store is unreachable for all
-// processes. Only then may the scheduler grant leases and treat the leases of
-// lost hosts as expired.
+// processes. Only then may the scheduler grant leases.
 func (e TermEvidence) Current(now time.Time) bool {
 	switch {
 	case LeaseValid(now, e.LastAnswer):
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -247,6 +247,9 @@
 // cause given.
 var regressionSeeds = []uint64{
 	511, // A scheduler partitioned together with a host started jobs that its successor had started.
+	// A scheduler partitioned together with a host started tasks of hosts whose leases, by its
+	// reckoning, had ended, though its successor had renewed them.
+	15532, 18392, 23383,
 }
 
 // runSeed submits jobs for 20 s while random faults are injected and evacuations of data
