Let a leader renew leases in an outage only if the next one waits for them

What callers saw: a leader that is cut off in an outage of the store renews the leases of the hosts in its island for up to 8 s after the store's last answer, so that they last up to 12.2 s; the next leader waits 5.7 s and starts their tasks elsewhere: tasks run twice.

Cause: takeoverHostWait was shorter than maxStoreOutage and a lease. Current was to keep the leader from renewing, but took a process that was lost well into an outage for a witness that no process reaches the store.

Evidence: TestLeasesRenewedInAnOutageEndBeforeTheirTasksStartElsewhere fails before in its four cases, 8.4 to 11 s after the cut, also with frees under the leader's own lease only.

Change: renewals rest on what the next leader knows, not on what the store is thought to be. The leader tells each process that it answers of the outage, and the process echoes that. It renews leases without a valid one of its own only while each process that it has answered in its term has echoed the notice, or any answer in the last 1.2 s, or wasn't answered for so long before that it is no member any more. A process that leads next waits for the time that the notice names; without one only if it was a member, 5.7 s as before; else for the longest time, as a process does that has restarted. The wait for leases of earlier terms passes on with the welcome. Once the previous leader has opened a session in the next term, it renews nothing more, and the wait ends one lease later. A process that restarts stays a member until the leader's own lease shows that it hasn't led before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -33,10 +33,8 @@
 	// maxStoreContactAge is how old the store's last answer to a node may be for the node
 	// to count as connected to the store: the time of a watch and a ping.
 	maxStoreContactAge = 2500 * time.Millisecond
-	// takeoverHostWait is how long a new scheduler waits for hosts that haven't connected:
-	// the last lease that the previous scheduler granted, and the time in which that one
-	// notices that it was replaced.
-	takeoverHostWait = hostagent.LeaseGrant + hostagent.LeaseGrant/20 + 1500*time.Millisecond
+	// MaxLeaseDuration is how long after its grant a lease has ended for certain.
+	MaxLeaseDuration = hostagent.LeaseGrant + hostagent.LeaseGrant/20 + 2*leaseGrantMargin
 	// staleLeaderWindow is how long the previous scheduler may go on accepting new jobs
 	// without knowing of this term: until its next lease renewal fails.
 	staleLeaderWindow = 1500 * time.Millisecond
@@ -86,6 +84,8 @@
 	Keep time.Duration
 	// Advise calls the policy service; nil if there is none.
 	Advise Adviser
+	// HostWait is how long the scheduler waits for hosts that may run tasks under leases of earlier terms.
+	HostWait succession.HostWait
 	// Announce announces the scheduler to the node at address, which has no session; nil announces nothing.
 	Announce func(address string, epoch int64)
 
@@ -107,8 +107,11 @@
 	// hostLeaseEnds is when the last leases end that hosts got before their present sessions, or
 	// in earlier terms. An entry is removed once it has passed.
 	hostLeaseEnds map[string]time.Time
-	// lastContacts is when the last message of each node without a session arrived.
-	lastContacts map[string]time.Time
+	// members are the other nodes that were answered in this term.
+	members succession.Members
+	// earlierLeasesEnd is when the leases of terms before the previous one have ended,
+	// previousLeasesEnd when those of the previous one have.
+	earlierLeasesEnd, previousLeasesEnd time.Time
 	// strongest is the strength of the strongest process that isn't on a host.
 	strongest float64
 	// endAcks is, by worker, the highest sequence number of the ends of runs that are acknowledged after the next flush.
@@ -185,7 +188,8 @@
 	d.scheduler = schedule.New()
 	d.sessions, d.nodes, d.awaitedHosts = map[string]*session{}, map[string]node{}, map[string]bool{}
 	d.jobRevisions = map[batch.JobID]kv.Revision{}
-	d.progressRevisions, d.hostLeaseEnds, d.lastContacts = map[batch.JobID]kv.Revision{}, map[string]time.Time{}, map[string]time.Time{}
+	d.earlierLeasesEnd, d.previousLeasesEnd = d.startTime.Add(d.HostWait.Earlier), d.startTime.Add(d.HostWait.Previous)
+	d.progressRevisions, d.hostLeaseEnds = map[batch.JobID]kv.Revision{}, map[string]time.Time{}
 	d.workerLeaseEnds, d.endAcks = map[batch.WorkerKey]time.Time{}, map[batch.WorkerKey]int64{}
 	d.adviceRequests = make(chan schedule.AdviceRequest, adviceQueueSize)
 	d.registrations = make(chan struct{}, maxRegistrations)
@@ -323,7 +327,7 @@
 		d.nodes[name] = n
 		if n.Host {
 			d.awaitedHosts[name] = true
-			d.hostLeaseEnds[name] = d.startTime.Add(takeoverHostWait)
+			d.hostLeaseEnds[name] = d.hostWaitEnd()
 		}
 	}
 	for _, i := range in {
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -37,7 +37,7 @@
 	return ps
 }
 
-// termEvidence returns the last contacts by which succession decides whether the term may have been superseded.
+// termEvidence returns the times by which succession decides what may still be done in the term.
 func (d *Dispatcher) termEvidence() succession.TermEvidence {
 	return succession.TermEvidence{
 		LastAnswer: d.Term.LastContact(),
@@ -48,13 +48,7 @@
 				}
 			}
 		},
-		LostContacts: func(yield func(time.Time) bool) {
-			for name, at := range d.lastContacts {
-				if name != d.Node && !yield(at) {
-					return
-				}
-			}
-		},
+		Members: d.members.All(),
 	}
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -56,7 +56,7 @@
 	}
 	s.lastContact = now
 	d.sessions[s.hello.Node] = s
-	delete(d.lastContacts, s.hello.Node)
+	d.members.Joined(now, d.Term.LastContact(), s.hello.Node, s.hello.Incarnation)
 	if d.loaded {
 		d.openSession(now, s.hello.Node, s)
 	}
@@ -83,7 +83,11 @@
 	d.sessionCount++
 	s.fence = (int64(d.Term.Epoch)*maxSessionsPerTerm + d.sessionCount) * hostagent.FencesPerSession
 	s.lastContact = now
-	s.conn.Send(link.Message{Welcome: &link.Welcome{Epoch: int64(d.Term.Epoch), Fence: s.fence}})
+	w := link.Welcome{Epoch: int64(d.Term.Epoch), Fence: s.fence}
+	if !d.scheduler.Recovered() {
+		w.EarlierLeases = max(d.hostWaitEnd().Sub(now), 0)
+	}
+	s.conn.Send(link.Message{Welcome: &w})
 	d.Log.Event(eventlog.HostJoined).Str("peer", name).Int64("life", s.hello.Incarnation).Int64("fence", s.fence).
 		Bool("host", s.hello.Host).Msg("")
 }
@@ -217,7 +221,6 @@
 	if s.hello.Host && s.fence != 0 {
 		d.hostLeaseEnds[name] = end
 	}
-	d.lastContacts[name] = s.lastContact
 	d.Log.Warning(eventlog.HostLost).Str("peer", name).Str("why", reason).Time("leaseEnds", end).
 		Dur("silent", now.Sub(s.lastContact)).Msg("")
 }
@@ -276,7 +279,7 @@
 	}
 }
 
-// handlePing renews the session's lease, unless another term may have begun.
+// handlePing renews the session's lease, unless the next scheduler may not wait for its end.
 func (d *Dispatcher) handlePing(now time.Time, s *session, p *link.Ping) {
 	s.recordStoreContact(now, p.StoreAge)
 	if p.NoPriorRuns && d.awaitedHosts[s.hello.Node] {
@@ -286,11 +289,21 @@
 	if s.fence == 0 {
 		return
 	}
-	if !d.termEvidence().Current(now) {
+	if p.Echo > 0 {
+		d.members.Echoed(d.startTime.Add(time.Duration(p.Echo)), s.hello.Node, s.hello.Incarnation)
+	}
+	if l := d.Term.Previous.Leader; s.hello.Node == l.Node && s.hello.Address == l.Address.String() {
+		d.endPreviousTerm(now)
+	}
+	e := d.termEvidence()
+	if d.Term.IsLost() || !e.MayRenew(now) {
 		return
 	}
 	s.leaseEnd = grantEnd(now)
-	pong := &link.Pong{Sent: p.Sent, Grant: hostagent.LeaseGrant, MaxStrength: d.strongest}
+	pong := &link.Pong{Sent: p.Sent, Grant: hostagent.LeaseGrant, MaxStrength: d.strongest, Stamp: int64(now.Sub(d.startTime)), OutageAge: e.OutageAge(now)}
+	if s.hello.Node != d.Node {
+		d.members.Answered(now, s.hello.Node, s.hello.Incarnation)
+	}
 	if !s.hello.Host {
 		pong.Load = d.loadSummary
 	}
@@ -409,12 +422,12 @@
 }
 
 // tryCompleteTakeover tells the scheduler that no unreported task of an earlier
-// term can run, once all awaited hosts have reported or takeoverHostWait is over.
+// term can run, once all awaited hosts have reported or the leases of earlier terms have ended.
 func (d *Dispatcher) tryCompleteTakeover(now time.Time) {
 	if !d.loaded || d.scheduler.Recovered() {
 		return
 	}
-	if len(d.awaitedHosts) > 0 && now.Sub(d.startTime) < takeoverHostWait {
+	if len(d.awaitedHosts) > 0 && now.Before(d.hostWaitEnd()) {
 		return
 	}
 	d.scheduler.FinishRecovery()
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -80,8 +80,7 @@
 		}
 	}
 	for k, at := range d.workerLeaseEnds {
-		// In a later term the worker may have got a new lease.
-		if now.After(at) && succession.LeaseValid(now, d.Term.LastContact()) {
+		if now.After(at) && d.termEvidence().MayFree(now) {
 			d.removeWorker(k, "lease lapsed")
 		}
 	}
@@ -90,6 +89,7 @@
 			d.removeHost(name)
 		}
 	}
+	d.members.Expire(d.Term.LastContact())
 	d.tryCompleteTakeover(now)
 	d.stepDownIfSuperseded(now)
 	d.addDeferredJobs(now)
@@ -132,7 +132,7 @@
 	}
 	o := d.scheduler.Schedule(now)
 	// Between passes there is room that waiting work is about to take.
-	if l := d.scheduler.LoadSummary(now); now.Sub(d.startTime) >= takeoverHostWait {
+	if l := d.scheduler.LoadSummary(now); now.Sub(d.startTime) >= succession.MinHostWait(MaxLeaseDuration) {
 		// Until then workers may still be joining, and their absence isn't a shortage.
 		d.loadSummary = l
 	}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -50,8 +50,10 @@
 
 // epochRecord is the value of EpochKey.
 type epochRecord struct {
-	Node      string  `json:"node"`
-	Strongest float64 `json:"strongest,omitempty"`
+	Node string `json:"node"`
+	// Address is missing in records of earlier versions.
+	Address   netip.AddrPort `json:"address,omitzero"`
+	Strongest float64        `json:"strongest,omitempty"`
 }
 
 // LastStrongest returns the strength of the strongest process known when the
@@ -93,13 +95,22 @@
 	c, cancel := context.WithTimeout(ctx, 4*storeCallTimeout)
 	defer cancel()
 	var before kv.Revision
+	var value []byte
 	switch i, err := e.Store.Get(c, EpochKey); {
 	case err == nil:
-		before = i.Revision
+		before, value = i.Revision, i.Value
 	case !errors.Is(err, kv.ErrNotFound):
 		return nil, err
 	}
 	t := &Term{elector: e, lost: make(chan struct{})}
+	if before != 0 {
+		t.Previous.Epoch = before
+		// The leader is only used to end a wait early.
+		var x epochRecord
+		if json.Unmarshal(value, &x) == nil {
+			t.Previous.Leader = Leader{Node: x.Node, Address: x.Address}
+		}
+	}
 	r, err := t.acquire(c, before, true)
 	if err != nil {
 		return nil, err
@@ -108,11 +119,20 @@
 	return t, nil
 }
 
+// A PreviousTerm is a term as recorded in the store at the beginning of the next one.
+type PreviousTerm struct {
+	Epoch kv.Revision
+	// Leader is its leader; the zero value if unknown.
+	Leader Leader
+}
+
 // A Term is the period in which one process is the leader under one epoch.
 type Term struct {
 	// Epoch is higher than that of all earlier terms.
-	Epoch   kv.Revision
-	elector *Elector
+	Epoch kv.Revision
+	// Previous is the term before; its epoch is 0 if there was none.
+	Previous PreviousTerm
+	elector  *Elector
 
 	// reacquireMu is held while leadership is reacquired.
 	reacquireMu sync.Mutex
@@ -143,7 +163,7 @@
 		Puts:       []kv.Put{{Key: leaderKey, Value: v, Lease: lease}},
 	}
 	if newEpoch {
-		x := epochRecord{Node: e.Node}
+		x := epochRecord{Node: e.Node, Address: e.Address}
 		if e.Strongest != nil {
 			x.Strongest = e.Strongest()
 		}
@@ -187,6 +207,16 @@
 // Lost returns a channel that is closed when the term ends, as another one may have begun.
 func (t *Term) Lost() <-chan struct{} { return t.lost }
 
+// IsLost reports whether the term has ended.
+func (t *Term) IsLost() bool {
+	select {
+	case <-t.lost:
+		return true
+	default:
+		return false
+	}
+}
+
 // Lose ends the term; it's called when a newer epoch is known or the leadership is given up.
 func (t *Term) Lose() { t.loseOnce.Do(func() { close(t.lost) }) }
 
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -132,3 +132,20 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(b.LastStrongest(t.Context())).To(Equal(0.4))
 }
+
+// A new leader knows from which term it takes over, and from whom, as it waits for the leases of that term.
+func TestTermNamesThePreviousOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &memory.Store{}
+		a, _ := newElector(s, "a")
+		b, _ := newElector(s, "b")
+		one, err := a.TryAcquire(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(one.Previous).To(BeZero())
+		time.Sleep(ttl + time.Millisecond)
+		two, err := b.TryAcquire(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(two.Previous).To(Equal(election.PreviousTerm{Epoch: one.Epoch, Leader: election.Leader{Node: "a", Address: a.Address}}))
+	})
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -32,6 +32,7 @@
 	LeadershipOffered    = "leadOffered"
 	HostUnregistered     = "hostUnregistered"
 	StateLoaded          = "stateLoaded"
+	HostWaitShortened    = "hostWaitShortened"
 	TakeoverCompleted    = "settled"
 	ConfigApplied        = "configInForce"
 	EvacuationRequested  = "evacuationRequested"
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -64,6 +64,8 @@
 	Epoch int64 `cbor:"1,keyasint"`
 	// Fence is the first fencing token of the session; each order to a worker carries one.
 	Fence int64 `cbor:"2,keyasint"`
+	// EarlierLeases is how long leases that were granted in earlier terms may last.
+	EarlierLeases time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Ping asks for a lease grant.
@@ -75,6 +77,8 @@
 	// NoPriorRuns is set if no earlier run can still be running on this host:
 	// it has no worker, and the leases that an earlier process renewed have expired.
 	NoPriorRuns bool `cbor:"3,keyasint,omitempty"`
+	// Echo is the Stamp of the last Pong; 0 before the first one. Nodes of earlier versions don't send it.
+	Echo int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Pong grants the session's lease, counted from the time at which the Ping was sent.
@@ -87,6 +91,12 @@
 	// Load is the room for work and the work that waits; it is sent to processes without a
 	// worker on their host only. Schedulers of earlier versions don't send it.
 	Load *overload.Summary `cbor:"4,keyasint,omitempty"`
+	// Stamp is the scheduler's clock; the next Ping returns it unchanged. Schedulers of earlier
+	// versions don't send it.
+	Stamp int64 `cbor:"5,keyasint,omitempty"`
+	// OutageAge is for how long the store hasn't answered the scheduler, which renews leases all the
+	// same; 0 if it answers. The node's next term, if it leads, waits until these leases have ended.
+	OutageAge time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Snapshot is the full state of a worker under the session's fence.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,7 +99,10 @@
 	knownLeader    election.Leader
 	announced      chan struct{}
 	packets        link.PacketConn
-	links          atomic.Int64
+	// membership is what this node knows of the present term, from which its own next term
+	// begins; only followLeader uses it.
+	membership succession.Membership
+	links      atomic.Int64
 }
 
 // Run serves until ctx ends.
@@ -269,9 +272,7 @@
 		if a.Epoch > n.epoch {
 			n.epoch = a.Epoch
 			n.knownLeader = a.Leader
-			if n.term != nil && int64(n.term.Epoch) < a.Epoch {
-				n.term.Lose()
-			}
+			n.loseTermBefore(a.Epoch)
 			if n.conn != nil {
 				n.conn.Close()
 			}
@@ -287,6 +288,13 @@
 	return nil
 }
 
+// loseTermBefore ends the term of this node, if it has one before the given epoch. The node must be locked.
+func (n *Node) loseTermBefore(epoch int64) {
+	if n.term != nil && int64(n.term.Epoch) < epoch {
+		n.term.Lose()
+	}
+}
+
 // announcer returns a function that sends an announcement of leader to an address.
 func (n *Node) announcer(leader election.Leader) func(string, int64) {
 	return func(to string, epoch int64) {
@@ -421,11 +429,14 @@
 	if err != nil {
 		return
 	}
-	n.Log.Event(eventlog.LeadershipAcquired).Int64("epoch", int64(t.Epoch)).Msg("")
 	d := n.NewDispatcher(t)
+	d.HostWait = n.membership.HostWait(n.LeaseClock(), int64(t.Previous.Epoch), dispatch.MaxLeaseDuration)
+	n.Log.Event(eventlog.LeadershipAcquired).Int64("epoch", int64(t.Epoch)).Int64("previous", int64(t.Previous.Epoch)).Str("previousLeader", t.Previous.Leader.Node).
+		Dur("earlierLeases", d.HostWait.Earlier).Dur("previousLeases", d.HostWait.Previous).Msg("")
 	d.Announce = n.announcer(election.Leader{Node: n.Elector.Node, Address: n.Elector.Address})
 	d.Open()
 	n.mu.Lock()
+	n.loseTermBefore(int64(t.Epoch))
 	n.dispatcher, n.term, n.epoch = d, t, int64(t.Epoch)
 	n.mu.Unlock()
 	terms.Go(func() { t.KeepAlive(ctx) })
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -51,6 +51,8 @@
 		n.mu.Lock()
 		stale := m.Welcome.Epoch < n.epoch
 		if !stale {
+			// The scheduler takes the pings of this session for the end of this node's own term.
+			n.loseTermBefore(m.Welcome.Epoch)
 			n.epoch, n.knownLeader, n.conn = m.Welcome.Epoch, l, c
 		}
 		n.mu.Unlock()
@@ -59,12 +61,15 @@
 		}
 		n.unregistered = false
 		n.Log.Event(eventlog.SchedulerFound).Str("leader", l.Node).Int64("epoch", m.Welcome.Epoch).Int64("fence", m.Welcome.Fence).Msg("")
+		n.membership.Welcome(n.LeaseClock(), m.Welcome.Epoch, m.Welcome.EarlierLeases)
 		n.OnWelcome(*m.Welcome)
 	}
 	lastReceived := time.Now()
 	ping := time.NewTicker(pingInterval)
 	defer ping.Stop()
-	n.sendPing(c)
+	// echo is the stamp of the last pong.
+	var echo int64
+	n.sendPing(c, echo)
 	// leaderCheck receives the result of a pending stillLeader call; nil where none is pending.
 	var leaderCheck chan bool
 	for open := true; open; {
@@ -82,6 +87,10 @@
 				n.mu.Lock()
 				n.strongest = m.Pong.MaxStrength
 				n.mu.Unlock()
+				echo = m.Pong.Stamp
+				if n.membership.Answered(n.LeaseClock(), time.Duration(m.Pong.Sent), m.Pong.OutageAge) {
+					n.sendPing(c, echo)
+				}
 				n.OnGrant(time.Duration(m.Pong.Sent), m.Pong.Grant)
 				if m.Pong.Load != nil && n.OnLoad != nil {
 					n.OnLoad(m.Pong.Load)
@@ -104,7 +113,7 @@
 				leaderCheck = make(chan bool, 1)
 				go func(answer chan<- bool) { answer <- n.stillLeader(ctx, l) }(leaderCheck)
 			}
-			n.sendPing(c)
+			n.sendPing(c, echo)
 		}
 	}
 	n.mu.Lock()
@@ -123,11 +132,11 @@
 	return err != nil || now == l
 }
 
-// sendPing asks the scheduler for a grant.
-func (n *Node) sendPing(c *link.Conn) {
+// sendPing asks the scheduler for a grant, and echoes the stamp of the last one.
+func (n *Node) sendPing(c *link.Conn, echo int64) {
 	age := time.Duration(-1)
 	if at := n.LastStoreContact(); !at.IsZero() {
 		age = time.Since(at)
 	}
-	c.Send(link.Message{Ping: &link.Ping{Sent: int64(n.LeaseClock()), StoreAge: age, NoPriorRuns: n.RunsEnded()}})
+	c.Send(link.Message{Ping: &link.Ping{Sent: int64(n.LeaseClock()), StoreAge: age, NoPriorRuns: n.RunsEnded(), Echo: echo}})
 }
--- a/test/fleet/outage_test.go
+++ b/test/fleet/outage_test.go
@@ -7,7 +7,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sesamestream/sesamestream/internal/control"
+	"github.com/sesamestream/sesamestream/internal/dispatch"
 	"github.com/sesamestream/sesamestream/internal/kv/memory"
+	"github.com/sesamestream/sesamestream/test/history"
 )
 
 // cutDuringOutage makes the store fail for the given processes, cuts an island off before the
@@ -71,3 +74,126 @@
 		}
 	}
 }
+
+// Leases that a leader renews in an outage of the store, while it's cut off with some hosts, outlast the
+// wait of the next leader, which starts their tasks elsewhere while they run on (TWICE). The next leader
+// may be a process that was notified of the outage, that has restarted since, that leads after
+// another short term, or that was cut off before it could be notified.
+func TestLeasesRenewedInAnOutageEndBeforeTheirTasksStartElsewhere(t *testing.T) {
+	const outage, cut = 3 * time.Second, 16 * time.Second
+	for name, during := range map[string]func(r *rig, outside []*process){
+		"notified process leads": func(*rig, []*process) {},
+		"restarted process leads": func(_ *rig, outside []*process) {
+			for _, p := range outside {
+				p.kill()
+				p.start()
+			}
+		},
+		"leads after a short term": func(r *rig, _ []*process) {
+			time.Sleep(1500 * time.Millisecond)
+			r.leader().kill()
+		},
+		"restarted process leads after a short term": func(r *rig, outside []*process) {
+			time.Sleep(1500 * time.Millisecond)
+			for _, p := range outside {
+				p.kill()
+				p.start()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 1, 3, 6)
+				r.startLongTasks()
+				leader := r.leader()
+				island := append([]*process{leader}, r.procs[3:7]...)
+				var outside []*process
+				for _, p := range r.procs {
+					if !slices.Contains(island, p) {
+						outside = append(outside, p)
+					}
+				}
+				r.withStoreFaults(memory.Faults{Down: true}, func() { time.Sleep(outage - 500*time.Millisecond) })
+				r.setIsolated(island, true)
+				for _, p := range outside {
+					p.store.Set(memory.Faults{Down: true})
+				}
+				time.Sleep(500 * time.Millisecond)
+				for _, p := range outside {
+					p.store.Set(memory.Faults{})
+				}
+				during(r, outside)
+				time.Sleep(cut)
+				r.restoreAll()
+				r.checkLongTasksEnd()
+			})
+		})
+	}
+}
+
+// A process that is cut off from the leader as an outage of the store begins, before it can be
+// notified, may reach the store first and lead. The leader renews no leases then (TWICE).
+func TestLeaderRenewsNoLeasesBesideAMemberWithoutNotice(t *testing.T) {
+	for _, before := range []time.Duration{-1500 * time.Millisecond, 0, 300 * time.Millisecond} {
+		t.Run(fmt.Sprint(before), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 1, 3, 6)
+				r.startLongTasks()
+				leader := r.leader()
+				// The hosts beside the next leader have room for the tasks.
+				next := slices.Clone(r.procs[7:])
+				for _, p := range r.procs[:3] {
+					if p != leader {
+						next = append(next, p)
+						break
+					}
+				}
+				if before < 0 {
+					r.setIsolated(next, true)
+					time.Sleep(-before)
+				}
+				for _, p := range r.procs {
+					p.store.Set(memory.Faults{Down: true})
+				}
+				if before >= 0 {
+					time.Sleep(before)
+					r.setIsolated(next, true)
+				}
+				time.Sleep(time.Second)
+				for _, p := range next {
+					p.store.Set(memory.Faults{})
+				}
+				time.Sleep(14 * time.Second)
+				r.restoreAll()
+				r.checkLongTasksEnd()
+			})
+		})
+	}
+}
+
+// Once the previous leader has joined the next term, the tasks of a lost host wait only for the leases that
+// it can have granted until then, and not for all that it may grant in an outage.
+func TestWaitForHostsEndsSoonAfterThePreviousLeaderJoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, 3, 6)
+		r.startLongTasks()
+		leader := r.leader()
+		r.withStoreFaults(memory.Faults{Down: true}, func() {
+			time.Sleep(2 * time.Second)
+			r.procs[3].loseMachine()
+			r.setIsolated([]*process{leader}, true)
+			time.Sleep(500 * time.Millisecond)
+		})
+		leader.store.Set(memory.Faults{Down: true})
+		for r.leaderName() == "" || r.leaderName() == leader.name {
+			time.Sleep(10 * time.Millisecond)
+		}
+		before := r.history.StartCount(history.JobID(0))
+		r.restoreAll()
+		time.Sleep(control.LeaderTTL + dispatch.MaxLeaseDuration)
+		if n := r.history.StartCount(history.JobID(0)) - before; n == 0 {
+			t.Error("no task of the lost host has started again")
+		}
+		r.checkLongTasksEnd()
+	})
+}
