--- a/pkg/decide/succession/membership.go
+++ b/pkg/decide/succession/membership.go
@@ -56,16 +56,20 @@
 // HostWait returns how long the process has to wait if it leads from now on, after the term with the
 // epoch previous. A lease has ended for certain after the given time.
 func (m *Membership) HostWait(now time.Duration, previous int64, lease time.Duration) HostWait {
-	minWait := MinHostWait(lease)
-	if m.epoch != previous || m.answered == 0 || now-m.answered > membershipTTL {
-		// The previous leader doesn't count on a notice to this process. Its outage began before
-		// its lease ended, and with it all those of earlier leaders.
-		longest := max(minWait, maxStoreOutage-LeaderLeaseTTL+lease)
+	// The previous leader's outage began before its lease ended, as did those of earlier leaders.
+	longest := max(MinHostWait(lease), maxStoreOutage-LeaderLeaseTTL+lease)
+	if m.epoch != previous {
 		return HostWait{Earlier: longest, Previous: longest}
 	}
-	w := HostWait{Earlier: max(m.earlierLeasesEnd-now, 0), Previous: minWait}
-	if m.renewalEnd != 0 {
-		w.Previous = max(minWait, m.renewalEnd-now+lease)
+	w := HostWait{Earlier: max(m.earlierLeasesEnd-now, 0)}
+	switch {
+	case m.answered == 0 || now-m.answered > membershipTTL:
+		// The leader didn't count on a notice to this process.
+		w.Previous = longest
+	case m.renewalEnd != 0:
+		w.Previous = max(MinHostWait(lease), m.renewalEnd-now+lease)
+	default:
+		w.Previous = MinHostWait(lease)
 	}
 	return w
 }
