--- a/review/rig4/checks.go
+++ b/review/rig4/checks.go
@@ -78,12 +78,12 @@
 	}
 }
 
-// endSeen notes that an end was taken note of.
-func (c *checks) endSeen(name string, number int, how string) {
+// endSeen notes that an end was taken note of, which doesn't count if the worker's lease lapsed after the end.
+func (c *checks) endSeen(w *worker, name string, number int, lapsed time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range c.runs[name] {
-		if x.number == number && x.how == how {
+		if x.worker == w && x.number == number && !lapsed.After(x.to) {
 			x.seen = true
 		}
 	}
--- a/review/rig4/worker.go
+++ b/review/rig4/worker.go
@@ -51,6 +51,8 @@
 	dead     bool
 	fence    int64
 	leaseEnd time.Duration
+	// lapsedAt is when the lease last lapsed.
+	lapsedAt time.Time
 	lease    *time.Timer
 	runs     map[string]*workerRun
 	// highest is the highest run that was stopped or has ended here, by task.
@@ -265,6 +267,9 @@
 	if until <= w.leaseEnd {
 		return
 	}
+	if w.clock() > w.leaseEnd {
+		w.lapsedAt = w.bornAt.Add(w.leaseEnd)
+	}
 	w.leaseEnd = until
 	if w.lease != nil {
 		w.lease.Stop()
@@ -334,7 +339,11 @@
 	w.seen = max(w.seen, upto)
 	for len(w.ended) > 0 && int64(w.ended[0][0].(int)) <= upto {
 		e := w.ended[0]
-		w.rig.checks.endSeen(e[1].(string), e[2].(int), e[3].(string))
+		lapsed := w.lapsedAt
+		if w.clock() > w.leaseEnd {
+			lapsed = w.bornAt.Add(w.leaseEnd)
+		}
+		w.rig.checks.endSeen(w, e[1].(string), e[2].(int), lapsed)
 		w.ended = w.ended[1:]
 	}
 }
