--- a/review/rig4/cases.go
+++ b/review/rig4/cases.go
@@ -314,3 +314,54 @@
 	}
 	r.rec.add("case", "%d of %d small jobs aren't shown as completed", lost, len(jobs))
 }
+
+// burstOfAdvice hands in jobs on a queue with advice, for a few seconds 2.6 times as many.
+func burstOfAdvice(r *rig, trouble bool) error {
+	r.advice = &advice{
+		decision: 30 * time.Millisecond, perWorker: 3 * time.Millisecond, valid: time.Minute,
+		lines: map[string]*sync.Mutex{}, waits: map[string]int{}, steps: map[string]bool{},
+	}
+	if err := r.open(3, 11); err != nil {
+		return err
+	}
+	for i, p := range r.agents {
+		w, err := r.newWorker(p, fmt.Sprintf("i-7f3a91%02d", i+1), 16000, 64000)
+		if err != nil {
+			return err
+		}
+		go w.beat(p.addr(portControl))
+	}
+	if err := r.awaitReady(); err != nil {
+		return err
+	}
+	const interval, traffic = time.Second / 6, 60 * time.Second
+	const burst, burstFrom, burstTo = 2.6, 10 * time.Second, 14 * time.Second
+	first := step{Count: 6, CPU: 240, MemMb: 480, EstDurationMs: 1000}
+	next := first
+	next.After = []int{0}
+	began := time.Now()
+	var jobs []*job
+	var submits sync.WaitGroup
+	for n, logged := 0, 0; time.Since(began) < traffic; n++ {
+		j := r.newJob([]step{first, next}, time.Second)
+		jobs = append(jobs, j)
+		submits.Go(func() { r.submit(r.entries[n%3], j) })
+		pause := interval
+		if at := time.Since(began); trouble && at >= burstFrom && at < burstTo {
+			pause = time.Duration(float64(pause) / burst)
+		}
+		time.Sleep(pause)
+		if s := int(time.Since(began).Seconds()); s > logged {
+			logged = s
+			calls, steps := r.advice.counts()
+			r.rec.add("case", "%d jobs handed in, %d calls for advice on %d steps, %.0f%% of the capacity in use", n+1, calls, steps, 100*r.usedShare())
+		}
+	}
+	submits.Wait()
+	r.rec.add("case", "the traffic ends")
+	time.Sleep(finishTime)
+	calls, steps := r.advice.counts()
+	r.rec.add("case", "%d calls for advice on %d steps", calls, steps)
+	r.checkFinished(jobs)
+	return nil
+}
--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -25,6 +25,7 @@
 // caseFuncs are the cases by the names of their folders.
 var caseFuncs = map[string]caseFunc{
 	"ends":   manyEndsAtTakeover,
+	"advice": burstOfAdvice,
 	"leave":  lateNoticeOfLeave,
 	"record": largeProgress,
 	"memory": manyOccurrences,
--- a/review/rig4/process.go
+++ b/review/rig4/process.go
@@ -13,7 +13,7 @@
 // The ports of a process.
 const (
 	portFront, portReady, portControl, portWorker = 8161, 8167, 8166, 8366
-	portStore, portMetrics                        = 8169, 9464
+	portStore, portAdvice, portMetrics            = 8169, 8170, 9464
 )
 
 // The bounds of the deployment, as in the settings below.
@@ -51,9 +51,12 @@
 func (p *process) settings() string {
 	role, class, listen, limits := "entry", "edge", fmt.Sprintf("front = %q\nready = %q\n", p.addr(portFront), p.addr(portReady)), "cpuShare = 0.4\n"
 	app := ""
+	if p.rig.advice != nil {
+		app = fmt.Sprintf("advice = %q\n", p.addr(portAdvice))
+	}
 	if p.host {
 		role, class, listen, limits = "agent", "side", fmt.Sprintf("control = %q\n", p.addr(portControl)), "cpuShare = 0.24\n"
-		app = fmt.Sprintf("app = %q\n", p.addr(portWorker))
+		app += fmt.Sprintf("app = %q\n", p.addr(portWorker))
 	}
 	return fmt.Sprintf(`nodeName = %q
 role = %q
--- a/review/rig4/rig.go
+++ b/review/rig4/rig.go
@@ -66,6 +66,8 @@
 	rec    *recorder
 	store  *store
 	checks *checks
+	// advice is the policy service; nil where the queue has none.
+	advice *advice
 	net    string
 
 	entries []*process
@@ -114,13 +116,24 @@
 		if err := r.store.listen(p.name, p.addr(portStore)); err != nil {
 			return err
 		}
+		if r.advice != nil {
+			if err := r.advice.listen(p.name, p.addr(portAdvice)); err != nil {
+				return err
+			}
+		}
+	}
+	route := map[string]any{
+		"name": "r-3hwrr6x", "host": hostName, "prefix": prefix, "type": "non_idempotent", "timeoutMs": 3000,
+		"targetDurationMs": 600, "priority": 0, "service": serviceName, "maxAttempts": 3, "stretch": 1.5,
+	}
+	if a := r.advice; a != nil {
+		route["advice"] = map[string]any{
+			"decisionMs": a.decision.Milliseconds(), "perWorkerMs": a.perWorker.Milliseconds(), "validMs": a.valid.Milliseconds(),
+		}
 	}
 	config, err := json.Marshal(map[string]any{
 		"version": 7,
-		"routes": []map[string]any{{
-			"name": "r-3hwrr6x", "host": hostName, "prefix": prefix, "type": "non_idempotent", "timeoutMs": 3000,
-			"targetDurationMs": 600, "priority": 0, "service": serviceName, "maxAttempts": 3, "stretch": 1.5,
-		}},
+		"routes":  []map[string]any{route},
 		"services": []map[string]any{{
 			"name": serviceName, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "enforcesCapacity": true, "standby": false,
 		}},
