--- a/review/rig4/cases.go
+++ b/review/rig4/cases.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -365,3 +367,63 @@
 	r.checkFinished(jobs)
 	return nil
 }
+
+// waitingGangs hands in gangs of which one fits at a time, and a part of the next one. Without the
+// disruption each one is handed in when the one before is done.
+func waitingGangs(r *rig, trouble bool) error {
+	const gangs, length = 10, 4 * time.Second
+	if err := r.open(3, 11); err != nil {
+		return err
+	}
+	for i, p := range r.agents {
+		w, err := r.newWorker(p, fmt.Sprintf("i-7f3a91%02d", i+1), 16000, 64000)
+		if err != nil {
+			return err
+		}
+		go w.beat(p.addr(portControl))
+	}
+	if err := r.awaitReady(); err != nil {
+		return err
+	}
+	var jobs []*job
+	for n := range gangs {
+		j := r.newJob([]step{{Count: 12, CPU: 8000, MemMb: 8000, EstDurationMs: int(length.Milliseconds()), Gang: true}}, length)
+		if r.submit(r.entries[n%3], j) {
+			jobs = append(jobs, j)
+		}
+		if !trouble {
+			r.awaitCompleted([]*job{j}, 2*length)
+		}
+	}
+	// A job counts visible_ms and 2 s after it was accepted.
+	const visible = 5 * time.Second
+	for end := time.Now().Add(25 * time.Second); trouble && time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		waiting := r.notBegun(jobs, visible)
+		for _, p := range r.entries {
+			status, pending := r.call(p, http.MethodGet, "", "")
+			n, err := strconv.Atoi(pending)
+			r.rec.add("client", "GET %s at %s: %d, pending %s; %d jobs were accepted over %v ago and haven't begun", prefix, p.name, status, pending, waiting, visible)
+			// A job that has begun meanwhile isn't counted.
+			if rest := r.notBegun(jobs, visible); status == http.StatusOK && err == nil && 2*n < min(waiting, rest) {
+				r.checks.fail("MIXED", "%s gives %d jobs as pending, and %d that were accepted over %v ago haven't begun", p.name, n, rest, visible)
+			}
+		}
+	}
+	r.rec.add("case", "%d of %d gangs are accepted; all are shown as completed: %v", len(jobs), gangs, r.awaitCompleted(jobs, 60*time.Second))
+	return nil
+}
+
+// notBegun returns how many jobs were accepted at least some time ago and have no run yet.
+func (r *rig) notBegun(jobs []*job, age time.Duration) int {
+	n := 0
+	for _, j := range jobs {
+		begun := time.Since(j.acceptedAt) < age
+		for i := range j.Steps[0].Count {
+			begun = begun || len(r.checks.runsOf(fmt.Sprintf("%s.0.0.%d", j.ID, i))) > 0
+		}
+		if !begun {
+			n++
+		}
+	}
+	return n
+}
--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -26,6 +26,7 @@
 var caseFuncs = map[string]caseFunc{
 	"ends":   manyEndsAtTakeover,
 	"advice": burstOfAdvice,
+	"gangs":  waitingGangs,
 	"leave":  lateNoticeOfLeave,
 	"record": largeProgress,
 	"memory": manyOccurrences,
--- a/review/rig4/rig.go
+++ b/review/rig4/rig.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -31,6 +32,7 @@
 	EstDurationMs int   `json:"estDurationMs,omitempty"`
 	After         []int `json:"after,omitempty"`
 	Checkpoint    bool  `json:"checkpoint,omitempty"`
+	Gang          bool  `json:"gang,omitempty"`
 }
 
 // job is a job as a client sends it.
@@ -248,7 +250,8 @@
 	return runTask{job: j, step: j.Steps[n[1]], name: name, stepIndex: n[1]}, true
 }
 
-// call sends a client's request and returns the status, 0 without an answer.
+// call sends a client's request and returns the status, 0 without an answer, and the state of the job or, without
+// an ID, the number of pending ones.
 func (r *rig) call(p *process, method, id, body string) (int, string) {
 	q, err := http.NewRequest(method, "http://"+p.addr(portFront)+prefix+id, strings.NewReader(body))
 	if err != nil {
@@ -265,9 +268,13 @@
 	}
 	defer a.Body.Close()
 	var out struct {
-		State string `json:"state"`
+		State   string `json:"state"`
+		Pending int    `json:"pending"`
 	}
 	_ = json.NewDecoder(a.Body).Decode(&out)
+	if id == "" {
+		return a.StatusCode, strconv.Itoa(out.Pending)
+	}
 	return a.StatusCode, out.State
 }
 
