--- a/review/20/run.sh
+++ b/review/20/run.sh
@@ -5,4 +5,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
 [ -x target/sesamestream-platform ] && [ -x target/review/rig4 ] || { echo "not built"; exit 2; }
-exec target/review/rig4 leave "$here/record.txt"
+exec target/review/rig4 advice "$here/record.txt"
--- a/review/rig4/main.go
+++ b/review/rig4/main.go
@@ -22,14 +22,12 @@
 // caseFunc runs a case in a deployment, with or without its disruption.
 type caseFunc func(r *rig, trouble bool) error
 
-// caseFuncs are the cases by the names of their folders.
+// caseFuncs are the cases by the names that their scripts give.
 var caseFuncs = map[string]caseFunc{
-	"ends":   manyEndsAtTakeover,
 	"advice": burstOfAdvice,
-	"gangs":  waitingGangs,
+	"lease":  lateLease,
 	"leave":  lateNoticeOfLeave,
-	"record": largeProgress,
-	"memory": manyOccurrences,
+	"note":   lateNote,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig4/process.go
+++ b/review/rig4/process.go
@@ -19,7 +19,7 @@
 // The bounds of the deployment, as in the settings below.
 const (
 	holdMax           = 6 * time.Second
-	stopTime          = 200 * time.Millisecond
+	stopTime          = 400 * time.Millisecond
 	heartbeatInterval = 1500 * time.Millisecond
 )
 
@@ -33,8 +33,6 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
-	// overLimit counts how often the process was killed as it exceeded the memory of its machine.
-	overLimit int
 }
 
 // memoryMb is the memory of the machine of the process.
@@ -170,51 +168,3 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
-
-// enforceMemory kills the process whenever it exceeds the memory of its machine, and starts it again
-// after a short delay, as the platform does, until done is closed.
-func (p *process) enforceMemory(done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-time.After(50 * time.Millisecond):
-		}
-		p.mu.Lock()
-		c := p.cmd
-		p.mu.Unlock()
-		if c == nil {
-			continue
-		}
-		mb := residentMb(c.Process.Pid)
-		if mb <= p.memoryMb() {
-			continue
-		}
-		p.mu.Lock()
-		p.overLimit++
-		n := p.overLimit
-		p.mu.Unlock()
-		p.rig.rec.add(p.name, "holds %d MB of %d and is killed, the %d. time", mb, p.memoryMb(), n)
-		p.end()
-		time.Sleep(restartDelay)
-		if err := p.start(); err != nil {
-			p.rig.rec.add(p.name, "can't be started: %v", err)
-		}
-	}
-}
-
-// restartDelay is the time until the platform starts a process again.
-const restartDelay = 500 * time.Millisecond
-
-// residentMb returns the resident memory of a process in MiB; 0 if it has ended.
-func residentMb(pid int) int {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	if err != nil {
-		return 0
-	}
-	var size, resident int
-	if _, err := fmt.Sscan(string(b), &size, &resident); err != nil {
-		return 0
-	}
-	return resident * os.Getpagesize() >> 20
-}
--- a/review/rig4/rig.go
+++ b/review/rig4/rig.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -31,18 +30,13 @@
 	MemMb         int   `json:"memMb,omitempty"`
 	EstDurationMs int   `json:"estDurationMs,omitempty"`
 	After         []int `json:"after,omitempty"`
-	Checkpoint    bool  `json:"checkpoint,omitempty"`
-	Gang          bool  `json:"gang,omitempty"`
 }
 
 // job is a job as a client sends it.
 type job struct {
-	ID          string `json:"-"`
-	Spec        string `json:"spec"`
-	Steps       []step `json:"steps"`
-	StartAtMs   int64  `json:"startAtMs,omitempty"`
-	IntervalMs  int64  `json:"intervalMs,omitempty"`
-	RepeatCount int    `json:"repeatCount,omitempty"`
+	ID    string `json:"-"`
+	Spec  string `json:"spec"`
+	Steps []step `json:"steps"`
 	// duration is how long a task runs.
 	duration func(runTask) time.Duration
 	// acceptedAt is when the job was accepted; zero if it wasn't.
@@ -91,7 +85,7 @@
 		return nil, err
 	}
 	r := &rig{dir: dir, rec: &recorder{file: f, began: time.Now()}, jobs: map[string]*job{}}
-	r.store = newStore(r.rec)
+	r.store = newStore()
 	r.checks = &checks{rec: r.rec, runs: map[string][]*seenRun{}, failed: map[string]int{}}
 	for range 100 {
 		// Addresses on which no other run of a script listens.
@@ -115,7 +109,7 @@
 		} else {
 			r.entries = append(r.entries, p)
 		}
-		if err := r.store.listen(p.name, p.addr(portStore)); err != nil {
+		if err := r.store.listen(p.addr(portStore)); err != nil {
 			return err
 		}
 		if r.advice != nil {
@@ -192,17 +186,6 @@
 	}
 }
 
-// leader returns the process that renewed its lease last.
-func (r *rig) leader() *process {
-	name := r.store.lastRenewal()
-	for _, p := range r.processes() {
-		if p.name == name {
-			return p
-		}
-	}
-	return nil
-}
-
 // newWorker starts a worker beside an agent.
 func (r *rig) newWorker(p *process, id string, cpu, memMb int) (*worker, error) {
 	w := &worker{rig: r, id: id, machine: "m-" + p.name, zone: p.zone, addr: p.addr(portWorker), cpu: cpu, memMb: memMb}
@@ -244,14 +227,13 @@
 	r.mu.Lock()
 	j := r.jobs[id]
 	r.mu.Unlock()
-	if j == nil || n[0] >= max(j.RepeatCount, 1) || n[1] >= len(j.Steps) || n[2] >= j.Steps[n[1]].Count {
+	if j == nil || n[0] > 0 || n[1] >= len(j.Steps) || n[2] >= j.Steps[n[1]].Count {
 		return runTask{}, false
 	}
 	return runTask{job: j, step: j.Steps[n[1]], name: name, stepIndex: n[1]}, true
 }
 
-// call sends a client's request and returns the status, 0 without an answer, and the state of the job or, without
-// an ID, the number of pending ones.
+// call sends a client's request and returns the status, 0 without an answer, and the state of the job.
 func (r *rig) call(p *process, method, id, body string) (int, string) {
 	q, err := http.NewRequest(method, "http://"+p.addr(portFront)+prefix+id, strings.NewReader(body))
 	if err != nil {
@@ -268,13 +250,9 @@
 	}
 	defer a.Body.Close()
 	var out struct {
-		State   string `json:"state"`
-		Pending int    `json:"pending"`
+		State string `json:"state"`
 	}
 	_ = json.NewDecoder(a.Body).Decode(&out)
-	if id == "" {
-		return a.StatusCode, strconv.Itoa(out.Pending)
-	}
 	return a.StatusCode, out.State
 }
 
--- a/review/rig4/store.go
+++ b/review/rig4/store.go
@@ -42,8 +42,6 @@
 
 // store is a stand-in for the platform's store.
 type store struct {
-	rec *recorder
-
 	mu        sync.Mutex
 	revision  int64
 	items     map[string]item
@@ -53,44 +51,25 @@
 	history   []change
 	compacted int64
 	changed   chan struct{}
-	// renewedBy is the process that last renewed a lease.
-	renewedBy string
-	// refused counts the changes that were refused for the size of a value.
-	refused int
 }
 
-func newStore(rec *recorder) *store {
+func newStore() *store {
 	return &store{
-		rec: rec, revision: 1, items: map[string]item{}, leases: map[int64]*time.Timer{}, ttls: map[int64]time.Duration{},
+		revision: 1, items: map[string]item{}, leases: map[int64]*time.Timer{}, ttls: map[int64]time.Duration{},
 		changed: make(chan struct{}),
 	}
 }
 
-// listen serves the store to one process, at an address of its own.
-func (s *store) listen(process, addr string) error {
+// listen serves the store at the address that one process has for it.
+func (s *store) listen(addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
-	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(process, w, r) })
-	go func() { _ = (&http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}).Serve(l) }()
+	go func() { _ = (&http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}).Serve(l) }()
 	return nil
 }
 
-// lastRenewal returns the process that last renewed a lease.
-func (s *store) lastRenewal() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.renewedBy
-}
-
-// refusals returns how many changes were refused for the size of a value.
-func (s *store) refusals() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.refused
-}
-
 // put sets a key as the operator does.
 func (s *store) put(key string, value []byte) {
 	s.mu.Lock()
@@ -147,7 +126,8 @@
 	return true
 }
 
-func (s *store) serve(process string, w http.ResponseWriter, r *http.Request) {
+// ServeHTTP serves a call to the store.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -180,7 +160,6 @@
 		t, ok := s.leases[id]
 		if ok {
 			t.Reset(s.ttls[id])
-			s.renewedBy = process
 		}
 		s.mu.Unlock()
 		if !ok {
@@ -276,10 +255,6 @@
 	defer s.mu.Unlock()
 	for _, p := range in.Puts {
 		if len(p.Value) > valueBytes {
-			s.refused++
-			if s.refused == 1 {
-				s.rec.add("store", "refuses a change: the value of %s has %d bytes, more than valueBytes", p.Key, len(p.Value))
-			}
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
--- a/review/rig4/worker.go
+++ b/review/rig4/worker.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -63,6 +63,10 @@
 	usedCPU int
 	usedMem int
 	changed chan struct{}
+	// late, if set, takes the calls that are left unanswered.
+	late func(path string, o *order) bool
+	// cut is set while the worker is cut off.
+	cut atomic.Bool
 }
 
 // start serves the worker's calls at its address.
@@ -126,6 +130,10 @@
 		if dead {
 			return
 		}
+		if w.cut.Load() {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
 		r, err := http.NewRequest(http.MethodPut, "http://"+control+"/api/instances/"+w.id, strings.NewReader(w.heartbeat(seq)))
 		if err == nil {
 			r.Header.Set("Content-Type", "application/json")
@@ -142,6 +150,7 @@
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
 	Spec       string `json:"spec"`
+	Ticket     string `json:"ticket"`
 	UntilMs    int64  `json:"untilMs"`
 	FenceToken int64  `json:"fenceToken"`
 	SeenUpto   int64  `json:"seenUpto"`
@@ -155,33 +164,32 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if w.cut.Load() {
+		<-r.Context().Done()
+		return
+	}
 	if id := r.Header.Get("X-Target-Instance"); id != "" && id != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.mu.Lock()
+	late := w.late
+	w.mu.Unlock()
+	if late != nil && late(r.URL.Path, &o) {
+		// The call gets no answer.
+		<-r.Context().Done()
+		return
+	}
 	if r.URL.Path == "/api/hold" {
 		w.hold(rw, r, &o)
 		return
 	}
 	w.mu.Lock()
-	reason, known := "", true
-	switch {
-	case w.dead:
+	if w.dead {
 		w.mu.Unlock()
 		panic(http.ErrAbortHandler)
-	case o.FenceToken < w.fence:
-		reason = "fence"
-	case r.URL.Path == "/api/run-start":
-		w.fence = o.FenceToken
-		reason, known = w.startRun(&o)
-	case r.URL.Path == "/api/run-stop":
-		w.fence = o.FenceToken
-		w.stopRun(&o)
-	case r.URL.Path == "/api/pace":
-		w.fence = o.FenceToken
-	default:
-		known = false
 	}
+	reason, known := w.carryOut(r.URL.Path, &o)
 	out := map[string]any{"clockMs": w.clock().Milliseconds(), "born": w.born}
 	w.mu.Unlock()
 	switch {
@@ -195,6 +203,38 @@
 	}
 }
 
+// carryOut carries out a call. It returns why not, and false for a call that makes no sense.
+func (w *worker) carryOut(path string, o *order) (reason string, known bool) {
+	if o.FenceToken < w.fence {
+		return "fence", true
+	}
+	switch path {
+	case "/api/run-start":
+		w.fence = o.FenceToken
+		return w.startRun(o)
+	case "/api/run-stop":
+		w.fence = o.FenceToken
+		w.stopRun(o)
+	case "/api/pace":
+		w.fence = o.FenceToken
+	case "/api/hold":
+		w.fence = o.FenceToken
+		w.extendLease(o.UntilMs)
+		w.forgetEnds(o.SeenUpto)
+	default:
+		return "", false
+	}
+	return "", true
+}
+
+// carryOutLate carries out a call that got no answer.
+func (w *worker) carryOutLate(path string, o *order) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	reason, _ := w.carryOut(path, o)
+	w.rig.rec.add(w.id, "carries out %s late (fence %d, task %q, run %d, untilMs %d, seenUpto %d): %q", path, o.FenceToken, o.Task, o.Run, o.UntilMs, o.SeenUpto, reason)
+}
+
 // startRun starts a run, or returns why not; false for a task that nobody submitted.
 func (w *worker) startRun(o *order) (reason string, known bool) {
 	t, ok := w.rig.findTask(o.Task)
@@ -214,6 +254,8 @@
 		return "old", true
 	case time.Duration(o.UntilMs)*time.Millisecond <= w.clock():
 		return "late", true
+	case w.rig.advice != nil && o.Ticket != ticket(o.Task[:strings.LastIndex(o.Task, ".")], w.id):
+		return "ticket", true
 	case w.usedCPU+t.step.CPU > w.cpu || w.usedMem+t.step.MemMb > w.memMb:
 		return "room", true
 	}
@@ -251,11 +293,7 @@
 	w.usedMem -= x.step.MemMb
 	w.highest[x.task] = max(w.highest[x.task], x.number)
 	w.ends++
-	saved := ""
-	if x.step.Checkpoint {
-		saved = savedValue(x.task)
-	}
-	w.ended = append(w.ended, []any{w.ends, x.task, x.number, how, saved})
+	w.ended = append(w.ended, []any{w.ends, x.task, x.number, how, ""})
 	w.rig.checks.runEnded(w, x.task, x.number, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -304,9 +342,7 @@
 			return
 		}
 		if first {
-			w.fence = o.FenceToken
-			w.extendLease(o.UntilMs)
-			w.forgetEnds(o.SeenUpto)
+			w.carryOut("/api/hold", o)
 		}
 		if over || len(w.ended) > 0 {
 			break
@@ -348,13 +384,6 @@
 	}
 }
 
-// unseen returns how many ends are listed that nobody has taken note of.
-func (w *worker) unseen() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.ended)
-}
-
 // running returns how many runs are on the worker.
 func (w *worker) running() int {
 	w.mu.Lock()
@@ -362,15 +391,6 @@
 	return len(w.runs)
 }
 
-// savedValue is the checkpoint of a task.
-func savedValue(name string) string {
-	h := uint64(14695981039346656037)
-	for _, c := range []byte(name) {
-		h = (h ^ uint64(c)) * 1099511628211
-	}
-	return fmt.Sprintf("%016x", h)
-}
-
 // parseTask splits the name of a task.
 func parseTask(name string) (id string, numbers [3]int, ok bool) {
 	p := strings.Split(name, ".")
