--- a/review/rig4/cases.go
+++ b/review/rig4/cases.go
@@ -61,6 +61,11 @@
 		return err
 	}
 	go next.beat(control)
+	if !waitFor(5*time.Second, func() bool { return next.highestFence() > first.highestFence() }) {
+		return fmt.Errorf("%w: the next life isn't polled", errNotReady)
+	}
+	// The agent reports the life with its first poll.
+	time.Sleep(200 * time.Millisecond)
 	var all []*job
 	for i := range 12 {
 		j := r.newJob([]step{{Count: 8, CPU: 400, MemMb: 500, EstDurationMs: 4000}}, 4*time.Second)
@@ -327,7 +332,10 @@
 	time.Sleep(200 * time.Millisecond)
 	next.carryOutLate(poll.path, &poll.order)
 	go next.beat(r.agents[0].addr(portControl))
-	time.Sleep(300 * time.Millisecond)
+	if !waitFor(5*time.Second, func() bool { return next.highestFence() > w.highestFence() }) {
+		return fmt.Errorf("%w: the next life isn't polled", errNotReady)
+	}
+	time.Sleep(200 * time.Millisecond)
 	j := newJob()
 	r.submit(r.entries[0], j)
 	if !waitFor(time.Second, func() bool { return next.running() > 0 }) {
--- a/review/rig4/worker.go
+++ b/review/rig4/worker.go
@@ -384,6 +384,14 @@
 	}
 }
 
+// highestFence returns the highest fencing token that the worker has seen. The agent polls a life that
+// has sent a heartbeat under a higher one than the life before.
+func (w *worker) highestFence() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence
+}
+
 // running returns how many runs are on the worker.
 func (w *worker) running() int {
 	w.mu.Lock()
