Refuse jobs for which the scheduler has no memory

What callers saw: nothing bounded the sum of what jobs take of the process that leads; entries answered 200 until it was killed, and each process that led next, which reads the same jobs, too.

Cause: the limits of a job hold for each by itself, and entries know nothing of the others.

Change: one account of open and ended jobs (Scheduler.Footprint), with what each may need while it waits. The scheduler reports it with its pongs; entries reserve what they accept and answer 429 beyond a sixth of the process's memory, with the time in which that much was freed lately as Retry-After (pkg/decide/retention). Without any report an entry accepts a sixteenth of it.

TestWaitingJobsStayWithinTheirFootprint compares the account with the heap, TestEntriesStayWithinTheLimit plays entries, reports and restarts, TestJobsBeyondTheMemoryAreRefused (which needs the new outcome, so that it doesn't build before) the entry.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,6 +21,7 @@
 	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/overload"
+	"github.com/sesamestream/sesamestream/pkg/decide/retention"
 	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
@@ -54,6 +55,8 @@
 	DecodeConfig func([]byte) (batch.Config, error)
 	// EvacuationPrefix is the prefix of the store keys that request evacuations of data centres; empty is none.
 	EvacuationPrefix string
+	// JobMemory is how many bytes jobs may take of the process while it schedules; 0 is no bound.
+	JobMemory int64
 	// MaxLinks bounds the connections of other processes to this one; 0 is no bound.
 	MaxLinks int
 	// Frames bounds the bytes of the frames that other processes send on them; nil is no bound.
@@ -117,6 +120,11 @@
 				c.Gateway.SetLoad(time.Now(), *s)
 			}
 		},
+		OnMemory: func(r retention.Report) {
+			if c.Gateway != nil {
+				c.Gateway.SetMemory(r)
+			}
+		},
 		OnSessionLost: func() {
 			if c.Agent != nil {
 				c.Agent.SessionLost()
@@ -133,8 +141,9 @@
 	if c.Entry {
 		c.Gateway = &gateway.Gateway{
 			Store: c.Store, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig, Send: c.node.Send,
-			DataCentre: c.DataCentre,
+			DataCentre: c.DataCentre, JobMemory: c.JobMemory,
 		}
+		m.RegisterGauge(telemetry.JobMemory, func() float64 { return float64(c.Gateway.HeldJobMemory()) })
 		m.RegisterGauge(telemetry.StoreUp, func() float64 { return boolToFloat(c.Gateway.StoreReachable()) })
 		m.RegisterGauge(telemetry.ConfigVersion, func() float64 {
 			v, _ := c.Gateway.Config()
@@ -158,7 +167,7 @@
 func (c *Process) newDispatcher(t *election.Term) *dispatch.Dispatcher {
 	return &dispatch.Dispatcher{
 		Store: c.Store, Term: t, Node: c.Name, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig,
-		EvacuationPrefix: c.EvacuationPrefix, Keep: c.Keep, Advise: c.Advise,
+		EvacuationPrefix: c.EvacuationPrefix, Keep: c.Keep, Advise: c.Advise, JobMemory: c.JobMemory,
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/decide/overload"
+	"github.com/sesamestream/sesamestream/pkg/decide/retention"
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
@@ -82,6 +83,8 @@
 	EvacuationPrefix string
 	// Keep is how long ended jobs are retained.
 	Keep time.Duration
+	// JobMemory is how many bytes jobs may take; 0 is no bound.
+	JobMemory int64
 	// Advise calls the policy service; nil if there is none.
 	Advise Adviser
 	// HostWait is how long the scheduler waits for hosts that may run tasks under leases of earlier terms.
@@ -124,11 +127,15 @@
 	relayedWrites int
 	// loadSummary is sent to the entries; nil until the scheduler has one.
 	loadSummary *overload.Summary
+	// memory measures what jobs take.
+	memory retention.Meter
+	// memoryReport is sent to the entries; nil until the state is loaded, or if there is no bound.
+	memoryReport *retention.Report
 	// flushing is set while a flush is in progress, loaded once the state in the store is read.
 	flushing, loaded bool
 	// Times of the last periodic actions.
 	lastFlush, lastCollection, lastShrink, lastEstimatesSent,
-	lastEstimatesStored, lastAnnounce, lastHandoverCheck time.Time
+	lastEstimatesStored, lastAnnounce, lastHandoverCheck, lastMemoryCheck time.Time
 
 	ctx        context.Context
 	background sync.WaitGroup
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -314,7 +314,7 @@
 		d.members.Answered(now, s.hello.Node, s.hello.Incarnation)
 	}
 	if !s.hello.Host {
-		pong.Load = d.loadSummary
+		pong.Load, pong.Memory = d.loadSummary, d.memoryReport
 	}
 	s.conn.Send(link.Message{Pong: pong})
 }
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -105,6 +105,10 @@
 		d.lastHandoverCheck = now
 		d.tryHandOver(now)
 	}
+	if now.Sub(d.lastMemoryCheck) > memoryInterval {
+		d.lastMemoryCheck = now
+		d.measureMemory(now)
+	}
 	if now.Sub(d.lastShrink) > shrinkInterval {
 		d.lastShrink = now
 		d.shrinkEndedJobs(now)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -13,6 +13,8 @@
 	"github.com/sesamestream/sesamestream/internal/telemetry"
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/overload"
+	"github.com/sesamestream/sesamestream/pkg/decide/retention"
+	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 )
 
 const (
@@ -27,6 +29,10 @@
 type admission struct {
 	// load is the last load summary, or nil.
 	load *overload.Summary
+	// memory is the account of what jobs take of the scheduler's memory, and heldBytes what the
+	// scheduler last reported.
+	memory    retention.Ledger
+	heldBytes int64
 	// firstRefused is when jobs were first refused for overload, unknown when the
 	// outcome of a submission was last unknown.
 	firstRefused, unknown jobTimes
@@ -79,11 +85,44 @@
 	g.admission.load = &s
 }
 
-// refuseForLoad decides whether a job is refused as it can't be of use any more. The last
-// result reports whether it is, or was accepted earlier, in which case nothing is written.
+// SetMemory records what jobs take of the scheduler's memory.
+func (g *Gateway) SetMemory(r retention.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.memory.Update(r)
+	g.admission.heldBytes = r.Held
+}
+
+// HeldJobMemory returns how many bytes jobs took of the scheduler's memory when it last reported them.
+func (g *Gateway) HeldJobMemory() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.heldBytes
+}
+
+// reserveMemory reserves the scheduler's memory for a job. If there is none, it returns the decision to refuse it.
+func (g *Gateway) reserveMemory(j *batch.Job) (overload.Decision, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.memory.Limit = g.JobMemory
+	after, ok := g.admission.memory.Reserve(schedule.Footprint(j))
+	return overload.Decision{Refuse: !ok, RetryAfter: after, Reason: noMemory}, ok
+}
+
+// noMemory is the logged reason of a refusal for want of the scheduler's memory.
+const noMemory overload.Reason = "noMemory"
+
+// refuseForLoad decides whether a job is refused as it can't be of use any more, or as the scheduler has no memory
+// for it. The last result reports whether it is, or was accepted earlier, in which case nothing is written.
 func (g *Gateway) refuseForLoad(ctx context.Context, deadline time.Time, j *batch.Job) (SubmitResult, overload.Decision, bool) {
 	now := time.Now()
+	refused := Refused
 	d := g.decideForLoad(now, j)
+	if !d.Refuse {
+		if m, ok := g.reserveMemory(j); !ok {
+			d, refused = m, Full
+		}
+	}
 	if !d.Refuse || g.mayApply(j.ID) {
 		// A write of unknown outcome may still take effect, so the job can't be refused.
 		return SubmitResult{}, d, false
@@ -99,7 +138,7 @@
 	g.mu.Lock()
 	g.admission.firstRefused.add(now, j.ID)
 	g.mu.Unlock()
-	return SubmitResult{Outcome: Refused, RetryAfter: d.RetryAfter}, d, true
+	return SubmitResult{Outcome: refused, RetryAfter: d.RetryAfter}, d, true
 }
 
 // lookUpRefused returns Refused if a job that is to be refused wasn't accepted by an earlier submission. It
@@ -146,9 +185,13 @@
 // logLoadRefusal logs and counts the result of a submission that refuseForLoad has decided.
 func (g *Gateway) logLoadRefusal(began time.Time, j *batch.Job, v SubmitResult, d overload.Decision) {
 	e := eventlog.JobAccepted
-	if v.Outcome == Refused {
+	switch v.Outcome {
+	case Refused:
 		e = eventlog.JobRefused
 		g.Log.Metrics.Increment(telemetry.Refusals, "reason", "overload")
+	case Full:
+		e = eventlog.JobRefused
+		g.Log.Metrics.Increment(telemetry.Refusals, "reason", "memory")
 	}
 	g.Log.Metrics.Observe(telemetry.AcceptSeconds, time.Since(began))
 	g.Log.Event(e).Str("job", string(j.ID)).Str("queue", j.Queue).Dur("took", time.Since(began)).Dur("retryAfter", v.RetryAfter).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	NotFound
 	// TooLarge jobs have a record that the store does not take.
 	TooLarge
+	// Full jobs never run as a result of this request, as the scheduler has no memory for more.
+	Full
 )
 
 // maxRecordBytes bounds the record of a job, as the store takes no larger values. A frame between
@@ -100,6 +102,8 @@
 	Send func(link.Message) bool
 	// DataCentre is the data centre of the process.
 	DataCentre string
+	// JobMemory is how many bytes jobs may take of the process while it schedules; 0 is no bound.
+	JobMemory int64
 
 	config  atomic.Pointer[batch.Config]
 	stopped atomic.Bool
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -6,6 +6,7 @@
 	"github.com/sesamestream/sesamestream/pkg/batch"
 	"github.com/sesamestream/sesamestream/pkg/decide/interfere"
 	"github.com/sesamestream/sesamestream/pkg/decide/overload"
+	"github.com/sesamestream/sesamestream/pkg/decide/retention"
 	"github.com/sesamestream/sesamestream/pkg/decide/schedule"
 	"github.com/sesamestream/sesamestream/pkg/fleet"
 )
@@ -91,6 +92,8 @@
 	// Load is the room for work and the work that waits; it is sent to processes without a
 	// worker on their host only. Schedulers of earlier versions don't send it.
 	Load *overload.Summary `cbor:"4,keyasint,omitempty"`
+	// Memory is what the scheduler holds of jobs; it is sent like Load. Schedulers of earlier versions don't send it.
+	Memory *retention.Report `cbor:"7,keyasint,omitempty"`
 	// Stamp is the scheduler's clock; the next Ping returns it unchanged. Schedulers of earlier
 	// versions don't send it.
 	Stamp int64 `cbor:"5,keyasint,omitempty"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/sesamestream/sesamestream/internal/kv"
 	"github.com/sesamestream/sesamestream/internal/link"
 	"github.com/sesamestream/sesamestream/pkg/decide/overload"
+	"github.com/sesamestream/sesamestream/pkg/decide/retention"
 	"github.com/sesamestream/sesamestream/pkg/decide/succession"
 )
 
@@ -68,7 +69,9 @@
 	OnGrant   func(sent, grant time.Duration)
 	OnMessage func(link.Message)
 	// OnLoad is called with the load summary of a pong that has one.
-	OnLoad        func(*overload.Summary)
+	OnLoad func(*overload.Summary)
+	// OnMemory is called with the memory report of a pong that has one.
+	OnMemory      func(retention.Report)
 	OnSessionLost func()
 	// LeaseClock is the clock by which leases are counted.
 	LeaseClock func() time.Duration
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -95,6 +95,9 @@
 				if m.Pong.Load != nil && n.OnLoad != nil {
 					n.OnLoad(m.Pong.Load)
 				}
+				if m.Pong.Memory != nil && n.OnMemory != nil {
+					n.OnMemory(*m.Pong.Memory)
+				}
 			case m.TakeOver != nil:
 				n.becomeSuccessor(*m.TakeOver)
 			default:
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -63,6 +63,8 @@
 	Leading Gauge = "sesamestream_leading"
 	// SessionUp is 1 while the process has a session with the scheduler.
 	SessionUp Gauge = "sesamestream_session_up"
+	// JobMemory is how many bytes jobs take of the scheduler, as it last reported.
+	JobMemory Gauge = "sesamestream_job_memory_bytes"
 	// StoreUp is 1 if the last call reached the store.
 	StoreUp Gauge = "sesamestream_store_up"
 	// ConfigVersion is the version of the configuration that the process applies to callers; 0 is none.
