Store the cancellation of an unread job before it is answered

Cause: 410 rested on one read of the job's key. It tells that the job isn't stored now, and nothing of writes under way, which another entry may have made, or this one before a restart. A conflict of a creation was taken for "accepted".

Change: a job's creation requires that neither the job nor its cancellation is stored, and so does the cancellation of a job that isn't; 410 is sent once that is in the store. A creation that meets it is answered 503, whichever write it was. A cancellation of a stored job requires its revision, so that one that is carried out after the job's removal has no effect. The scheduler removes cancellations of unknown jobs after as long as ended jobs, and again what it could not remove.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/sesamestream/sesamestream/internal/dispatch"
 	"github.com/sesamestream/sesamestream/internal/election"
@@ -57,6 +58,8 @@
 	EvacuationPrefix string
 	// JobMemory is how many bytes jobs may take of the process while it schedules; 0 is no bound.
 	JobMemory int64
+	// FenceRate is how many cancellations of unknown jobs an entry stores in a second, on average.
+	FenceRate rate.Limit
 	// MaxLinks bounds the connections of other processes to this one; 0 is no bound.
 	MaxLinks int
 	// Frames bounds the bytes of the frames that other processes send on them; nil is no bound.
@@ -141,7 +144,7 @@
 	if c.Entry {
 		c.Gateway = &gateway.Gateway{
 			Store: c.Store, Log: c.Log, ConfigKey: c.ConfigKey, DecodeConfig: c.DecodeConfig, Send: c.node.Send,
-			DataCentre: c.DataCentre, JobMemory: c.JobMemory,
+			DataCentre: c.DataCentre, JobMemory: c.JobMemory, FenceRate: c.FenceRate,
 		}
 		m.RegisterGauge(telemetry.JobMemory, func() float64 { return float64(c.Gateway.HeldJobMemory()) })
 		m.RegisterGauge(telemetry.StoreUp, func() float64 { return boolToFloat(c.Gateway.StoreReachable()) })
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -57,8 +57,9 @@
 		return
 	}
 	key := JobPrefix + string(k.Job)
-	c := kv.Change{Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: k.Value}}}
-	d.writeRelayed(key, c, func(now time.Time, r kv.Revision) {
+	c := kv.Change{Conditions: CreationConditions(k.Job), Puts: []kv.Put{{Key: key, Value: k.Value}}}
+	onConflict := func(err error) link.StoreOutcome { return CreationOutcome(k.Job, err) }
+	d.writeRelayed(key, c, onConflict, func(now time.Time, r kv.Revision) {
 		d.handleAccepted(now, &link.JobAccepted{Job: k.Job, Value: k.Value, Revision: int64(r)})
 	}, reply)
 }
@@ -69,18 +70,28 @@
 		reply(link.NotStored)
 		return
 	}
+	revision, ok := d.jobRevisions[id]
+	if !ok {
+		// The job has ended, and its description has been removed.
+		reply(link.Stored)
+		return
+	}
 	key := CancelPrefix + string(id)
-	c := kv.Change{Puts: []kv.Put{{Key: key, Value: []byte("cancelled")}}}
-	d.writeRelayed(key, c, func(now time.Time, _ kv.Revision) { d.scheduler.Cancel(now, id) }, reply)
+	c := kv.Change{
+		Conditions: []kv.Condition{{Key: JobPrefix + string(id), Revision: revision}},
+		Puts:       []kv.Put{{Key: key, Value: []byte("cancelled")}},
+	}
+	onConflict := func(error) link.StoreOutcome { return link.NotStored }
+	d.writeRelayed(key, c, onConflict, func(now time.Time, _ kv.Revision) { d.scheduler.Cancel(now, id) }, reply)
 }
 
 // writeRelayed applies a change in the background unless its key exists. The
 // change isn't conditional on the term. Back in the event loop it calls done if
-// the change was made, and then reply with the outcome.
-func (d *Dispatcher) writeRelayed(key string, c kv.Change, done func(time.Time, kv.Revision), reply func(link.StoreOutcome)) {
+// the change was made, and then reply with the outcome, which onConflict tells if a condition doesn't hold.
+func (d *Dispatcher) writeRelayed(key string, c kv.Change, onConflict func(error) link.StoreOutcome, done func(time.Time, kv.Revision), reply func(link.StoreOutcome)) {
 	d.relayedWrites++
 	d.background.Go(func() {
-		r, o := d.putIfAbsent(key, c)
+		r, o := d.putIfAbsent(key, c, onConflict)
 		d.post(func(now time.Time) {
 			d.relayedWrites--
 			if r > 0 {
@@ -93,7 +104,7 @@
 
 // putIfAbsent applies the change if key doesn't exist. It reads the key first: if
 // that fails, the record is certainly not stored, so that the outcome is known.
-func (d *Dispatcher) putIfAbsent(key string, c kv.Change) (kv.Revision, link.StoreOutcome) {
+func (d *Dispatcher) putIfAbsent(key string, c kv.Change, onConflict func(error) link.StoreOutcome) (kv.Revision, link.StoreOutcome) {
 	ctx, cancel := context.WithTimeout(d.ctx, relayCallTimeout)
 	_, err := d.Store.Get(ctx, key)
 	cancel()
@@ -110,7 +121,7 @@
 	case err == nil:
 		return r, link.Stored
 	case errors.Is(err, kv.ErrConflict):
-		return 0, link.Stored
+		return 0, onConflict(err)
 	case errors.Is(err, kv.ErrUnknown):
 		return 0, link.StoreUnknown
 	}
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -363,27 +364,37 @@
 
 // collectExpiredJobs removes from the store the jobs that ended more than Keep ago.
 func (d *Dispatcher) collectExpiredJobs(now time.Time) {
-	ids := d.scheduler.RemoveExpired(now.Add(-d.Keep))
-	if len(ids) == 0 {
+	if len(d.deferredJobs) > 0 || d.collecting {
+		// The cancellation of a job that isn't added yet has to stay.
 		return
 	}
-	for _, id := range ids {
+	before := now.Add(-d.Keep)
+	for _, id := range d.scheduler.RemoveExpired(before) {
 		delete(d.jobRevisions, id)
 		delete(d.progressRevisions, id)
+		d.expiredKeys = append(d.expiredKeys, JobPrefix+string(id), CancelPrefix+string(id), StatePrefix+string(id))
 	}
+	for _, id := range d.scheduler.RemoveExpiredCancellations(before) {
+		d.expiredKeys = append(d.expiredKeys, CancelPrefix+string(id))
+	}
+	if len(d.expiredKeys) == 0 {
+		return
+	}
+	d.collecting = true
+	keys := d.expiredKeys
 	d.background.Go(func() {
-		const keysPerJob = 3
-		for len(ids) > 0 {
-			n := min(len(ids), (kv.MaxChangeEntries-1)/keysPerJob)
-			var c kv.Change
-			for _, id := range ids[:n] {
-				c.Removes = append(c.Removes, JobPrefix+string(id), CancelPrefix+string(id), StatePrefix+string(id))
-			}
-			if _, err := d.applyInTerm(c); err != nil {
+		removed := 0
+		for removed < len(keys) {
+			n := min(len(keys)-removed, kv.MaxChangeEntries-1)
+			if _, err := d.applyInTerm(kv.Change{Removes: keys[removed : removed+n]}); err != nil {
 				d.Log.Warning(eventlog.ProgressNotStored).Int("removes", n).Err(err).Msg("")
-				return
+				break
 			}
-			ids = ids[n:]
+			removed += n
 		}
+		d.post(func(time.Time) {
+			// What could not be removed is removed with the next collection.
+			d.collecting, d.expiredKeys = false, slices.Delete(d.expiredKeys, 0, removed)
+		})
 	})
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -57,6 +57,7 @@
 	EstimateCompared     = "estimateCompared"
 	CancelAccepted       = "cancelAccepted"
 	CancelOutcomeUnknown = "cancelOutcomeUnknown"
+	CancelRefused        = "cancelRefused"
 	JobStateUnknown      = "stateUnknown"
 	TaskWaiting          = "taskWaiting"
 	RunOrdered           = "runOrdered"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/sesamestream/sesamestream/internal/dispatch"
 	"github.com/sesamestream/sesamestream/internal/eventlog"
@@ -77,6 +78,8 @@
 	NotFound
 	// TooLarge jobs have a record that the store does not take.
 	TooLarge
+	// Cancelled jobs were cancelled before they were stored, and never run as a result of this request.
+	Cancelled
 	// Full jobs never run as a result of this request, as the scheduler has no memory for more.
 	Full
 )
@@ -104,6 +107,8 @@
 	DataCentre string
 	// JobMemory is how many bytes jobs may take of the process while it schedules; 0 is no bound.
 	JobMemory int64
+	// FenceRate is how many cancellations of unknown jobs the process stores in a second, on average.
+	FenceRate rate.Limit
 
 	config  atomic.Pointer[batch.Config]
 	stopped atomic.Bool
@@ -116,6 +121,8 @@
 	// lastContact is when the store last answered a call.
 	lastContact time.Time
 	admission   admission
+	// fences bounds the stored cancellations of unknown jobs; nil until the first one.
+	fences *rate.Limiter
 }
 
 // Run follows the configuration until ctx ends.
@@ -227,6 +234,9 @@
 	}
 	e := eventlog.JobAccepted
 	switch v.Outcome {
+	case Cancelled:
+		e = eventlog.JobRefused
+		g.Log.Metrics.Increment(telemetry.Refusals, "reason", "cancelled")
 	case TooLarge:
 		e = eventlog.JobRefused
 		g.Log.Metrics.Increment(telemetry.Refusals, "reason", "recordSize")
@@ -268,7 +278,7 @@
 	for {
 		c, cancel := kv.WithStallTimeout(ctx, storeCallTimeout, storeCallTimeout)
 		r, err := g.Store.Apply(c, kv.Change{
-			Conditions: []kv.Condition{{Key: key}}, Puts: []kv.Put{{Key: key, Value: b}},
+			Conditions: dispatch.CreationConditions(j.ID), Puts: []kv.Put{{Key: key, Value: b}},
 		})
 		cancel()
 		if ctx.Err() == nil {
@@ -279,7 +289,14 @@
 			g.Send(link.Message{JobAccepted: &link.JobAccepted{Job: j.ID, Value: b, Revision: int64(r)}})
 			return SubmitResult{Outcome: Accepted}
 		case errors.Is(err, kv.ErrConflict):
-			return SubmitResult{Outcome: Accepted}
+			switch dispatch.CreationOutcome(j.ID, err) {
+			case link.Stored:
+				return SubmitResult{Outcome: Accepted}
+			case link.Fenced:
+				// No earlier write of the job can take effect any more.
+				return SubmitResult{Outcome: Cancelled, RetryAfter: maxRetryAfter}
+			case link.NotStored, link.StoreUnknown:
+			}
 		case errors.Is(err, kv.ErrUnknown):
 			mayApply = true
 			// The write may have succeeded and only its response been lost.
@@ -287,8 +304,10 @@
 				return SubmitResult{Outcome: Accepted}
 			}
 			// Writing the same record again is safe, since the key is only created where it does not exist.
-			if g.delegateWrite(ctx, j.ID, b) == link.Stored {
-				return SubmitResult{Outcome: Accepted}
+			switch o := g.delegateWrite(ctx, j.ID, b); o {
+			case link.Stored, link.Fenced:
+				return g.delegatedResult(o)
+			case link.NotStored, link.StoreUnknown:
 			}
 		}
 		if !mayApply && (time.Since(began) > refusedRetryLimit || ctx.Err() != nil) {
@@ -421,48 +440,3 @@
 	}
 	return i, err
 }
-
-// Cancel stores the cancellation of a job.
-func (g *Gateway) Cancel(ctx context.Context, deadline time.Time, id batch.JobID) Outcome {
-	o := g.cancel(ctx, deadline, id)
-	e := eventlog.CancelAccepted
-	if o == Unknown {
-		e = eventlog.CancelOutcomeUnknown
-	}
-	g.Log.Event(e).Str("job", string(id)).Bool("known", o == Found).Msg("")
-	return o
-}
-
-func (g *Gateway) cancel(ctx context.Context, deadline time.Time, id batch.JobID) Outcome {
-	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-responseMargin))
-	defer cancel()
-	key := dispatch.CancelPrefix + string(id)
-	for exists := false; ; {
-		if g.StoreDown() && g.delegateWrite(ctx, id, nil) == link.Stored {
-			return Found
-		}
-		if !exists {
-			_, err := g.get(ctx, dispatch.JobPrefix+string(id))
-			if errors.Is(err, kv.ErrNotFound) {
-				return NotFound
-			}
-			exists = err == nil
-		}
-		if exists {
-			c, cancelCall := context.WithTimeout(ctx, storeCallTimeout)
-			_, err := g.Store.Apply(c, kv.Change{Puts: []kv.Put{{Key: key, Value: []byte("cancelled")}}})
-			cancelCall()
-			if ctx.Err() == nil {
-				g.recordStoreCall(err)
-			}
-			if err == nil {
-				g.Send(link.Message{JobCancelled: &link.JobCancelled{Job: id}})
-				return Found
-			}
-		}
-		if ctx.Err() != nil {
-			return Unknown
-		}
-		steady.Sleep(ctx, retryInterval)
-	}
-}
--- a/internal/gateway/scheduler.go
+++ b/internal/gateway/scheduler.go
@@ -100,6 +100,8 @@
 		return SubmitResult{Outcome: Accepted}
 	case link.NotStored:
 		return g.refusedResult()
+	case link.Fenced:
+		return SubmitResult{Outcome: Cancelled, RetryAfter: maxRetryAfter}
 	case link.StoreUnknown:
 	}
 	return SubmitResult{Outcome: Unknown}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -274,6 +274,9 @@
 	Stored
 	// NotStored means that this request neither has stored the record nor will store it.
 	NotStored
+	// Fenced means that the job was cancelled before it was stored, and that no request stores it any more. Schedulers of
+	// earlier versions don't send it.
+	Fenced
 )
 
 // String returns the name of the outcome in logs and metrics.
@@ -283,6 +286,8 @@
 		return "kept"
 	case NotStored:
 		return "notKept"
+	case Fenced:
+		return "fenced"
 	case StoreUnknown:
 	}
 	return "unknown"
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -34,7 +34,7 @@
 // cancel requests the cancellation of a job until it is acknowledged, at most 10 times.
 func (r *rig) cancel(id batch.JobID) {
 	for range 10 {
-		if r.randomEntry().gateway().Cancel(context.Background(), time.Now().Add(2*time.Second), id) == gateway.Found {
+		if r.randomEntry().gateway().Cancel(context.Background(), time.Now().Add(2*time.Second), id).Outcome == gateway.Found {
 			r.history.CancelAcked(id)
 			return
 		}
--- a/test/fleet/handover_test.go
+++ b/test/fleet/handover_test.go
@@ -58,7 +58,7 @@
 				s, o := p.gateway().State(context.Background(), time.Now().Add(3*time.Second), j.ID)
 				g.Expect(o).To(Equal(gateway.Found))
 				g.Expect(s).NotTo(BeEmpty())
-				g.Expect(p.gateway().Cancel(context.Background(), time.Now().Add(3*time.Second), j.ID)).To(Equal(gateway.Found))
+				g.Expect(p.gateway().Cancel(context.Background(), time.Now().Add(3*time.Second), j.ID).Outcome).To(Equal(gateway.Found))
 				g.Expect(r.store.Items(dispatch.CancelPrefix + string(j.ID))).To(HaveLen(1))
 				r.close()
 			})
--- a/test/fleet/rig_test.go
+++ b/test/fleet/rig_test.go
@@ -48,6 +48,8 @@
 	procs   []*process
 	history *history.History
 	rand    *rand.Rand
+	// jobMemory bounds what jobs take of the scheduler, from the next start of a process on; 0 is no bound.
+	jobMemory int64
 	// advise calls the policy service of both queues; nil if there is none.
 	advise dispatch.Adviser
 	// log receives the logs of all processes. It is the file LOGS.SEED if LOGS is
@@ -160,7 +162,7 @@
 		Steady:    func() time.Duration { return time.Since(p.rig.begin) },
 		Dial:      func(_ netip.AddrPort, k batch.WorkerKey) hostagent.Worker { return p.dialWorker(k) },
 		ConfigKey: configKey, DecodeConfig: decodeConfig, EvacuationPrefix: evacuationPrefix,
-		MaxLease: maxLease, LeaderTTL: control.LeaderTTL, Keep: 10 * time.Minute, Advise: p.rig.advise,
+		MaxLease: maxLease, LeaderTTL: control.LeaderTTL, Keep: 10 * time.Minute, Advise: p.rig.advise, JobMemory: p.rig.jobMemory,
 	}
 	c.Open()
 	ctx, cancel := context.WithCancel(context.Background())
