Leave room in the scheduler's memory for small jobs

One job may now take a sixth of what is left at most. An entry whose share is used up until the next report, or that has none, sends a Retry-After of 1 s in place of 30.

--- a/pkg/decide/retention/retention.go
+++ b/pkg/decide/retention/retention.go
@@ -12,6 +12,8 @@
 	// unreportedShare is the part of its own limit that an entry without any report accepts. Entries that
 	// start together while no scheduler leads stay within the limit if they are fewer.
 	unreportedShare = 16
+	// largestShare is the part of what is left that one job may take, so that large jobs leave room for small ones.
+	largestShare = 6
 	// rateWindow is over how long the rate at which jobs free their bytes is averaged.
 	rateWindow = 10 * time.Second
 	// minRetryAfter is the resolution of Retry-After, and maxRetryAfter bounds it, as no forecast holds for longer.
@@ -72,33 +74,35 @@
 	if l.Limit <= 0 {
 		return 0, true
 	}
-	missing := bytes - l.room()
-	if missing <= 0 {
-		l.reserved += bytes
-		return 0, true
-	}
-	return l.retryAfter(missing), false
-}
-
-// room returns the bytes that the entry may still accept.
-func (l *Ledger) room() int64 {
-	r := l.report
-	if r == nil {
-		return l.Limit/unreportedShare - l.reserved - l.earlier
+	room, entries := l.Limit/unreportedShare, int64(1)
+	if r := l.report; r != nil {
+		limit := l.Limit
+		if r.Limit > 0 {
+			limit = min(limit, r.Limit)
+		}
+		room, entries = limit-r.Held, int64(max(r.Entries, 1))
 	}
-	limit := l.Limit
-	if r.Limit > 0 {
-		limit = min(limit, r.Limit)
+	used := l.reserved + l.earlier
+	missing := bytes*largestShare - (room - used)
+	// Entries share what is left, but for a job that is too large for a share.
+	shared := used > 0 && (bytes+used)*entries > room
+	switch {
+	case l.report == nil && (missing > 0 || shared), missing <= 0 && shared:
+		// The next report tells more.
+		return minRetryAfter, false
+	case missing > 0:
+		return l.retryAfter(missing), false
 	}
-	return (limit-r.Held)/int64(max(r.Entries, 1)) - l.reserved - l.earlier
+	l.reserved += bytes
+	return 0, true
 }
 
 // retryAfter returns when bytes that are missing are expected to be free.
 func (l *Ledger) retryAfter(missing int64) time.Duration {
-	if l.report == nil || l.report.Freed <= 0 {
+	if l.report.Freed <= 0 {
 		return maxRetryAfter
 	}
-	s := float64(missing) * float64(max(l.report.Entries, 1)) / l.report.Freed
+	s := float64(missing) / l.report.Freed
 	if s >= maxRetryAfter.Seconds() {
 		return maxRetryAfter
 	}
