Skip jobs that were submitted again when a removal is repeated

A removal of expired records that got no answer is repeated with the next collection. It may have been carried out, and a caller may have used the ID again since, so that the repetition would have removed the new job. Found by reading.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -131,9 +131,10 @@
 	memory retention.Meter
 	// memoryReport is sent to the entries; nil until the state is loaded, or if there is no bound.
 	memoryReport *retention.Report
-	// expiredKeys are the keys of expired jobs and cancellations that are still to be removed; collecting is set meanwhile.
-	expiredKeys []string
-	collecting  bool
+	// expired are the jobs whose records, or cancellations, have expired and are still to be removed; collecting is set
+	// while they are.
+	expired    []batch.JobID
+	collecting bool
 	// flushing is set while a flush is in progress, loaded once the state in the store is read.
 	flushing, loaded bool
 	// Times of the last periodic actions.
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -362,7 +362,8 @@
 	}
 }
 
-// collectExpiredJobs removes from the store the jobs that ended more than Keep ago.
+// collectExpiredJobs removes from the store the jobs that ended more than Keep ago, and the cancellations of unknown jobs
+// from before that.
 func (d *Dispatcher) collectExpiredJobs(now time.Time) {
 	if len(d.deferredJobs) > 0 || d.collecting {
 		// The cancellation of a job that isn't added yet has to stay.
@@ -372,21 +373,26 @@
 	for _, id := range d.scheduler.RemoveExpired(before) {
 		delete(d.jobRevisions, id)
 		delete(d.progressRevisions, id)
-		d.expiredKeys = append(d.expiredKeys, JobPrefix+string(id), CancelPrefix+string(id), StatePrefix+string(id))
+		d.expired = append(d.expired, id)
 	}
-	for _, id := range d.scheduler.RemoveExpiredCancellations(before) {
-		d.expiredKeys = append(d.expiredKeys, CancelPrefix+string(id))
-	}
-	if len(d.expiredKeys) == 0 {
+	d.expired = append(d.expired, d.scheduler.RemoveExpiredCancellations(before)...)
+	// A job may have been submitted again since a removal without an answer.
+	d.expired = slices.DeleteFunc(d.expired, d.scheduler.HasJob)
+	if len(d.expired) == 0 {
 		return
 	}
 	d.collecting = true
-	keys := d.expiredKeys
+	ids := d.expired
 	d.background.Go(func() {
+		const keysPerJob = 3
 		removed := 0
-		for removed < len(keys) {
-			n := min(len(keys)-removed, kv.MaxChangeEntries-1)
-			if _, err := d.applyInTerm(kv.Change{Removes: keys[removed : removed+n]}); err != nil {
+		for removed < len(ids) {
+			n := min(len(ids)-removed, (kv.MaxChangeEntries-1)/keysPerJob)
+			var c kv.Change
+			for _, id := range ids[removed : removed+n] {
+				c.Removes = append(c.Removes, JobPrefix+string(id), CancelPrefix+string(id), StatePrefix+string(id))
+			}
+			if _, err := d.applyInTerm(c); err != nil {
 				d.Log.Warning(eventlog.ProgressNotStored).Int("removes", n).Err(err).Msg("")
 				break
 			}
@@ -394,7 +400,7 @@
 		}
 		d.post(func(time.Time) {
 			// What could not be removed is removed with the next collection.
-			d.collecting, d.expiredKeys = false, slices.Delete(d.expiredKeys, 0, removed)
+			d.collecting, d.expired = false, slices.Delete(d.expired, 0, removed)
 		})
 	})
 }
