--- a/internal/gateway/cancel_test.go
+++ b/internal/gateway/cancel_test.go
@@ -164,3 +164,23 @@
 		g.Expect(r.cancelJob("0123456789abcdef").Outcome).To(Equal(Found), "known jobs are cancelled all the same")
 	})
 }
+
+// An entry that refuses a job for load has read that it isn't stored, though a write of another entry may still be
+// carried out: what was refused must not run.
+func TestRefusedJobIsNotCreatedByALateWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		writer, other := newAdmissionRig(), newAdmissionRig()
+		defer writer.Log.Close(time.Second)
+		defer other.Log.Close(time.Second)
+		late := &lateStore{Store: writer.store}
+		writer.Store, other.Store, other.store = late, writer.store, writer.store
+		late.setSilent(true)
+		v, _ := writer.submitJob("0123456789abcdef")
+		g.Expect(v.Outcome).To(Equal(Unknown))
+		other.SetLoad(time.Now(), overloaded(40))
+		v, _ = other.submitJob("0123456789abcdef")
+		late.carryOut()
+		g.Expect(v.Outcome == Refused && other.stored() > 0).To(BeFalse(), "a refused job is stored")
+	})
+}
