--- a/internal/gateway/cancel_test.go
+++ b/internal/gateway/cancel_test.go
@@ -57,6 +57,14 @@
 	return n
 }
 
+// newLateRigs returns an entry whose changes get no answer, another one, and the store of the first.
+func newLateRigs() (writer, other *admissionRig, late *lateStore) {
+	writer, other = newAdmissionRig(), newAdmissionRig()
+	late = &lateStore{Store: writer.store, silent: true}
+	writer.Store, other.Store, other.store = late, writer.store, writer.store
+	return writer, other, late
+}
+
 func (r *admissionRig) cancelJob(id batch.JobID) CancelResult {
 	return r.Cancel(context.Background(), time.Now().Add(3*time.Second), id)
 }
@@ -66,12 +74,9 @@
 func TestCancelledJobIsNotCreatedByALateWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		writer, other := newAdmissionRig(), newAdmissionRig()
+		writer, other, late := newLateRigs()
 		defer writer.Log.Close(time.Second)
 		defer other.Log.Close(time.Second)
-		late := &lateStore{Store: writer.store}
-		writer.Store, other.Store, other.store = late, writer.store, writer.store
-		late.setSilent(true)
 		v, _ := writer.submitJob("0123456789abcdef")
 		g.Expect(v.Outcome).To(Equal(Unknown))
 		g.Expect(late.pending).NotTo(BeEmpty())
@@ -94,12 +99,9 @@
 func TestSubmissionUnderWayMeetsItsCancellation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		writer, other := newAdmissionRig(), newAdmissionRig()
+		writer, other, late := newLateRigs()
 		defer writer.Log.Close(time.Second)
 		defer other.Log.Close(time.Second)
-		late := &lateStore{Store: writer.store}
-		writer.Store, other.Store = late, writer.store
-		late.setSilent(true)
 		var v SubmitResult
 		var wait sync.WaitGroup
 		wait.Go(func() { v, _ = writer.submitJob("0123456789abcdef") })
@@ -170,12 +172,9 @@
 func TestRefusedJobIsNotCreatedByALateWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		writer, other := newAdmissionRig(), newAdmissionRig()
+		writer, other, late := newLateRigs()
 		defer writer.Log.Close(time.Second)
 		defer other.Log.Close(time.Second)
-		late := &lateStore{Store: writer.store}
-		writer.Store, other.Store, other.store = late, writer.store, writer.store
-		late.setSilent(true)
 		v, _ := writer.submitJob("0123456789abcdef")
 		g.Expect(v.Outcome).To(Equal(Unknown))
 		other.SetLoad(time.Now(), overloaded(40))
