--- a/test/fleet/cancelled_test.go
+++ b/test/fleet/cancelled_test.go
@@ -13,7 +13,9 @@
 	"github.com/sesamestream/sesamestream/internal/dispatch"
 	"github.com/sesamestream/sesamestream/internal/gateway"
 	"github.com/sesamestream/sesamestream/internal/kv"
+	"github.com/sesamestream/sesamestream/internal/kv/memory"
 	"github.com/sesamestream/sesamestream/pkg/batch"
+	"github.com/sesamestream/sesamestream/test/history"
 )
 
 // lateCreations gives the changes that create a job no answer while held, and carries them out when it's told to.
@@ -146,3 +148,74 @@
 		r.checkCompleted(3)
 	})
 }
+
+// Jobs whose creations are carried out up to 6 s late are cancelled, at any entry, while processes start anew and
+// schedulers take over: nothing runs after its cancelling was acknowledged, and all records are removed in the end.
+// SEEDS=FROM-TO selects other seeds.
+func TestCancelledJobsAmongLateCreations(t *testing.T) {
+	for _, seed := range selectedSeeds(t, 12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				r := newRig(t, 7100+seed, 3, 3)
+				defer r.close()
+				time.Sleep(5 * time.Second)
+				var callers sync.WaitGroup
+				const jobs = 60
+				for n := range jobs {
+					time.Sleep(time.Duration(r.intn(600)) * time.Millisecond)
+					p := r.procs[r.intn(3)]
+					switch r.intn(8) {
+					case 0:
+						p.store.Set(memory.Faults{ApplyDelay: time.Duration(1+r.intn(5)) * time.Second})
+					case 1, 2:
+						p.store.Set(memory.Faults{})
+					case 3:
+						p.kill()
+						p.start()
+					case 4:
+						for _, x := range r.procs {
+							if x.name == r.leaderName() {
+								x.kill()
+								x.start()
+								break
+							}
+						}
+					}
+					j, patience := r.newJob(n), time.Duration(r.intn(4000))*time.Millisecond
+					entry := r.randomEntry()
+					callers.Go(func() {
+						v, _ := entry.submitOnce(j)
+						switch v.Outcome {
+						case gateway.Accepted:
+							r.history.Accepted(j)
+						case gateway.Refused, gateway.Full, gateway.Cancelled:
+							r.history.Refused(j.ID)
+						default:
+							r.history.OutcomeUnknown(j.ID)
+						}
+					})
+					if n%2 == 0 {
+						callers.Go(func() {
+							time.Sleep(patience)
+							r.cancel(j.ID)
+						})
+					}
+				}
+				callers.Wait()
+				for _, p := range r.procs {
+					p.store.Set(memory.Faults{})
+				}
+				time.Sleep(10 * time.Second)
+				for n := 0; n < jobs; n += 2 {
+					// A cancel that was never answered may have had its effect; its caller comes back.
+					r.cancel(history.JobID(n))
+				}
+				time.Sleep(60 * time.Second)
+				r.history.CheckFinalState(r.jobState)
+				time.Sleep(15 * time.Minute)
+				g.Expect(r.store.Items(dispatch.InputPrefix)).To(BeEmpty())
+			})
+		})
+	}
+}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -34,7 +34,8 @@
 // cancel requests the cancellation of a job until it is acknowledged, at most 10 times.
 func (r *rig) cancel(id batch.JobID) {
 	for range 10 {
-		if r.randomEntry().gateway().Cancel(context.Background(), time.Now().Add(2*time.Second), id).Outcome == gateway.Found {
+		switch r.randomEntry().gateway().Cancel(context.Background(), time.Now().Add(2*time.Second), id).Outcome {
+		case gateway.Found, gateway.NotFound:
 			r.history.CancelAcked(id)
 			return
 		}
