--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -369,13 +369,11 @@
 		// The cancellation of a job that isn't added yet has to stay.
 		return
 	}
-	before := now.Add(-d.Keep)
-	for _, id := range d.scheduler.RemoveExpired(before) {
+	for _, id := range d.scheduler.RemoveExpired(now.Add(-d.Keep)) {
 		delete(d.jobRevisions, id)
 		delete(d.progressRevisions, id)
 		d.expired = append(d.expired, id)
 	}
-	d.expired = append(d.expired, d.scheduler.RemoveExpiredCancellations(before)...)
 	// A job may have been submitted again since a removal without an answer.
 	d.expired = slices.DeleteFunc(d.expired, d.scheduler.HasJob)
 	if len(d.expired) == 0 {
--- a/pkg/decide/schedule/schedule.go
+++ b/pkg/decide/schedule/schedule.go
@@ -327,9 +327,9 @@
 // MarkDirty marks a job whose progress couldn't be stored, so that it is stored again.
 func (s *Scheduler) MarkDirty(id batch.JobID) { s.dirtyJobs[id] = true }
 
-// RemoveExpiredCancellations removes the cancellations from before the given time of jobs that were never added, and
-// returns the IDs of the jobs.
-func (s *Scheduler) RemoveExpiredCancellations(before time.Time) []batch.JobID {
+// RemoveExpired removes the finished jobs that ended before the given time and have no runs left, and the
+// cancellations from before it of jobs that were never added. It returns the IDs of all these jobs.
+func (s *Scheduler) RemoveExpired(before time.Time) []batch.JobID {
 	var ids []batch.JobID
 	for id, at := range s.earlyCancellations {
 		if at.Before(before) {
@@ -337,13 +337,6 @@
 			ids = append(ids, id)
 		}
 	}
-	return ids
-}
-
-// RemoveExpired removes the finished jobs that ended before the given time and have no
-// runs left, and returns their IDs.
-func (s *Scheduler) RemoveExpired(before time.Time) []batch.JobID {
-	var ids []batch.JobID
 	for id, j := range s.jobs {
 		if j.state.Final() && j.finalStateStored && j.endedAt.Before(before) && !j.running() {
 			ids = append(ids, id)
